--- /dev/null
+++ b/Makefile
@@ -0,0 +1,8 @@
+lint:
+	ruff check .
+	mypy
+
+test:
+	python -m pytest
+
+.PHONY: lint test
