--- a/kitepitch/choice.py
+++ b/arrowfold/choice.py
@@ -1,7 +1,7 @@
 """The decisions of one dispatcher: a token market after Chen's thesis (see docs/design.md).
 
-The types, events and actions it speaks are in kitepitch/interface.py, what it remembers of workers and
-requests in kitepitch/state.py; neither decides anything.
+The types, events and actions it speaks are in arrowfold/interface.py, what it remembers of workers and
+requests in arrowfold/state.py; neither decides anything.
 
 Each class of requests has a table of tokens, each held by a worker; a request follows the holder of
 a token drawn at random. Workers trade tokens at the price C_j(w). Everything else here guards the
@@ -16,9 +16,9 @@
 from collections.abc import Callable, Iterable
 from zlib import crc32
 
-from kitepitch import interface as api
-from kitepitch.interface import Idempotency, Lifecycle, RosterMode, Status
-from kitepitch.state import SECOND, Attempt, Rate, Request, Table, Token, Worker
+from arrowfold import interface as api
+from arrowfold.interface import Idempotency, Lifecycle, RosterMode, Status
+from arrowfold.state import SECOND, Attempt, Rate, Request, Table, Token, Worker
 
 ROUND_US = SECOND // 2  # mean time between market rounds
 SAMPLE = 8  # workers looked at in a round
--- a/kitepitch/simhost.py
+++ b/arrowfold/simhost.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from kitepitch import interface as api
-from kitepitch.choice import Dispatcher
+from arrowfold import interface as api
+from arrowfold.choice import Dispatcher
 
 Fields = dict[str, Any]
 
@@ -218,7 +218,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except WireError as error:
-        print(f"kitepitch: {error}", file=sys.stderr)
+        print(f"arrowfold: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/kitepitch/state.py
+++ b/arrowfold/state.py
@@ -1,10 +1,10 @@
-"""What a dispatcher remembers: plain types with no decisions, used by kitepitch/choice.py alone."""
+"""What a dispatcher remembers: plain types with no decisions, used by arrowfold/choice.py alone."""
 
 from __future__ import annotations
 
 import math
 
-from kitepitch import interface as api
+from arrowfold import interface as api
 
 SECOND = 1_000_000
 
--- a/tests/field.py
+++ b/tests/field.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from kitepitch import Dispatcher, Settings
-from kitepitch import interface as api
+from arrowfold import Dispatcher, Settings
+from arrowfold import interface as api
 
 MS, SECOND = 1_000, 1_000_000
 
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from kitepitch import interface as api
-from kitepitch.state import Token, Worker
+from arrowfold import interface as api
+from arrowfold.state import Token, Worker
 from tests.field import MS, SECOND, Recorder, roster, sends, settings, started
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,7 +8,7 @@
 from hypothesis import settings as budget
 from hypothesis import strategies as st
 
-from kitepitch import interface as api
+from arrowfold import interface as api
 from tests.field import MS, SECOND, Recorder, roster, sends, settings, started
 
 STEPS = st.lists(
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -20,7 +20,7 @@
 def run(lines: list[Any], seed: str = "0") -> tuple[int, list[Any], str]:
     text = "\n".join(line if isinstance(line, str) else json.dumps(line) for line in lines) + "\n"
     done = subprocess.run(
-        [sys.executable, "-m", "kitepitch.simhost"], input=text, capture_output=True, text=True, cwd=ROOT,
+        [sys.executable, "-m", "arrowfold.simhost"], input=text, capture_output=True, text=True, cwd=ROOT,
         env={**os.environ, "PYTHONHASHSEED": seed}, timeout=60, check=False)
     return done.returncode, [json.loads(row) for row in done.stdout.splitlines()], done.stderr
 
--- a/tests/test_unlisted.py
+++ b/tests/test_unlisted.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from kitepitch import interface as api
+from arrowfold import interface as api
 from tests.field import MS, SECOND, Recorder, roster, settings
 
 
