--- /dev/null
+++ b/arrowfold/__main__.py
@@ -0,0 +1,30 @@
+"""`python -m arrowfold [EDGE_FILE]`: one node. EDGE_FILE turns on the Faktory front and the descriptions."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+from arrowfold.program.config import ConfigError, read_config
+from arrowfold.program.node import Node
+
+
+def main(arguments: list[str]) -> int:
+    """Run a node; a bad configuration ends it with one line and exit code 2."""
+    if len(arguments) > 1:
+        print("usage: python -m arrowfold [EDGE_FILE]", file=sys.stderr)
+        return 2
+    try:
+        node = Node(read_config(os.environ, Path(arguments[0]) if arguments else None))
+    except ConfigError as error:
+        print(f"arrowfold: configuration: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"arrowfold: configuration: listen: {error}", file=sys.stderr)
+        return 2
+    return node.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/arrowfold/program/__init__.py
@@ -0,0 +1,1 @@
+"""The program: configuration, wiring, signals, counters and the log."""
--- /dev/null
+++ b/arrowfold/program/config.py
@@ -0,0 +1,158 @@
+"""The one place where configuration is read, checked and given defaults.
+
+A node's own figures come from the platform (EDGE_* variables and the JSON file that EDGE_CONFIG names);
+what this deployment adds, the Faktory front and the descriptions, from a TOML file named on the command line.
+"""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from arrowfold import interface as api
+from arrowfold.protocol.http import parse_address
+from arrowfold.simhost import build_settings, report_fields
+from arrowfold.transport.stream import Address
+
+
+class ConfigError(Exception):
+    """Names the key at fault."""
+
+
+@dataclass(frozen=True, slots=True)
+class FaktoryConfig:
+    """Where the Faktory front listens, and the password that it asks for, if any."""
+
+    listen: Address
+    password: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """Everything that a node is told, checked."""
+
+    name: str
+    listen: Address
+    discovery: Address | None
+    seed: int
+    sockets: int
+    settings: api.Settings
+    meanings: Mapping[str, str]  # report field to LoadReport field
+    known: Mapping[str, Any] | None
+    connect_limit: timedelta
+    most_sessions: int
+    longest_deadline: timedelta
+    faktory: FaktoryConfig | None
+    openapi: Path | None
+    asyncapi: Path | None
+
+
+class _Reader:
+    """Values by key, with messages that name the key."""
+
+    def __init__(self, values: Mapping[str, Any], prefix: str) -> None:
+        self.values, self.prefix = values, prefix
+
+    def get(self, key: str, kind: type | tuple[type, ...], default: Any = ...) -> Any:
+        value = self.values.get(key)
+        if value is None:
+            if default is ...:
+                raise ConfigError(f"{self.prefix}{key} is missing")
+            return default
+        if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+            raise ConfigError(f"{self.prefix}{key} has the wrong type: {type(value).__name__}")
+        return value
+
+    def address(self, key: str, default: Any = ...) -> Address:
+        try:
+            return parse_address(self.get(key, str, default))
+        except ValueError as error:
+            raise ConfigError(f"{self.prefix}{key}: {error}") from error
+
+
+def _read_json(path: str) -> Mapping[str, Any]:
+    try:
+        value = json.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError, RecursionError) as error:
+        raise ConfigError(f"EDGE_CONFIG: {path}: {error}") from error
+    if not isinstance(value, dict):
+        raise ConfigError(f"EDGE_CONFIG: {path}: not an object")
+    return value
+
+
+def _read_edge(path: Path | None) -> tuple[FaktoryConfig | None, Path | None, Path | None]:
+    """The deployment's own file: [faktory] and [descriptions], both optional."""
+    if path is None:
+        return None, None, None
+    try:
+        values = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    known = {"faktory": {"listen", "password"}, "descriptions": {"openapi", "asyncapi"}}
+    for table, row in values.items():
+        if table not in known or not isinstance(row, dict):
+            raise ConfigError(f"{path}: unknown key {table}")
+        for key in row:
+            if key not in known[table]:
+                raise ConfigError(f"{path}: unknown key {table}.{key}")
+    faktory = None
+    if "faktory" in values:
+        reader = _Reader(values["faktory"], f"{path}: faktory.")
+        listen = reader.address("listen")
+        if not listen[0].startswith("127."):
+            raise ConfigError(f"{path}: faktory.listen: {listen[0]} is no loopback address")
+        faktory = FaktoryConfig(listen, reader.get("password", str, None) or None)
+    reader = _Reader(values.get("descriptions", {}), f"{path}: descriptions.")
+    names = [reader.get(key, str, None) for key in ("openapi", "asyncapi")]
+    openapi, asyncapi = (path.parent / name if name else None for name in names)
+    return faktory, openapi, asyncapi
+
+
+def _read_seed(value: object) -> int:
+    if isinstance(value, int) and not isinstance(value, bool):
+        return value
+    try:
+        return int(str(value), 16)
+    except ValueError:
+        raise ConfigError(f"seed: {value!r} is no hexadecimal number") from None
+
+
+def read_config(environ: Mapping[str, str], edge_file: Path | None) -> Config:
+    """Read and check it all; ConfigError names the faulty key."""
+    path = environ.get("EDGE_CONFIG")
+    if not path:
+        raise ConfigError("EDGE_CONFIG is missing")
+    values = dict(_read_json(path))
+    for variable, key in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_DISCOVERY", "discovery")):
+        if environ.get(variable):
+            values[key] = environ[variable]
+    reader = _Reader(values, "")
+    conf = reader.get("settings", dict)
+    try:
+        settings, row = build_settings(conf), report_fields(conf)
+    except KeyError as error:
+        raise ConfigError(f"settings: key {error.args[0]} is missing") from error
+    except (ValueError, TypeError, AttributeError, IndexError) as error:
+        raise ConfigError(f"settings: {error}") from error
+    names = (conf.get("report") or {}).get("names") or []
+    meanings = {name: field for name, field in zip(names, row, strict=False) if field}
+    limits = _Reader(reader.get("limits", dict, {}), "limits.")
+    sockets = limits.get("sockets", int, 1024)
+    if sockets < 64:
+        raise ConfigError("limits.sockets must be at least 64")
+    allowed = _Reader(conf.get("permissions") or {}, "settings.permissions.")
+    faktory, openapi, asyncapi = _read_edge(edge_file)
+    return Config(
+        name=reader.get("name", str, "node"), listen=reader.address("listen"),
+        discovery=reader.address("discovery") if values.get("discovery") else None,
+        seed=_read_seed(values.get("seed", 0)), sockets=sockets, settings=settings, meanings=meanings,
+        known=reader.get("known", dict, None),
+        connect_limit=timedelta(microseconds=allowed.get("connectTimeoutUs", int, 250_000)),
+        most_sessions=allowed.get("openCap", int, 30_000),
+        longest_deadline=timedelta(microseconds=max(c.deadline_us for c in settings.classes)),
+        faktory=faktory, openapi=openapi, asyncapi=asyncapi)
--- /dev/null
+++ b/arrowfold/program/node.py
@@ -0,0 +1,123 @@
+"""Wires one node: loop, core, fronts, discovery; its signals and its end."""
+
+from __future__ import annotations
+
+import gc
+import json
+import signal
+import socket
+from collections import Counter
+from datetime import timedelta
+from typing import Any
+
+from arrowfold import interface as api
+from arrowfold.program.config import Config
+from arrowfold.program.log import Log
+from arrowfold.protocol.discovery import Discovery
+from arrowfold.protocol.front import Front
+from arrowfold.protocol.load import LoadReader
+from arrowfold.protocol.worker import SearchWorker
+from arrowfold.routing.core import Core
+from arrowfold.transport.loop import Loop
+from arrowfold.transport.pool import Budget
+from arrowfold.transport.stream import Address
+
+RESERVED = 48  # descriptors for the program itself, discovery and connections about to be closed
+LEAST_DRAIN = timedelta(milliseconds=1000)  # clients learn of a restart in up to 0.7 s
+DRAIN_STEP = timedelta(milliseconds=20)
+SHORTEST_LONG = timedelta(seconds=3)  # the longest deadline counts as this where it is shorter
+LAST_CALL = timedelta(milliseconds=500)  # SIGKILL comes 0.7 s after the longest deadline
+
+
+class Node:
+    """One running node."""
+
+    def __init__(self, config: Config) -> None:
+        self.config, self.log = config, Log(config.name)
+        self.counters: Counter[str] = Counter()
+        self.loop = Loop(self._fault)
+        self.stop_at: timedelta | None = None
+        spare = config.sockets - RESERVED
+        self.budget = Budget(spare // 2)
+        settings = config.settings
+        self.core = Core(
+            settings, config.seed, self.loop, self.counters, self._ask_list, self.log, config.most_sessions)
+        self.loads = LoadReader(config.meanings)
+        # A connection is closed here well before the far side would close it under a request.
+        self.idle = timedelta(microseconds=settings.connection_idle_us or 30_000_000) * 0.8
+        self.discovery = None if config.discovery is None else Discovery(
+            self.loop, config.discovery, self.core, self._make_server, self.counters, self.log)
+        self.front = Front(
+            self.loop, config.listen, self.core, {c.name: c for c in settings.classes},
+            spare - spare // 2, self.counters)
+        self._wake_read, self._wake_write = socket.socketpair()
+
+    def _fault(self, where: str, error: BaseException) -> None:
+        self.counters["faults"] += 1
+        place, trace = "", error.__traceback__
+        while trace is not None:
+            place, trace = f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}", trace.tb_next
+        self.log(f"fault in {where}: {type(error).__name__}: {error} at {place}")
+
+    def _make_server(self, address: Address) -> SearchWorker:
+        return SearchWorker(
+            self.loop, address, self.idle, self.config.connect_limit, self.budget, self.loads, self.counters)
+
+    def _ask_list(self, follow: bool) -> None:
+        if self.discovery is not None:
+            self.discovery.ask(follow)
+
+    def run(self) -> int:
+        """Serve until a signal and what is owed let it end."""
+        self._catch_signals()
+        if self.discovery is not None:
+            known: Any = self.config.known or {"rev": None, "all": True, "targets": []}
+            try:
+                self.discovery.take(known, api.RosterMode.PERSISTED)
+            except ValueError as error:
+                self.log(f"known: {error}; starting without it")
+                self.core.list_servers("discovery", (), api.RosterMode.PERSISTED)
+        gc.freeze()
+        self.log(f"listens on {self.config.listen[0]}:{self.config.listen[1]}")
+        self.loop.run()
+        self._print_counters()
+        return 0
+
+    # --- signals and the end -----------------------------------------------------------------------------
+
+    def _catch_signals(self) -> None:
+        for end in (self._wake_read, self._wake_write):
+            end.setblocking(False)
+        signal.set_wakeup_fd(self._wake_write.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+            signal.signal(number, lambda *_: None)
+        self.loop.watch(self._wake_read.fileno(), self)
+
+    def on_ready(self, mask: int) -> None:
+        """A signal has come in by the wake-up socket."""
+        del mask
+        try:
+            numbers = self._wake_read.recv(64)
+        except BlockingIOError:
+            return
+        for number in numbers:
+            if number == signal.SIGUSR1:
+                self._print_counters()
+            elif self.stop_at is None:
+                longest = max(self.config.longest_deadline, SHORTEST_LONG)
+                self.log("asked to end: serving on until nothing is owed")
+                self.stop_at = self.loop.now() + longest + LAST_CALL
+                self.front.drain()
+                self.loop.call_later(LEAST_DRAIN, self._end_if_free)
+
+    def _end_if_free(self) -> None:
+        """End once every client has had its answer and has gone, at the latest before SIGKILL."""
+        assert self.stop_at is not None
+        free = not self.core.owed and not self.front.connections
+        if free or self.loop.now() >= self.stop_at:
+            self.loop.stopping = True
+        else:
+            self.loop.call_later(DRAIN_STEP, self._end_if_free)
+
+    def _print_counters(self) -> None:
+        self.log("counters " + json.dumps(dict(sorted(self.counters.items()))))
--- /dev/null
+++ b/arrowfold/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The wires: what clients, backend servers and discovery speak."""
--- /dev/null
+++ b/arrowfold/protocol/discovery.py
@@ -0,0 +1,151 @@
+"""Discovery: the list of search workers, asked for or followed, brought into the server table."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from arrowfold import interface as api
+from arrowfold.protocol.http import ClientSide, parse_address
+from arrowfold.protocol.worker import SearchWorker
+from arrowfold.routing.core import Core
+from arrowfold.routing.table import Row
+from arrowfold.transport.loop import Loop, Steps, Task
+from arrowfold.transport.stream import Address, Broken, Late, connect
+
+SOURCE = "discovery"
+CALL_LIMIT = timedelta(seconds=3)
+SILENCE_LIMIT = timedelta(seconds=5)  # a watch says something every 2 s
+MOST_LIST = 4 * 1024 * 1024
+_STATES = {
+    "SERVING": api.Lifecycle.IN_SERVICE, "DRAINING": api.Lifecycle.TERMINATING,
+    "DELETED": api.Lifecycle.TERMINATED,
+}
+
+
+class Discovery:
+    """One node's calls to discovery. The module says when to call; a watch lasts until it breaks."""
+
+    def __init__(
+            self, loop: Loop, address: Address, core: Core, make_server: Callable[[Address], SearchWorker],
+            counters: Counter[str], log: Callable[[str], None],
+    ) -> None:
+        self.loop, self.address, self.core = loop, address, core
+        self.make_server, self.counters, self.log = make_server, counters, log
+        self.revision: int | None = None
+        self.servers: dict[str, tuple[Address, int, SearchWorker]] = {}
+        self.watch: Task | None = None
+
+    def ask(self, follow: bool) -> None:
+        """A call that the module wants; a watch that still stands is ended for a new one."""
+        self.counters["discovery_calls"] += 1
+        if follow:
+            if self.watch is not None:
+                self.watch.stop()
+            self.watch = self.loop.spawn(self._call(True), "discovery watch")
+        else:
+            self.loop.spawn(self._call(False), "discovery call")
+
+    def take(self, message: object, mode: api.RosterMode | None = None) -> None:
+        """Apply one message of discovery's form."""
+        if not isinstance(message, dict) or not isinstance(message.get("targets"), list):
+            raise ValueError("a message without targets")
+        whole = bool(message.get("all"))
+        rows = [row for target in message["targets"] if (row := self._row(target)) is not None]
+        revision = message.get("rev")
+        if isinstance(revision, int):
+            self.revision = revision
+        if mode is None:
+            mode = api.RosterMode.COMPLETE if whole else api.RosterMode.PARTIAL
+        if mode is not api.RosterMode.PARTIAL:
+            listed = {entry.worker for entry, _ in rows}
+            for uid in [uid for uid in self.servers if uid not in listed]:
+                self._forget(uid)
+        self.counters["discovery_messages"] += 1
+        self.core.list_servers(SOURCE, rows, mode)
+        for entry, _ in rows:
+            if entry.lifecycle is api.Lifecycle.TERMINATED:
+                self._forget(entry.worker)
+
+    def _row(self, target: Any) -> Row | None:
+        """A server's row. An entry that can't be read is left out, and the others still count."""
+        try:
+            uid, state = str(target["uid"]), _STATES[target["state"]]
+            address = parse_address(target["endpoint"])
+            # The module's clock is Unix time, which boot_ms counts in; 0 is long ago on both.
+            launched_us = int(target.get("boot_ms") or 0) * 1000
+            entry = api.RosterEntry(
+                uid, str(target.get("az") or ""), str(target.get("model") or ""),
+                int(target.get("pod_group") or 0), launched_us, state,
+                float(target.get("capacity_hint") or 1.0))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            self.counters["discovery_bad_entries"] += 1
+            self.log(f"discovery: an entry is left out: {type(error).__name__}: {error}")
+            return None
+        known = self.servers.get(uid)
+        if known is None or known[:2] != (address, launched_us):
+            # A restarted or moved process: its old connections lead nowhere.
+            if known is not None:
+                known[2].close()
+            known = self.servers[uid] = (address, launched_us, self.make_server(address))
+        return entry, known[2]
+
+    def _forget(self, uid: str) -> None:
+        known = self.servers.pop(uid, None)
+        if known is not None:
+            known[2].close()
+
+    def _call(self, follow: bool) -> Steps[None]:
+        try:
+            yield from self._read(follow)
+            self.log("discovery: the watch ended")
+        except (Broken, Late, ValueError, RecursionError) as error:
+            self.log(f"discovery: {'watch' if follow else 'call'} failed: {error}")
+        else:
+            if not follow:
+                return
+        self.counters["discovery_failures"] += 1
+        if follow:
+            self.watch = None
+        self.core.list_failed()
+
+    def _read(self, follow: bool) -> Steps[None]:
+        target = "/registry/instances"
+        if follow:
+            target += "?follow=1"
+            if self.revision is not None:
+                target += f"&since={self.revision}"
+        until = self.loop.now() + CALL_LIMIT
+        stream = yield from connect(self.loop, self.address, until)
+        try:
+            exchange = ClientSide(stream)
+            host = f"{self.address[0]}:{self.address[1]}"
+            yield from exchange.send("GET", target, [("Host", host)], b"", until)
+            status, _ = yield from exchange.head(until)
+            if status != 200:
+                raise Broken(f"answered {status}")
+            buffered = bytearray()
+            while True:
+                if follow:
+                    until = self.loop.now() + SILENCE_LIMIT
+                part = yield from exchange.part(until)
+                buffered += part or b""
+                if len(buffered) > MOST_LIST:
+                    raise Broken("a message is over the bound")
+                if not follow:
+                    if part is None:
+                        self.take(json.loads(buffered))
+                        return
+                    continue
+                while (end := buffered.find(b"\n")) >= 0:
+                    line = bytes(buffered[:end])
+                    del buffered[:end + 1]
+                    if line.strip():
+                        self.take(json.loads(line))
+                if part is None:
+                    return
+        finally:
+            stream.close()
--- /dev/null
+++ b/arrowfold/protocol/http.py
@@ -0,0 +1,174 @@
+"""HTTP/1.1 on a stream: h11 parses, these generators feed it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import h11
+
+from arrowfold.transport.loop import Steps
+from arrowfold.transport.stream import Broken, Stream
+
+MOST_BODY = 64 * 1024
+MOST_HEAD = 16 * 1024
+
+
+class BadRequest(Exception):
+    """What a peer sent can't be served; `status` says why, the text names the part at fault."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Request:
+    """A whole request, its header names in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+class ServerSide:
+    """Reads requests from one connection and writes the answers."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+        self.wire = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        self.begun = False  # whether a part of the next request has come
+
+    def feed(self, data: bytes) -> None:
+        self.begun = self.begun or bool(data)
+        self.wire.receive_data(data)
+
+    def read_request(self, until: timedelta) -> Steps[Request | None]:
+        """The next request; None once the client has ended the connection between two."""
+        request: Request | None = None
+        body = bytearray()
+        try:
+            while True:
+                event = self.wire.next_event()
+                if event is h11.NEED_DATA:
+                    if self.wire.they_are_waiting_for_100_continue:
+                        go_on = h11.InformationalResponse(status_code=100, headers=[])
+                        yield from self.stream.write(self.wire.send(go_on) or b"", until)
+                    self.feed((yield from self.stream.read(until)))
+                elif isinstance(event, h11.Request):
+                    self.begun = True
+                    headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
+                    target = event.target.decode("latin-1")
+                    request = Request(event.method.decode(), target, headers)
+                    if int(headers.get("content-length", "0")) > MOST_BODY:
+                        raise BadRequest(413, f"the body is over {MOST_BODY} bytes")
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                    if len(body) > MOST_BODY:
+                        raise BadRequest(413, f"the body is over {MOST_BODY} bytes")
+                elif isinstance(event, h11.EndOfMessage):
+                    assert request is not None
+                    request.body = bytes(body)
+                    self.begun = False
+                    return request
+                else:  # ConnectionClosed, or PAUSED after a protocol switch that is not offered
+                    return None
+        except h11.RemoteProtocolError as error:
+            raise BadRequest(error.error_status_hint, f"malformed HTTP: {error}") from error
+
+    def wait_gone(self) -> bool | None:
+        """Take in what a client sends ahead; True once it has gone, None while there is nothing."""
+        if len(self.wire.trailing_data[0]) > MOST_BODY:
+            return None
+        data = self.stream.try_read()
+        if data is None:
+            return None
+        self.feed(data)
+        return not data
+
+    def write_answer(
+            self, status: int, body: bytes, headers: list[tuple[str, str]], close: bool, until: timedelta,
+    ) -> Steps[bool]:
+        """Write an answer; whether the connection can carry another request."""
+        rows = [("Content-Length", str(len(body))), *headers]
+        if close:
+            rows.append(("Connection", "close"))
+        if self.wire.our_state not in (h11.SEND_RESPONSE, h11.IDLE):
+            return False
+        parts = [self.wire.send(h11.Response(status_code=status, headers=rows)) or b""]
+        if body:
+            parts.append(self.wire.send(h11.Data(data=body)) or b"")
+        parts.append(self.wire.send(h11.EndOfMessage()) or b"")
+        yield from self.stream.write(b"".join(parts), until)
+        if self.wire.our_state is not h11.DONE or self.wire.their_state is not h11.DONE:
+            return False
+        self.wire.start_next_cycle()
+        return True
+
+
+class ClientSide:
+    """One exchange on a connection that another side serves."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+        self.wire = h11.Connection(h11.CLIENT, max_incomplete_event_size=4 * MOST_HEAD)
+        self.reusable = False
+
+    def send(
+            self, method: str, target: str, headers: list[tuple[str, str]], body: bytes, until: timedelta,
+    ) -> Steps[None]:
+        """Write a whole request; Broken or Late if its last byte could not be handed over."""
+        if body or method == "POST":
+            headers = [*headers, ("Content-Length", str(len(body)))]
+        parts = [self.wire.send(h11.Request(method=method, target=target, headers=headers)) or b""]
+        if body:
+            parts.append(self.wire.send(h11.Data(data=body)) or b"")
+        parts.append(self.wire.send(h11.EndOfMessage()) or b"")
+        yield from self.stream.write(b"".join(parts), until)
+
+    def _next(self, until: timedelta) -> Steps[h11.Event | type[h11.PAUSED]]:
+        try:
+            while True:
+                event = self.wire.next_event()
+                if event is not h11.NEED_DATA:
+                    return event  # type: ignore[return-value]
+                self.wire.receive_data((yield from self.stream.read(until)))
+        except h11.RemoteProtocolError as error:
+            raise Broken(f"malformed HTTP: {error}") from error
+
+    def head(self, until: timedelta) -> Steps[tuple[int, dict[str, str]]]:
+        """Status and headers, names in lower case."""
+        while True:
+            event = yield from self._next(until)
+            if isinstance(event, h11.Response):
+                return event.status_code, {n.decode(): v.decode("latin-1") for n, v in event.headers}
+            if not isinstance(event, h11.InformationalResponse):
+                raise Broken("the connection ended before an answer")
+
+    def part(self, until: timedelta) -> Steps[bytes | None]:
+        """The next part of the body; None once it is whole."""
+        event = yield from self._next(until)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self.reusable = self.wire.their_state is h11.DONE and not self.wire.trailing_data[0]
+            return None
+        raise Broken("the connection ended within an answer")
+
+    def rest(self, until: timedelta) -> Steps[bytes]:
+        """What is left of the body, within the protocol's bound."""
+        body = bytearray()
+        while (data := (yield from self.part(until))) is not None:
+            body += data
+            if len(body) > MOST_BODY:
+                raise Broken("an answer is over the protocol's bound")
+        return bytes(body)
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """`host:port`, an IPv4 address and a number."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not host:port")
+    return host, int(port)
--- /dev/null
+++ b/arrowfold/routing/core.py
@@ -0,0 +1,288 @@
+"""The core: leads each session from its arrival to its one final answer, by the module's decisions.
+
+The module decides whom to try, when to repeat, deny, give up, subscribe or probe; what stands here
+translates. Times become microseconds only where the module is called.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable, Generator, Iterable
+from datetime import timedelta
+
+from arrowfold import interface as api
+from arrowfold.choice import Dispatcher
+from arrowfold.routing.session import (
+    Answer,
+    Client,
+    Clock,
+    Dispatch,
+    Ended,
+    Expired,
+    Job,
+    Left,
+    Probe,
+    Progress,
+    Session,
+    Verdict,
+    from_us,
+    to_us,
+)
+from arrowfold.routing.table import Row, ServerTable
+
+PROBE_LIMIT = timedelta(milliseconds=300)  # an unanswered probe counts as timed out after this
+
+
+class Core:
+    """One node's decisions, sessions and server table."""
+
+    def __init__(
+            self, settings: api.Settings, seed: int, clock: Clock, counters: Counter[str],
+            ask_list: Callable[[bool], None], log: Callable[[str], None], most_sessions: int = 30_000,
+    ) -> None:
+        self.settings, self.clock, self.counters, self.log = settings, clock, counters, log
+        self.ask_list = ask_list  # called with whether to follow the list's changes
+        self.most_sessions = most_sessions
+        self.module = Dispatcher(settings, seed)
+        self.table = ServerTable()
+        self.sessions: dict[str, Session] = {}
+        self.owed = 0  # sessions with no final answer yet
+        self._inbox: deque[tuple[Session, object]] = deque()
+        self._draining = False
+
+    # --- what the wires call -------------------------------------------------------------------------
+
+    def list_servers(
+            self, source: str, rows: Iterable[Row], mode: api.RosterMode = api.RosterMode.PARTIAL,
+    ) -> None:
+        """A source's list, or a change of it, reaches the module at once."""
+        if mode is api.RosterMode.PARTIAL:
+            update = self.table.change(source, rows)
+        else:
+            update = self.table.replace(source, rows, mode)
+        self._consult(update)
+        self._drain()
+
+    def list_failed(self) -> None:
+        """The list could not be had, or following it has ended."""
+        self._consult(api.RosterUpdate(api.RosterMode.ERROR))
+        self._drain()
+
+    def ready(self) -> bool:
+        return self.table.serving() > 0
+
+    def holds(self, job_id: str) -> bool:
+        return job_id in self.sessions
+
+    def take(self, job: Job, client: Client) -> Session:
+        """Take a job in; the client gets exactly one answer for it, perhaps before this returns."""
+        session = Session(job, client)
+        self.counters["taken"] += 1
+        self.owed += 1
+        if len(self.sessions) >= self.most_sessions:  # guards the memory: nothing is held for this one
+            self.counters["over_capacity"] += 1
+            self._answer(session, Answer(Verdict.DENIED))
+            return session
+        self.sessions[job.id] = session
+        session.timer = self.clock.call_at(job.deadline, lambda: self._tell(session, Expired()))
+        session.life = self._life(session)
+        next(session.life)
+        self._drain()
+        return session
+
+    def leave(self, session: Session) -> None:
+        """The client has gone away."""
+        if not session.answered:
+            self._tell(session, Left())
+
+    # --- one session ---------------------------------------------------------------------------------
+
+    def _life(self, session: Session) -> Generator[None, object, None]:
+        """One session from its arrival to its last outcome."""
+        job = session.job
+        # The module chooses: to send, to let the session wait, or to deny it.
+        self._consult(api.Arrival(
+            job.id, job.request_class, to_us(job.deadline), job.key, job.tenant,
+            None if job.effort is None else to_us(job.effort), job.slots, job.memory, job.resent))
+        while not session.answered or session.out():
+            happening = yield
+            match happening:
+                case api.Send():
+                    self._dispatch(session, happening)
+                case Progress(dispatch, share) if not dispatch.over:
+                    self._consult(api.AttemptProgress(job.id, dispatch.number, share))
+                case Ended(dispatch, status, body, load) if not dispatch.over:
+                    self._close(dispatch)
+                    if status is api.Status.OK:
+                        self._answer(session, Answer(Verdict.SERVED, body))
+                    # The module chooses: to repeat it elsewhere, to let it wait, or to give it up.
+                    self._told_end(dispatch, status, load)
+                case api.Cancel():
+                    self._cancel(session.dispatches[happening.attempt], api.Status.CANCELLED)
+                case api.Refuse():
+                    retry_after = from_us(happening.retry_after_us) if happening.retry_after_us else None
+                    self._answer(session, Answer(Verdict.DENIED, retry_after=retry_after))
+                case api.Fail():
+                    self._answer(session, Answer(Verdict.FAILED))
+                case Left() if not session.answered:
+                    self.counters["client_left"] += 1
+                    session.answered = True
+                    self.owed -= 1
+                    self._consult(api.Withdrawn(job.id))
+                case Expired():
+                    self._expire(session)
+        if session.timer is not None:
+            session.timer.cancel()
+        del self.sessions[job.id]
+
+    def _dispatch(self, session: Session, order: api.Send) -> None:
+        now, number = self.clock.now(), len(session.dispatches)
+        server = self.table.find(order.worker)
+        moot = session.answered or now >= session.job.deadline or number >= self.settings.attempt_cap
+        if moot or server is None:
+            status = api.Status.MOOT if moot else api.Status.CONNECT_FAILED
+            dispatch = Dispatch(session, number, order.worker, _NOBODY, now, self._tell)
+            session.dispatches.append(dispatch)
+            dispatch.over = True
+            self._told_end(dispatch, status, None)
+            return
+        dispatch = Dispatch(session, number, order.worker, server, now, self._tell)
+        session.dispatches.append(dispatch)
+        self.counters["dispatched"] += 1
+        if order.timeout_us:
+            until = min(now + from_us(order.timeout_us), session.job.deadline)
+            dispatch.timer = self.clock.call_at(until, lambda: self._time_out(dispatch))
+        server.send(dispatch)
+
+    def _time_out(self, dispatch: Dispatch) -> None:
+        if not dispatch.over:
+            dispatch.server.cancel(dispatch)
+            self._tell(dispatch.session, Ended(dispatch, api.Status.TIMEOUT, b"", None))
+
+    def _cancel(self, dispatch: Dispatch, status: api.Status) -> None:
+        if not dispatch.over:
+            self._close(dispatch)
+            dispatch.server.cancel(dispatch)
+            self._told_end(dispatch, status, None)
+
+    def _close(self, dispatch: Dispatch) -> None:
+        dispatch.over = True
+        if dispatch.timer is not None:
+            dispatch.timer.cancel()
+
+    def _told_end(self, dispatch: Dispatch, status: api.Status, load: api.LoadReport | None) -> None:
+        self.counters[f"outcome_{status.name.lower()}"] += 1
+        elapsed = to_us(self.clock.now() - dispatch.sent)
+        session = dispatch.session
+        self._consult(api.AttemptEnded(
+            session.job.id, dispatch.number, dispatch.server_name, status, elapsed, session.answered, load))
+
+    def _expire(self, session: Session) -> None:
+        """The deadline: what is out has timed out, and what is still owed is answered now."""
+        for dispatch in session.out():
+            self._cancel(dispatch, api.Status.TIMEOUT)
+        # Guards rule 1 whatever the module does: its own answer is in the inbox by now, if it has one.
+        if not session.answered and not any(
+                s is session and isinstance(h, api.Refuse | api.Fail) for s, h in self._inbox):
+            self._answer(session, Answer(Verdict.FAILED))
+            self._consult(api.Withdrawn(session.job.id))
+
+    def _answer(self, session: Session, answer: Answer) -> None:
+        if session.answered:
+            return
+        session.answered = True
+        self.owed -= 1
+        self.counters[f"answered_{answer.verdict.value}"] += 1
+        if self.clock.now() > session.job.deadline:
+            self.counters["answered_late"] += 1
+        session.client.answer(answer)
+
+    # --- the module ------------------------------------------------------------------------------------
+
+    def _consult(self, event: api.Event) -> None:
+        """Tell the module, and hand each action to the session that it is for."""
+        for action in self.module.handle(to_us(self.clock.now()), (event,)):
+            match action:
+                case api.SetTimer(delay_us, handle):
+                    self._set_timer(from_us(delay_us), handle)
+                case api.Probe(worker):
+                    self._probe(worker)
+                case api.Subscribe():
+                    self.ask_list(True)
+                case api.FetchRoster():
+                    self.ask_list(False)
+                case api.Log(text):
+                    self.log(text)
+                case _ if action.request in self.sessions:
+                    self._inbox.append((self.sessions[action.request], action))
+
+    def _set_timer(self, delay: timedelta, handle: int) -> None:
+        def fire() -> None:
+            self._consult(api.TimerFired(handle))
+            self._drain()
+
+        self.clock.call_at(self.clock.now() + delay, fire)
+
+    def _probe(self, name: str) -> None:
+        server = self.table.find(name)
+        probe = Probe(name, server or _NOBODY, self.clock.now(), self._probed)
+        self.counters["probes"] += 1
+
+        def give_up() -> None:
+            if not probe.over:
+                probe.server.cancel(probe)
+                self._probed(probe, api.Status.TIMEOUT, None)
+
+        if server is None:
+            probe.timer = self.clock.call_at(
+                probe.sent, lambda: self._probed(probe, api.Status.CONNECT_FAILED, None))
+            return
+        probe.timer = self.clock.call_at(probe.sent + PROBE_LIMIT, give_up)
+        server.probe(probe)
+
+    def _probed(self, probe: Probe, status: api.Status, load: api.LoadReport | None) -> None:
+        if probe.over:
+            return
+        probe.over = True
+        if probe.timer is not None:
+            probe.timer.cancel()
+        self.counters["probes_ok" if status is api.Status.OK else "probes_failed"] += 1
+        elapsed = to_us(self.clock.now() - probe.sent)
+        self._consult(api.ProbeEnded(probe.server_name, status, elapsed, load))
+        self._drain()
+
+    def _tell(self, session: Session, happening: object) -> None:
+        self._inbox.append((session, happening))
+        self._drain()
+
+    def _drain(self) -> None:
+        """Let each session take what has happened to it, in order; a generator can't be entered twice."""
+        if self._draining:
+            return
+        self._draining = True
+        try:
+            while self._inbox:
+                session, happening = self._inbox.popleft()
+                if session.life is not None:
+                    try:
+                        session.life.send(happening)
+                    except StopIteration:
+                        session.life = None
+        finally:
+            self._draining = False
+
+
+class _Nobody:
+    """Stands in for a backend server that the table no longer holds."""
+
+    def send(self, dispatch: Dispatch) -> None:
+        del dispatch
+
+    def probe(self, probe: Probe) -> None:
+        del probe
+
+    def cancel(self, errand: Dispatch | Probe) -> None:
+        del errand
+
+
+_NOBODY = _Nobody()
--- /dev/null
+++ b/arrowfold/routing/session.py
@@ -0,0 +1,181 @@
+"""Sessions, their dispatches, and the two ways out of the core: backend server and client."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import Any, Protocol
+
+from arrowfold import interface as api
+
+MICROSECOND = timedelta(microseconds=1)
+
+
+def to_us(span: timedelta) -> int:
+    """The module counts in whole microseconds."""
+    return span // MICROSECOND
+
+
+def from_us(count: float) -> timedelta:
+    return timedelta(microseconds=count)
+
+
+class Verdict(Enum):
+    """What a session's one final answer says."""
+
+    SERVED = "served"
+    DENIED = "denied"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A final answer; `body` is the backend server's result, word for word."""
+
+    verdict: Verdict
+    body: bytes = b""
+    retry_after: timedelta | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """What a client hands in. `origin` is its own wire's form, which only that wire reads."""
+
+    id: str
+    request_class: str
+    deadline: timedelta
+    body: bytes = b""
+    key: str | None = None
+    effect_key: str | None = None  # by which backend servers drop a repeat
+    tenant: str | None = None
+    effort: timedelta | None = None
+    slots: float = 1.0
+    memory: float = 0.0
+    resent: bool = False
+    origin: Any = None
+
+
+class Client(Protocol):
+    """Who handed a job in."""
+
+    def answer(self, answer: Answer) -> None:
+        """Take the one final answer."""
+
+
+class BackendServer(Protocol):
+    """A backend server as the core reaches it. Nothing is to be reported from within these calls."""
+
+    def send(self, dispatch: Dispatch) -> None:
+        """Start an attempt, and report on it to the dispatch."""
+
+    def probe(self, probe: Probe) -> None:
+        """Ask for the load, and report to the probe."""
+
+    def cancel(self, errand: Dispatch | Probe) -> None:
+        """Stop it; its report is no longer wanted."""
+
+
+class Dispatch:
+    """One attempt of a session at a backend server."""
+
+    __slots__ = ("_report", "errand", "number", "over", "sent", "server", "server_name", "session", "timer")
+
+    def __init__(
+            self, session: Session, number: int, server_name: str, server: BackendServer, sent: timedelta,
+            report: Callable[[Session, object], None],
+    ) -> None:
+        self.session, self.number, self.server_name, self.server = session, number, server_name, server
+        self.sent, self.over, self._report = sent, False, report
+        self.timer: Cancellable | None = None
+        self.errand: Any = None  # what the wire keeps of it
+
+    @property
+    def job(self) -> Job:
+        return self.session.job
+
+    def started(self) -> None:
+        self._report(self.session, Progress(self, None))
+
+    def progressed(self, share: float) -> None:
+        self._report(self.session, Progress(self, share))
+
+    def ended(self, status: api.Status, body: bytes = b"", load: api.LoadReport | None = None) -> None:
+        self._report(self.session, Ended(self, status, body, load))
+
+
+class Probe:
+    """One question for a backend server's load."""
+
+    __slots__ = ("_report", "errand", "over", "sent", "server", "server_name", "timer")
+
+    def __init__(
+            self, server_name: str, server: BackendServer, sent: timedelta,
+            report: Callable[[Probe, api.Status, api.LoadReport | None], None],
+    ) -> None:
+        self.server_name, self.server, self.sent, self.over = server_name, server, sent, False
+        self._report = report
+        self.timer: Cancellable | None = None
+        self.errand: Any = None
+
+    def ended(self, status: api.Status, load: api.LoadReport | None = None) -> None:
+        self._report(self, status, load)
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """A dispatch has started (`share` is None), or a part of it is done."""
+
+    dispatch: Dispatch
+    share: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The one outcome of a dispatch."""
+
+    dispatch: Dispatch
+    status: api.Status
+    body: bytes
+    load: api.LoadReport | None
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """The client has gone away."""
+
+
+@dataclass(frozen=True, slots=True)
+class Expired:
+    """The session's deadline has come."""
+
+
+class Session:
+    """A job that was taken: it is owed exactly one final answer."""
+
+    __slots__ = ("answered", "client", "dispatches", "job", "life", "timer")
+
+    def __init__(self, job: Job, client: Client) -> None:
+        self.job, self.client = job, client
+        self.answered = False
+        self.dispatches: list[Dispatch] = []
+        self.life: Generator[None, object, None] | None = None
+        self.timer: Cancellable | None = None
+
+    def out(self) -> list[Dispatch]:
+        return [dispatch for dispatch in self.dispatches if not dispatch.over]
+
+
+class Cancellable(Protocol):
+    """A timer that can be taken back."""
+
+    def cancel(self) -> None: ...
+
+
+class Clock(Protocol):
+    """Time and timers, as the layer below or a test provides them."""
+
+    def now(self) -> timedelta: ...
+
+    def call_at(self, when: timedelta, call: Callable[[], None]) -> Cancellable: ...
--- /dev/null
+++ b/arrowfold/transport/pool.py
@@ -0,0 +1,106 @@
+"""Idle connections to one address, kept for reuse and closed before the far side would."""
+
+from __future__ import annotations
+
+from collections import deque
+from datetime import timedelta
+
+from arrowfold.transport.loop import Loop, Steps
+from arrowfold.transport.stream import Address, Broken, Stream, connect
+
+
+class Budget:
+    """How many connections all pools of a process may hold together."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.held = most, 0
+        self.pools: list[Pool] = []
+
+    def make_room(self) -> bool:
+        """Whether one more may be opened, an idle one given up for it if need be."""
+        if self.held < self.most:
+            return True
+        return any(pool.drop_oldest() for pool in self.pools)
+
+
+class Pool:
+    """Connections to one address; a connection carries one request at a time."""
+
+    def __init__(self, loop: Loop, address: Address, idle: timedelta, budget: Budget) -> None:
+        self.loop, self.address, self.idle_span, self.budget = loop, address, idle, budget
+        self.idle: deque[tuple[timedelta, Stream]] = deque()
+        self.opened = 0
+        self.sweeping = False
+        budget.pools.append(self)
+
+    def take(self, until: timedelta) -> Steps[Stream]:
+        """An idle connection that still stands, else a new one; Broken when none comes up."""
+        while self.idle:
+            since, stream = self.idle.pop()
+            stream.on_idle_event = None
+            if self.loop.now() - since < self.idle_span and self._stands(stream):
+                return stream
+            self.drop(stream)
+        if not self.budget.make_room():
+            raise Broken("every connection that this process may hold is in use")
+        self.budget.held += 1
+        try:
+            stream = yield from connect(self.loop, self.address, until)
+        except BaseException:
+            self.budget.held -= 1
+            raise
+        self.opened += 1
+        return stream
+
+    def give_back(self, stream: Stream) -> None:
+        """Keep a connection on which nothing is under way."""
+        if stream.closed:
+            self.budget.held -= 1
+            return
+        # Guards against sending on a connection that the far side has closed or written to meanwhile.
+        stream.on_idle_event = lambda: self._discard(stream)
+        self.idle.append((self.loop.now(), stream))
+        if not self.sweeping:
+            self.sweeping = True
+            self.loop.call_later(self.idle_span / 4, self._sweep)
+
+    def drop(self, stream: Stream) -> None:
+        """Close a connection that was taken from here."""
+        stream.on_idle_event = None
+        stream.close()
+        self.budget.held -= 1
+
+    def drop_oldest(self) -> bool:
+        if not self.idle:
+            return False
+        self.drop(self.idle.popleft()[1])
+        return True
+
+    def close(self) -> None:
+        """Close what is idle and leave the budget's list."""
+        while self.drop_oldest():
+            pass
+        if self in self.budget.pools:
+            self.budget.pools.remove(self)
+
+    @staticmethod
+    def _stands(stream: Stream) -> bool:
+        try:
+            return stream.try_read() is None
+        except Broken:
+            return False
+
+    def _discard(self, stream: Stream) -> None:
+        for place, (_, other) in enumerate(self.idle):
+            if other is stream:
+                del self.idle[place]
+                self.drop(stream)
+                return
+
+    def _sweep(self) -> None:
+        self.sweeping = False
+        while self.idle and self.loop.now() - self.idle[0][0] >= self.idle_span * 0.7:
+            self.drop_oldest()
+        if self.idle:
+            self.sweeping = True
+            self.loop.call_later(self.idle_span / 4, self._sweep)
--- /dev/null
+++ b/arrowfold/transport/stream.py
@@ -0,0 +1,205 @@
+"""Byte streams on non-blocking TCP sockets, and the listener that accepts them."""
+
+from __future__ import annotations
+
+import errno
+import select
+import socket
+from collections.abc import Callable
+from datetime import timedelta
+
+from arrowfold.transport.loop import Loop, Steps, Task
+
+CHUNK = 65536
+Address = tuple[str, int]
+RETRY_ACCEPT = timedelta(milliseconds=50)
+
+
+class Broken(Exception):
+    """The connection broke, or never came up."""
+
+
+class Late(Exception):
+    """What was waited for did not come in time."""
+
+
+class Stream:
+    """One connection. One task reads; writes wait for room, so that nothing piles up here."""
+
+    __slots__ = ("closed", "connected", "loop", "on_idle_event", "reader", "sock", "writer")
+
+    def __init__(self, loop: Loop, sock: socket.socket, connected: bool) -> None:
+        self.loop, self.sock, self.connected = loop, sock, connected
+        self.closed = False
+        self.reader: Task | None = None
+        self.writer: Task | None = None
+        self.on_idle_event: Callable[[], None] | None = None
+        loop.watch(sock.fileno(), self)
+
+    def on_ready(self, mask: int) -> None:
+        if self.on_idle_event is not None and mask & ~select.EPOLLOUT:
+            self.on_idle_event()
+            return
+        if mask & ~select.EPOLLOUT and self.reader is not None:
+            self.reader.wake()
+        if mask & ~select.EPOLLIN and self.writer is not None:
+            self.writer.wake()
+
+    def try_read(self) -> bytes | None:
+        """What has come in; empty at the end, None while nothing is there."""
+        if self.closed:
+            raise Broken("closed here")
+        try:
+            return self.sock.recv(CHUNK)
+        except (BlockingIOError, InterruptedError):
+            return None
+        except OSError as error:
+            raise Broken(str(error)) from error
+
+    def read(self, until: timedelta | None = None) -> Steps[bytes]:
+        """The next bytes; empty once the peer has ended its sending."""
+        while True:
+            data = self.try_read()
+            if data is not None:
+                return data
+            if until is not None and self.loop.now() >= until:
+                raise Late("nothing came")
+            self.reader = self.loop.current
+            try:
+                yield from self.loop.park(until)
+            finally:
+                self.reader = None
+
+    def write(self, data: bytes, until: timedelta | None = None) -> Steps[None]:
+        """Hand every byte to the system, or raise."""
+        rest = memoryview(data)
+        while rest:
+            if self.closed:
+                raise Broken("closed here")
+            try:
+                rest = rest[self.sock.send(rest):]
+                continue
+            except (BlockingIOError, InterruptedError):
+                pass
+            except OSError as error:
+                raise Broken(str(error)) from error
+            if until is not None and self.loop.now() >= until:
+                raise Late("the peer takes nothing")
+            self.writer = self.loop.current
+            try:
+                yield from self.loop.park(until)
+            finally:
+                self.writer = None
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.loop.unwatch(self.sock.fileno())
+            self.sock.close()
+            for task in (self.reader, self.writer):
+                if task is not None:
+                    task.wake()
+
+
+def connect(loop: Loop, address: Address, until: timedelta) -> Steps[Stream]:
+    """A connection that is up, or Broken."""
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    except OSError as error:
+        raise Broken(str(error)) from error
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex(address)
+    except OSError as error:
+        sock.close()
+        raise Broken(str(error)) from error
+    if code not in (0, errno.EINPROGRESS):
+        sock.close()
+        raise Broken(errno.errorcode.get(code, str(code)))
+    stream = Stream(loop, sock, connected=code == 0)
+    try:
+        while not stream.connected:
+            stream.writer = loop.current
+            yield from loop.park(until)
+            stream.writer = None
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise Broken(errno.errorcode.get(code, str(code)))
+            try:
+                sock.getpeername()
+                stream.connected = True
+            except OSError as error:
+                if loop.now() >= until:
+                    raise Broken("never came up") from error
+    except BaseException:
+        stream.close()
+        raise
+    return stream
+
+
+class Listener:
+    """Accepts connections while there is room for them; those beyond wait in the system's backlog."""
+
+    def __init__(
+            self, loop: Loop, address: Address, most: int, on_stream: Callable[[Stream], None],
+            on_full: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.loop, self.most, self.on_stream, self.on_full = loop, most, on_stream, on_full
+        self.held = 0
+        self.waiting = False
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(address)
+        self.sock.listen(512)
+        loop.watch(self.sock.fileno(), self)
+
+    @property
+    def address(self) -> Address:
+        host, port = self.sock.getsockname()
+        return host, port
+
+    def on_ready(self, mask: int) -> None:
+        del mask
+        self.accept()
+
+    def accept(self) -> None:
+        """Take what waits. A full house or table of descriptors is looked at again a little later."""
+        while True:
+            if self.held >= self.most:
+                self.on_full()
+                self._again()
+                return
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except ConnectionError:
+                continue
+            except OSError:
+                # Guards against EMFILE: edge-triggered epoll won't say a second time that somebody waits.
+                self.on_full()
+                self._again()
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.held += 1
+            self.on_stream(Stream(self.loop, sock, connected=True))
+
+    def released(self) -> None:
+        """One accepted stream has been closed."""
+        self.held -= 1
+
+    def _again(self) -> None:
+        if not self.waiting:
+            self.waiting = True
+            self.loop.call_later(RETRY_ACCEPT, self._retry)
+
+    def _retry(self) -> None:
+        self.waiting = False
+        if self.sock.fileno() >= 0:
+            self.accept()
+
+    def close(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.loop.unwatch(self.sock.fileno())
+            self.sock.close()
