--- a/Makefile
+++ b/Makefile
@@ -1,3 +1,10 @@
+# Every target works from a fresh clone once `make build` has run.
+PY = .venv/bin/python
+
+build:
+	test -x .venv/bin/python || python3 -m venv .venv
+	.venv/bin/pip install -q --disable-pip-version-check -e '.[dev]'
+
 lint:
 	ruff check .
 	mypy
@@ -5,4 +12,7 @@
 test:
 	python -m pytest
 
-.PHONY: lint test
+run:
+	$(PY) -m arrowfold
+
+.PHONY: build lint test run
