--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -13,8 +13,9 @@
 from arrowfold import interface as api
 from arrowfold.program.config import Config
 from arrowfold.program.log import Log
-from arrowfold.protocol.discovery import Discovery
-from arrowfold.protocol.front import Front
+from arrowfold.protocol.discovery import SOURCE, Discovery
+from arrowfold.protocol.faktory import FaktoryFront
+from arrowfold.protocol.front import STAY_OPEN, Front
 from arrowfold.protocol.load import LoadReader
 from arrowfold.protocol.worker import SearchWorker
 from arrowfold.routing.core import Core
@@ -45,11 +46,14 @@
         self.loads = LoadReader(config.meanings)
         # A connection is closed here well before the far side would close it under a request.
         self.idle = timedelta(microseconds=settings.connection_idle_us or 30_000_000) * 0.8
-        self.discovery = None if config.discovery is None else Discovery(
+        self.discovery = Discovery(
             self.loop, config.discovery, self.core, self._make_server, self.counters, self.log)
-        self.front = Front(
-            self.loop, config.listen, self.core, {c.name: c for c in settings.classes},
-            spare - spare // 2, self.counters)
+        classes = {c.name: c for c in settings.classes}
+        room = (spare - spare // 2) // (2 if config.faktory else 1)
+        self.front = Front(self.loop, config.listen, self.core, classes, room, self.counters)
+        self.faktory = None if config.faktory is None else FaktoryFront(
+            self.loop, config.faktory.listen, config.faktory.password, self.core, settings.zone, classes,
+            room, config.connect_limit, self.counters)
         self._wake_read, self._wake_write = socket.socketpair()
 
     def _fault(self, where: str, error: BaseException) -> None:
@@ -64,19 +68,17 @@
             self.loop, address, self.idle, self.config.connect_limit, self.budget, self.loads, self.counters)
 
     def _ask_list(self, follow: bool) -> None:
-        if self.discovery is not None:
-            self.discovery.ask(follow)
+        self.discovery.ask(follow)
 
     def run(self) -> int:
         """Serve until a signal and what is owed let it end."""
         self._catch_signals()
-        if self.discovery is not None:
-            known: Any = self.config.known or {"rev": None, "all": True, "targets": []}
-            try:
-                self.discovery.take(known, api.RosterMode.PERSISTED)
-            except ValueError as error:
-                self.log(f"known: {error}; starting without it")
-                self.core.list_servers("discovery", (), api.RosterMode.PERSISTED)
+        known: Any = self.config.known or {"all": True, "targets": []}
+        try:
+            self.discovery.take(known, api.RosterMode.PERSISTED)
+        except ValueError as error:
+            self.log(f"known: {error}; starting without it")
+            self.core.list_servers(SOURCE, (), api.RosterMode.PERSISTED)
         gc.freeze()
         self.log(f"listens on {self.config.listen[0]}:{self.config.listen[1]}")
         self.loop.run()
@@ -108,12 +110,19 @@
                 self.log("asked to end: serving on until nothing is owed")
                 self.stop_at = self.loop.now() + longest + LAST_CALL
                 self.front.drain()
+                self.loop.call_later(STAY_OPEN, self._quiet_workers)
                 self.loop.call_later(LEAST_DRAIN, self._end_if_free)
 
+    def _quiet_workers(self) -> None:
+        """From here on Faktory workers are told to be quiet when they beat."""
+        if self.faktory is not None:
+            self.faktory.quieting = True
+
     def _end_if_free(self) -> None:
         """End once every client has had its answer and has gone, at the latest before SIGKILL."""
         assert self.stop_at is not None
         free = not self.core.owed and not self.front.connections
+        free = free and not (self.faktory and self.faktory.producers_owed())
         if free or self.loop.now() >= self.stop_at:
             self.loop.stopping = True
         else:
--- a/arrowfold/protocol/discovery.py
+++ b/arrowfold/protocol/discovery.py
@@ -30,8 +30,9 @@
     """One node's calls to discovery. The module says when to call; a watch lasts until it breaks."""
 
     def __init__(
-            self, loop: Loop, address: Address, core: Core, make_server: Callable[[Address], SearchWorker],
-            counters: Counter[str], log: Callable[[str], None],
+            self, loop: Loop, address: Address | None, core: Core,
+            make_server: Callable[[Address], SearchWorker], counters: Counter[str],
+            log: Callable[[str], None],
     ) -> None:
         self.loop, self.address, self.core = loop, address, core
         self.make_server, self.counters, self.log = make_server, counters, log
@@ -41,6 +42,8 @@
 
     def ask(self, follow: bool) -> None:
         """A call that the module wants; a watch that still stands is ended for a new one."""
+        if self.address is None:
+            return  # a node with a fixed list
         self.counters["discovery_calls"] += 1
         if follow:
             if self.watch is not None:
@@ -118,6 +121,7 @@
             target += "?follow=1"
             if self.revision is not None:
                 target += f"&since={self.revision}"
+        assert self.address is not None
         until = self.loop.now() + CALL_LIMIT
         stream = yield from connect(self.loop, self.address, until)
         try:
--- /dev/null
+++ b/arrowfold/protocol/faktory.py
@@ -0,0 +1,321 @@
+"""The Faktory front: producers push jobs and wait for their end, workers fetch them.
+
+A PUSH is a session: +OK says that it was served, -ERR denied or -ERR failed that it was not. There is
+no disk here, so no queue outlives the call and none is promised.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from arrowfold import interface as api
+from arrowfold.protocol.faktory_wire import (
+    NIL,
+    OK,
+    CommandError,
+    CommandStream,
+    Greeting,
+    bulk,
+    error_reply,
+    parse_object,
+)
+from arrowfold.protocol.faktory_worker import (
+    DEFAULT_QUEUE,
+    FaktoryWorker,
+    PushedJob,
+    Workers,
+    as_fields,
+    result_bytes,
+)
+from arrowfold.routing.core import Core
+from arrowfold.routing.session import Answer, Job, Verdict
+from arrowfold.transport.loop import Loop, Steps, Task
+from arrowfold.transport.stream import Address, Broken, Late, Listener, Stream
+
+FETCH_BLOCK = timedelta(seconds=2)
+HELLO_LIMIT = timedelta(seconds=10)
+IDLE_LIMIT = timedelta(minutes=10)
+WRITE_LIMIT = timedelta(seconds=5)
+LONGEST_WAIT = timedelta(hours=1)
+MOST_ID = 200
+Check = Callable[[str, object], None]  # a command's word and its payload
+
+
+class Peer:
+    """One connection: a producer, and with a wid a worker too."""
+
+    __slots__ = ("answered", "commands", "task", "worker")
+
+    def __init__(self, commands: CommandStream) -> None:
+        self.commands = commands
+        self.worker: FaktoryWorker | None = None
+        self.answered: Answer | None = None
+        self.task: Task | None = None
+
+    def answer(self, answer: Answer) -> None:
+        self.answered = answer
+        if self.task is not None:
+            self.task.wake()
+
+
+class FaktoryFront:
+    """Listens for Faktory clients and serves their commands."""
+
+    def __init__(
+            self, loop: Loop, address: Address, password: str | None, core: Core, zone: str,
+            classes: dict[str, api.RequestClass], most: int, fetch_limit: timedelta,
+            counters: Counter[str], check: Check | None = None,
+    ) -> None:
+        self.loop, self.core, self.password, self.classes = loop, core, password, classes
+        self.counters, self.check = counters, check
+        self.workers = Workers(loop, core, zone, fetch_limit, counters)
+        self.peers: set[Peer] = set()
+        self.started = loop.now()
+        self.quieting = False
+        self.listener = Listener(loop, address, most, self._accepted)
+        self.verbs: dict[str, Callable[[Peer, Any], Steps[bytes]]] = {
+            "PUSH": self._push, "FETCH": self._fetch, "ACK": self._ack, "FAIL": self._fail,
+            "BEAT": self._beat, "INFO": self._info,
+        }
+
+    def producers_owed(self) -> bool:
+        """Whether an answer has still to be written to a producer."""
+        return any(peer.answered is not None for peer in self.peers)
+
+    def _accepted(self, stream: Stream) -> None:
+        self.counters["faktory_connections"] += 1
+        peer = Peer(CommandStream(stream))
+        self.peers.add(peer)
+        peer.task = self.loop.spawn(self._serve(peer), "faktory connection")
+
+    def _serve(self, peer: Peer) -> Steps[None]:
+        stream = peer.commands.stream
+        try:
+            yield from self._greet(peer)
+            while True:
+                try:
+                    command = yield from peer.commands.command(self.loop.now() + IDLE_LIMIT)
+                    if command is None:
+                        return
+                    if command[0] == "END":
+                        yield from stream.write(OK, self.loop.now() + WRITE_LIMIT)
+                        return
+                    reply = yield from self._obey(peer, *command)
+                except CommandError as error:
+                    if error.fatal:
+                        raise
+                    # Guards against bad input ending more than its own command.
+                    self.counters["faktory_errors"] += 1
+                    reply = error_reply(str(error))
+                if reply:
+                    yield from stream.write(reply, self.loop.now() + WRITE_LIMIT)
+                peer.answered = None
+        except CommandError as error:
+            self.counters["faktory_errors"] += 1
+            yield from self._last_words(stream, error_reply(str(error)))
+        except (Broken, Late):
+            self.counters["faktory_connections_broken"] += 1
+        finally:
+            stream.close()
+            self.peers.discard(peer)
+            self.listener.released()
+            if peer.worker is not None:
+                self.workers.leave(peer.worker)
+
+    def _last_words(self, stream: Stream, reply: bytes) -> Steps[None]:
+        try:
+            yield from stream.write(reply, self.loop.now() + WRITE_LIMIT)
+        except (Broken, Late):
+            self.counters["faktory_connections_broken"] += 1
+
+    def _greet(self, peer: Peer) -> Steps[None]:
+        """HI, HELLO, OK."""
+        until, greeting = self.loop.now() + HELLO_LIMIT, Greeting(self.password)
+        yield from peer.commands.stream.write(greeting.line(), until)
+        command = yield from peer.commands.command(until)
+        if command is None:
+            raise Broken("left before HELLO")
+        if command[0] != "HELLO":
+            raise CommandError(f"{command[0][:20]}: HELLO comes first", fatal=True)
+        try:
+            hello = parse_object(command[1], "HELLO")
+            self._checked("HELLO", hello)
+        except CommandError as error:
+            raise CommandError(str(error), fatal=True) from error
+        greeting.check(hello)
+        wid = hello.get("wid")
+        if wid is not None:
+            if not isinstance(wid, str) or not 0 < len(wid) <= MOST_ID:
+                raise CommandError("HELLO: wid is no short text", fatal=True)
+            peer.worker = self.workers.enter(wid)
+        yield from peer.commands.stream.write(OK, until)
+
+    def _checked(self, word: str, payload: object) -> None:
+        if self.check is not None:
+            self.check(word, payload)
+
+    def _obey(self, peer: Peer, word: str, argument: str) -> Steps[bytes]:
+        self.counters["faktory_commands"] += 1
+        verb = self.verbs.get(word)
+        if verb is None:
+            raise CommandError(f"command {word[:20]} is not served here")
+        payload: object = None
+        if word == "FETCH":
+            payload = argument.split() or [DEFAULT_QUEUE]
+        elif word != "INFO":
+            payload = parse_object(argument, word)
+        self._checked(word, payload)
+        return (yield from verb(peer, payload))
+
+    # --- producers ---------------------------------------------------------------------------------------
+
+    def _push(self, peer: Peer, fields: dict[str, Any]) -> Steps[bytes]:
+        """One session, from PUSH to its reply."""
+        job = self._read_job(fields)
+        peer.answered = None
+        session = self.core.take(job, peer)
+        while peer.answered is None:
+            try:
+                gone = peer.commands.peer_gone()
+            except Broken:
+                gone = True
+            if gone:
+                self.core.leave(session)
+                raise Broken("the producer left")
+            if gone is None and peer.answered is None:
+                peer.commands.stream.reader = self.loop.current
+                yield from self.loop.park()
+                peer.commands.stream.reader = None
+        answer: Answer = peer.answered
+        if answer.verdict is Verdict.SERVED:
+            return OK
+        if answer.verdict is Verdict.FAILED:
+            return error_reply(f"failed: job {job.id} may have run")
+        after = f"; retry after {answer.retry_after.total_seconds():.3f} s" if answer.retry_after else ""
+        return error_reply(f"denied: job {job.id} may be pushed again{after}")
+
+    def _read_job(self, fields: dict[str, Any]) -> Job:
+        """The job that a PUSH hands in, or what is wrong with it."""
+        for key, kind in (("jid", str), ("jobtype", str), ("args", list)):
+            if not isinstance(fields.get(key), kind) or (kind is str and not fields[key]):
+                raise CommandError(f"PUSH: {key} is missing or of the wrong type")
+        jid, custom = fields["jid"], fields.get("custom") or {}
+        if len(jid) > MOST_ID or not jid.isprintable() or not jid.isascii() or " " in jid:
+            raise CommandError("PUSH: jid is no short word")
+        cls = self.classes.get(fields["jobtype"])
+        if cls is None:
+            raise CommandError(f"PUSH: unknown jobtype {fields['jobtype'][:MOST_ID]!r}")
+        if fields.get("at"):
+            raise CommandError("PUSH: at is not served: no queue is kept here")
+        if not isinstance(custom, dict):
+            raise CommandError("PUSH: custom is no object")
+        if self.core.holds(jid):
+            raise CommandError(f"PUSH: jid {jid} is open already")
+        span = timedelta(microseconds=cls.deadline_us)
+        if "expires_in_ms" in custom:
+            span = timedelta(milliseconds=_number(custom, "expires_in_ms", 0))
+        effect_key = custom.get("idempotency_key", jid) if cls.idempotency is api.Idempotency.KEYED else None
+        for name, text in (("key", custom.get("key")), ("tenant", custom.get("tenant")),
+                           ("idempotency_key", effect_key)):
+            if text is not None and not (isinstance(text, str) and text.isascii() and text.isprintable()):
+                raise CommandError(f"PUSH: custom.{name} is no plain text")
+        return Job(
+            jid, cls.name, self.loop.now() + min(span, LONGEST_WAIT), json.dumps(fields["args"]).encode(),
+            custom.get("key"), effect_key, custom.get("tenant"), None,
+            _number(custom, "slots", 1.0), _number(custom, "memory", 0.0), False, PushedJob(fields))
+
+    # --- workers -----------------------------------------------------------------------------------------
+
+    @staticmethod
+    def _worker(peer: Peer, word: str) -> FaktoryWorker:
+        if peer.worker is None:
+            raise CommandError(f"{word}: HELLO named no wid")
+        return peer.worker
+
+    def _fetch(self, peer: Peer, queues: list[str]) -> Steps[bytes]:
+        """Wait for a dispatch, about two seconds at most."""
+        worker = self._worker(peer, "FETCH")
+        until = self.loop.now() + FETCH_BLOCK
+        fetch = worker.begin_fetch(frozenset(queues), peer.task)
+        gone: bool | None = None
+        try:
+            while fetch.dispatch is None and self.loop.now() < until:
+                gone = peer.commands.peer_gone()
+                if gone:
+                    break
+                if gone is None:
+                    peer.commands.stream.reader = self.loop.current
+                    yield from self.loop.park(until)
+                    peer.commands.stream.reader = None
+        finally:
+            dispatch = worker.end_fetch(fetch)
+        if dispatch is None:
+            if gone:
+                raise Broken("the worker left")
+            return NIL
+        try:
+            if peer.commands.peer_gone():
+                raise Broken("the worker left")
+            # Guards rule 2: up to the last byte the job can't have run, after it it may have.
+            job = bulk(as_fields(dispatch.job, dispatch.job.deadline - self.loop.now()))
+            yield from peer.commands.stream.write(job, dispatch.job.deadline)
+        except (Broken, Late):
+            worker.broken_fetch(dispatch)
+            raise
+        if not dispatch.over:
+            dispatch.started()
+        return b""
+
+    def _ack(self, peer: Peer, fields: dict[str, Any]) -> Steps[bytes]:
+        body = result_bytes(fields.get("result"))
+        self._worker(peer, "ACK").finish(_jid(fields, "ACK"), api.Status.OK, body)
+        return OK
+        yield
+
+    def _fail(self, peer: Peer, fields: dict[str, Any]) -> Steps[bytes]:
+        self._worker(peer, "FAIL").finish(_jid(fields, "FAIL"), api.Status.ERROR, b"")
+        return OK
+        yield
+
+    def _beat(self, peer: Peer, fields: dict[str, Any]) -> Steps[bytes]:
+        """A worker's state, and ours for it; either may drain it."""
+        worker = self._worker(peer, "BEAT")
+        if fields.get("wid") != worker.wid:
+            raise CommandError("BEAT: wid is not the one of HELLO")
+        state = fields.get("current_state") or ""
+        if state not in ("", "quiet", "terminate"):
+            raise CommandError("BEAT: current_state is neither quiet nor terminate")
+        quieted = self.quieting and not self.core.owed  # while something is owed, its worker is needed
+        if state or quieted:
+            self.workers.drain(worker)
+        return bulk({"state": "quiet"}) if quieted and not state else OK
+        yield
+
+    def _info(self, peer: Peer, _: object) -> Steps[bytes]:
+        del peer
+        uptime = int((self.loop.now() - self.started).total_seconds())
+        counted = {name: count for name, count in sorted(self.counters.items())}
+        return bulk({
+            "server": {"description": "arrowfold", "uptime": uptime, "connections": len(self.peers),
+                       "command_count": self.counters["faktory_commands"]},
+            "faktory": {"total_processed": self.counters["answered_served"], "queues": {},
+                        "total_failures": self.counters["answered_failed"], "counters": counted}})
+        yield
+
+
+def _jid(fields: dict[str, Any], word: str) -> str:
+    jid = fields.get("jid")
+    if not isinstance(jid, str) or not jid:
+        raise CommandError(f"{word}: jid is missing")
+    return jid
+
+
+def _number(custom: dict[str, Any], name: str, default: float) -> float:
+    value = custom.get(name, default)
+    if not isinstance(value, int | float) or isinstance(value, bool) or not 0 <= value < 1e10:
+        raise CommandError(f"PUSH: custom.{name} is no number in range")
+    return float(value)
--- a/arrowfold/protocol/front.py
+++ b/arrowfold/protocol/front.py
@@ -17,6 +17,7 @@
 
 IDLE_LIMIT = timedelta(seconds=75)
 REQUEST_LIMIT = timedelta(seconds=10)  # from the first byte of a request to its last
+ROOM_AFTER = timedelta(milliseconds=500)  # an idle connection this old may be closed for another
 WRITE_LIMIT = timedelta(seconds=5)
 STAY_OPEN = timedelta(milliseconds=450)  # after SIGTERM new connections come for 0.2 to 0.4 s
 LONGEST_WAIT = timedelta(hours=1)
@@ -39,10 +40,10 @@
 class Connection:
     """One client's connection, and the answer to the request that it has open."""
 
-    __slots__ = ("answered", "busy", "side", "task")
+    __slots__ = ("answered", "busy", "idle_since", "side", "task")
 
-    def __init__(self, side: ServerSide) -> None:
-        self.side, self.busy = side, False
+    def __init__(self, side: ServerSide, now: timedelta) -> None:
+        self.side, self.busy, self.idle_since = side, False, now
         self.answered: Answer | None = None
         self.task: Task | None = None
 
@@ -68,17 +69,18 @@
 
     def _accepted(self, stream: Stream) -> None:
         self.counters["connections_accepted"] += 1
-        connection = Connection(ServerSide(stream))
+        connection = Connection(ServerSide(stream), self.loop.now())
         self.connections.add(connection)
         connection.task = self.loop.spawn(self._serve(connection), "client connection")
 
     def _close_an_idle_one(self) -> None:
         """Guards against silent clients that fill the house: between requests a node may close one."""
-        for connection in self.connections:
-            if not connection.busy and not connection.side.begun:
-                connection.side.stream.close()
-                self.counters["connections_closed_for_room"] += 1
-                return
+        idle = [c for c in self.connections if not c.busy and not c.side.begun]
+        oldest = min(idle, key=lambda c: c.idle_since, default=None)
+        # One that has just come may have a request on its way: it is left its time.
+        if oldest is not None and self.loop.now() - oldest.idle_since >= ROOM_AFTER:
+            oldest.side.stream.close()
+            self.counters["connections_closed_for_room"] += 1
 
     def drain(self) -> None:
         """A planned restart: go on serving, and let clients move away once they know of it."""
@@ -104,7 +106,7 @@
                         return
                     connection.busy = True
                     more = yield from self._answer_one(connection, request)
-                    connection.busy = False
+                    connection.busy, connection.idle_since = False, self.loop.now()
                 except BadRequest as error:
                     # Guards against malformed, oversize and half requests: said once, then closed.
                     self.counters["bad_requests"] += 1
--- a/arrowfold/protocol/worker.py
+++ b/arrowfold/protocol/worker.py
@@ -50,9 +50,10 @@
     def probe(self, probe: Probe) -> None:
         probe.errand = self.loop.spawn(self._ask(probe), "probe")
 
-    def cancel(self, errand: Dispatch | Probe) -> None:
+    def cancel(self, errand: Dispatch | Probe) -> bool:
         if errand.errand is not None:
             errand.errand.stop()
+        return False  # how far the request had got is not looked into: it may have run
 
     def close(self) -> None:
         self.pool.close()
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -156,14 +156,14 @@
 
     def _time_out(self, dispatch: Dispatch) -> None:
         if not dispatch.over:
-            dispatch.server.cancel(dispatch)
-            self._tell(dispatch.session, Ended(dispatch, api.Status.TIMEOUT, b"", None))
+            status = api.Status.FULL if dispatch.server.cancel(dispatch) else api.Status.TIMEOUT
+            self._tell(dispatch.session, Ended(dispatch, status, b"", None))
 
     def _cancel(self, dispatch: Dispatch, status: api.Status) -> None:
         if not dispatch.over:
             self._close(dispatch)
-            dispatch.server.cancel(dispatch)
-            self._told_end(dispatch, status, None)
+            never_ran = dispatch.server.cancel(dispatch)
+            self._told_end(dispatch, api.Status.FULL if never_ran else status, None)
 
     def _close(self, dispatch: Dispatch) -> None:
         dispatch.over = True
@@ -281,8 +281,9 @@
     def probe(self, probe: Probe) -> None:
         del probe
 
-    def cancel(self, errand: Dispatch | Probe) -> None:
+    def cancel(self, errand: Dispatch | Probe) -> bool:
         del errand
+        return True
 
 
 _NOBODY = _Nobody()
--- a/arrowfold/routing/session.py
+++ b/arrowfold/routing/session.py
@@ -73,8 +73,8 @@
     def probe(self, probe: Probe) -> None:
         """Ask for the load, and report to the probe."""
 
-    def cancel(self, errand: Dispatch | Probe) -> None:
-        """Stop it; its report is no longer wanted."""
+    def cancel(self, errand: Dispatch | Probe) -> bool:
+        """Stop it; its report is no longer wanted. True if it surely never ran."""
 
 
 class Dispatch:
