--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -624,9 +624,16 @@
     def _end(self, request: Request) -> None:
         """The one final answer of this dispatcher's own."""
         if request.open and not request.streaming:
-            self.actions.append(api.Refuse(request.id) if may_refuse(request) else api.Fail(request.id))
+            refusal = api.Refuse(request.id, self._come_back_us())
+            self.actions.append(refusal if may_refuse(request) else api.Fail(request.id))
             self._close(request)
 
+    def _come_back_us(self) -> int:
+        """What a refused client is told: come back once the slots have turned over, not all at once."""
+        if not self.settings.retry_after:
+            return 0
+        return min(self.settings.max_retry_after_us, self._jitter(self.run_us))
+
     def _close(self, request: Request) -> None:
         request.open, request.candidates = False, []
         if request in self.lines[request.table.cls.kind]:
