--- a/tests/test_faktory.py
+++ b/tests/test_faktory.py
@@ -206,7 +206,8 @@
 class Errors(FaktoryCase):
     def test_denied_and_failed_are_told_apart(self) -> None:
         node = self.edge()
-        self.assertRegex(self.client().push("job1", custom={"expires_in_ms": 200}), "^-ERR denied: job job1 .*retry after [0-9.]+ s$")
+        denied = self.client().push("job1", custom={"expires_in_ms": 200})
+        self.assertRegex(denied, "^-ERR denied: job job1 .*; retry after [0-9.]+ s$")
         worker = self.client("w1")
         replies = self.pushing("job2", "once")
         self.assertEqual(worker.call("FAIL", {"jid": worker.fetch()["jid"], "errtype": "E"}), "+OK")
