Hold both fronts to an OpenAPI and an AsyncAPI document where the configuration names one

deploy/openapi.yaml and deploy/asyncapi.yaml describe the two fronts; openapi-core and jsonschema check what comes in, and are loaded only where a document is named, so the platform's node stays as small as it was. A bad document ends the start with one line: file, place, fault.

--- a/arrowfold/__main__.py
+++ b/arrowfold/__main__.py
@@ -8,6 +8,7 @@
 
 from arrowfold.program.config import ConfigError, read_config
 from arrowfold.program.node import Node
+from arrowfold.protocol.descriptions import DescriptionError
 
 
 def main(arguments: list[str]) -> int:
@@ -17,7 +18,7 @@
         return 2
     try:
         node = Node(read_config(os.environ, Path(arguments[0]) if arguments else None))
-    except ConfigError as error:
+    except (ConfigError, DescriptionError) as error:
         print(f"arrowfold: configuration: {error}", file=sys.stderr)
         return 2
     except OSError as error:
--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -13,6 +13,7 @@
 from arrowfold import interface as api
 from arrowfold.program.config import Config
 from arrowfold.program.log import Log
+from arrowfold.protocol.descriptions import load_asyncapi, load_openapi
 from arrowfold.protocol.discovery import SOURCE, Discovery
 from arrowfold.protocol.faktory import FaktoryFront
 from arrowfold.protocol.front import STAY_OPEN, Front
@@ -50,10 +51,12 @@
             self.loop, config.discovery, self.core, self._make_server, self.counters, self.log)
         classes = {c.name: c for c in settings.classes}
         room = (spare - spare // 2) // (2 if config.faktory else 1)
-        self.front = Front(self.loop, config.listen, self.core, classes, room, self.counters)
+        openapi = load_openapi(config.openapi) if config.openapi else None
+        asyncapi = load_asyncapi(config.asyncapi) if config.asyncapi else None
+        self.front = Front(self.loop, config.listen, self.core, classes, room, self.counters, openapi)
         self.faktory = None if config.faktory is None else FaktoryFront(
             self.loop, config.faktory.listen, config.faktory.password, self.core, settings.zone, classes,
-            room, config.connect_limit, self.counters)
+            room, config.connect_limit, self.counters, asyncapi)
         self._wake_read, self._wake_write = socket.socketpair()
 
     def _fault(self, where: str, error: BaseException) -> None:
