Answer what is owed before SIGKILL, linger after an error, and outlive a module fault

Test: a held job after SIGTERM. - a 400 or 413 closed the connection with input unread, which resets it under the answer; the front now ends its sending and reads on for up to 1 s. Test: 413 for a 500,000 byte body that is still being sent. - an exception of the module ended the task that met it and left its session unanswered; it is counted and logged, and the session ends at its deadline.

--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -127,9 +127,14 @@
         free = not self.core.owed and not self.front.connections
         free = free and not (self.faktory and self.faktory.producers_owed())
         if free or self.loop.now() >= self.stop_at:
-            self.loop.stopping = True
+            # Guards rule 1 at the very end: SIGKILL is near, so what is owed is answered now.
+            self.core.give_up_all()
+            self.loop.call_later(DRAIN_STEP if not free else timedelta(0), self._stop)
         else:
             self.loop.call_later(DRAIN_STEP, self._end_if_free)
 
+    def _stop(self) -> None:
+        self.loop.stopping = True
+
     def _print_counters(self) -> None:
         self.log("counters " + json.dumps(dict(sorted(self.counters.items()))))
--- a/arrowfold/protocol/faktory.py
+++ b/arrowfold/protocol/faktory.py
@@ -40,6 +40,7 @@
 HELLO_LIMIT = timedelta(seconds=10)
 IDLE_LIMIT = timedelta(minutes=10)
 WRITE_LIMIT = timedelta(seconds=5)
+LINGER_LIMIT = timedelta(seconds=1)
 LONGEST_WAIT = timedelta(hours=1)
 MOST_ID = 200
 Check = Callable[[str, object], None]  # a command's word and its payload
@@ -129,6 +130,7 @@
     def _last_words(self, stream: Stream, reply: bytes) -> Steps[None]:
         try:
             yield from stream.write(reply, self.loop.now() + WRITE_LIMIT)
+            yield from stream.linger(self.loop.now() + LINGER_LIMIT)
         except (Broken, Late):
             self.counters["faktory_connections_broken"] += 1
 
--- a/arrowfold/protocol/front.py
+++ b/arrowfold/protocol/front.py
@@ -20,6 +20,7 @@
 ROOM_AFTER = timedelta(milliseconds=500)  # an idle connection this old may be closed for another
 WRITE_LIMIT = timedelta(seconds=5)
 STAY_OPEN = timedelta(milliseconds=450)  # after SIGTERM new connections come for 0.2 to 0.4 s
+LINGER_LIMIT = timedelta(seconds=1)
 LONGEST_WAIT = timedelta(hours=1)
 _STATUS = {Verdict.SERVED: 200, Verdict.DENIED: 503, Verdict.FAILED: 502}
 _UNITS = {"m": timedelta(milliseconds=1), "u": timedelta(microseconds=1)}
@@ -111,6 +112,7 @@
                     # Guards against malformed, oversize and half requests: said once, then closed.
                     self.counters["bad_requests"] += 1
                     yield from self._reply(side, error.status, _words(error), [], close=True)
+                    yield from side.stream.linger(self.loop.now() + LINGER_LIMIT)
                     return
         except (Broken, Late):
             self.counters["connections_broken"] += 1
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -95,6 +95,11 @@
         if not session.answered:
             self._tell(session, Left())
 
+    def give_up_all(self) -> None:
+        """The node ends now: what is still owed is answered, and may have run."""
+        for session in list(self.sessions.values()):
+            self._answer(session, Answer(Verdict.FAILED))
+
     # --- one session ---------------------------------------------------------------------------------
 
     def _life(self, session: Session) -> Generator[None, object, None]:
@@ -201,7 +206,14 @@
 
     def _consult(self, event: api.Event) -> None:
         """Tell the module, and hand each action to the session that it is for."""
-        for action in self.module.handle(to_us(self.clock.now()), (event,)):
+        try:
+            actions = self.module.handle(to_us(self.clock.now()), (event,))
+        except Exception as error:
+            # Guards rule 1 against a fault of the module: the session still ends at its deadline.
+            self.counters["module_faults"] += 1
+            self.log(f"module: {type(error).__name__}: {error} on {type(event).__name__}")
+            return
+        for action in actions:
             match action:
                 case api.SetTimer(delay_us, handle):
                     self._set_timer(from_us(delay_us), handle)
--- a/arrowfold/transport/stream.py
+++ b/arrowfold/transport/stream.py
@@ -11,6 +11,7 @@
 from arrowfold.transport.loop import Loop, Steps, Task
 
 CHUNK = 65536
+MOST_LINGER = 1024 * 1024
 Address = tuple[str, int]
 RETRY_ACCEPT = timedelta(milliseconds=50)
 
@@ -91,6 +92,19 @@
             finally:
                 self.writer = None
 
+    def linger(self, until: timedelta) -> Steps[None]:
+        """End our sending, and take in what the peer still sends.
+
+        Guards an answer's last bytes: closing with something unread would reset the connection under them.
+        """
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+            left = MOST_LINGER
+            while left > 0 and (data := (yield from self.read(until))):
+                left -= len(data)
+        except (OSError, Broken, Late):
+            return
+
     def close(self) -> None:
         if not self.closed:
             self.closed = True
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,7 +6,7 @@
 import socket
 import threading
 
-from tests.edge import LONG, EdgeCase, Node, eventually, in_threads
+from tests.edge import LONG, SETTINGS, EdgeCase, Node, eventually, in_threads, request_class
 
 
 class Serving(EdgeCase):
@@ -117,6 +117,8 @@
                 (b"HTTP/1.1 413", post("a", length=70_000)),
                 (b"HTTP/1.1 413", post("a", "Transfer-Encoding: chunked", length=None)
                  + b"11000\r\n" + b"x" * 0x11000),
+                # Guards the answer's bytes: a close with unread input would reset the connection under it.
+                (b"HTTP/1.1 413", post("a", length=500_000) + b"x" * 500_000),
                 (b"HTTP/1.1 431", b"GET / HTTP/1.1\r\nX: " + b"x" * 40_000)):
             self.assertEqual(node.raw(data)[:12], status_line)
         self.assertEqual(node.get("/none")[0], 404)
@@ -223,6 +225,16 @@
         self.assertIn('"answered_served": 4', node.close())
 
 
+    def test_what_is_owed_when_sigkill_is_near_is_answered_and_not_dropped(self) -> None:
+        """Guards rule 1: a request that came after SIGTERM may have a deadline later than our end."""
+        worker = self.worker("s1", lambda job, nth: "hold")
+        short = {**SETTINGS, "classes": [request_class("once", "unsafe", limit_ms=500)]}
+        node = self.node(worker, settings=short)
+        node.process.terminate()
+        self.assertEqual(node.post("late", "once", expires="60000m")[0], 502)
+        self.assertEqual(node.process.wait(LONG), 0)
+
+
 class Crowds(EdgeCase):
     def test_more_clients_than_descriptors_are_served_and_silent_ones_make_room(self) -> None:
         """Guards against EMFILE and silent peers: the house holds 8 clients here."""
