--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -30,6 +30,7 @@
 HOLDER, NEAR, FAR = range(3)  # how far a request has looked for room
 COLD_SHARE = 0.3  # part of the cold budget that all dispatchers together aim to use
 HOME_MARKS = 8  # places of a worker on the ring of key homes; more make their shares more even
+GONE_KEPT = 100  # workers remembered after they have left the roster
 COLD_PART = 1 / 6  # the most that one request may take of a window's cold budget
 
 
@@ -136,6 +137,9 @@
         if event.mode is not RosterMode.PARTIAL:
             for worker in self.workers.values():
                 worker.serving = worker.serving and worker.name in listed
+        # Guards the memory against names that never come back; the latest are kept, for they may.
+        for name in [w.name for w in self.workers.values() if not w.serving][:-GONE_KEPT]:
+            del self.workers[name]
         self._index_roster()
 
     def _enter(self, entry: api.RosterEntry) -> None:
--- a/arrowfold/protocol/faktory.py
+++ b/arrowfold/protocol/faktory.py
@@ -31,9 +31,10 @@
     as_fields,
     result_bytes,
 )
+from arrowfold.protocol.waiting import Waiting
 from arrowfold.routing.core import Core
-from arrowfold.routing.session import Answer, Job, Verdict
-from arrowfold.transport.loop import Loop, Steps, Task
+from arrowfold.routing.session import Job, Verdict
+from arrowfold.transport.loop import Loop, Steps
 from arrowfold.transport.stream import Address, Broken, Late, Listener, Stream
 
 FETCH_BLOCK = timedelta(seconds=2)
@@ -46,21 +47,15 @@
 Check = Callable[[str, object], None]  # a command's word and its payload
 
 
-class Peer:
+class Peer(Waiting):
     """One connection: a producer, and with a wid a worker too."""
 
-    __slots__ = ("answered", "commands", "task", "worker")
+    __slots__ = ("commands", "worker")
 
     def __init__(self, commands: CommandStream) -> None:
+        super().__init__()
         self.commands = commands
         self.worker: FaktoryWorker | None = None
-        self.answered: Answer | None = None
-        self.task: Task | None = None
-
-    def answer(self, answer: Answer) -> None:
-        self.answered = answer
-        if self.task is not None:
-            self.task.wake()
 
 
 class FaktoryFront:
@@ -178,21 +173,10 @@
     def _push(self, peer: Peer, fields: dict[str, Any]) -> Steps[bytes]:
         """One session, from PUSH to its reply."""
         job = self._read_job(fields)
-        peer.answered = None
-        session = self.core.take(job, peer)
-        while peer.answered is None:
-            try:
-                gone = peer.commands.peer_gone()
-            except Broken:
-                gone = True
-            if gone:
-                self.core.leave(session)
-                raise Broken("the producer left")
-            if gone is None and peer.answered is None:
-                peer.commands.stream.reader = self.loop.current
-                yield from self.loop.park()
-                peer.commands.stream.reader = None
-        answer: Answer = peer.answered
+        answer = yield from peer.hand_in(
+            self.loop, self.core, job, peer.commands.stream, peer.commands.peer_gone)
+        if answer is None:
+            raise Broken("the producer left")
         if answer.verdict is Verdict.SERVED:
             return OK
         if answer.verdict is Verdict.FAILED:
--- a/arrowfold/protocol/front.py
+++ b/arrowfold/protocol/front.py
@@ -10,9 +10,10 @@
 
 from arrowfold import interface as api
 from arrowfold.protocol.http import BadRequest, Request, ServerSide
+from arrowfold.protocol.waiting import Waiting
 from arrowfold.routing.core import Core
-from arrowfold.routing.session import Answer, Job, Verdict
-from arrowfold.transport.loop import Loop, Steps, Task
+from arrowfold.routing.session import Job, Verdict
+from arrowfold.transport.loop import Loop, Steps
 from arrowfold.transport.stream import Address, Broken, Late, Listener, Stream
 
 IDLE_LIMIT = timedelta(seconds=75)
@@ -38,20 +39,14 @@
     return min(count * _UNITS[unit], LONGEST_WAIT)
 
 
-class Connection:
-    """One client's connection, and the answer to the request that it has open."""
+class Connection(Waiting):
+    """One client's connection."""
 
-    __slots__ = ("answered", "busy", "idle_since", "side", "task")
+    __slots__ = ("busy", "idle_since", "side")
 
     def __init__(self, side: ServerSide, now: timedelta) -> None:
+        super().__init__()
         self.side, self.busy, self.idle_since = side, False, now
-        self.answered: Answer | None = None
-        self.task: Task | None = None
-
-    def answer(self, answer: Answer) -> None:
-        self.answered = answer
-        if self.task is not None:
-            self.task.wake()
 
 
 class Front:
@@ -158,21 +153,9 @@
         except BadRequest as error:
             self.counters["bad_requests"] += 1
             return (yield from self._reply(side, error.status, _words(error), [], close=False))
-        connection.answered = None
-        session = self.core.take(job, connection)
-        while connection.answered is None:
-            try:
-                gone = side.wait_gone()
-            except Broken:
-                gone = True
-            if gone:
-                self.core.leave(session)
-                return False
-            if gone is None and connection.answered is None:
-                side.stream.reader = self.loop.current
-                yield from self.loop.park()
-                side.stream.reader = None
-        answer: Answer = connection.answered
+        answer = yield from connection.hand_in(self.loop, self.core, job, side.stream, side.wait_gone)
+        if answer is None:
+            return False
         headers = []
         if answer.retry_after is not None:
             headers.append(("Retry-After", f"{answer.retry_after.total_seconds():.3f}"))
