Pass on headers beyond ASCII, prefer the newest FETCH, and give the tools their own environment

- worker.py `_run`: h11 refuses a header value of non-ASCII text, the task ended in a fault and its dispatch never ended; values now go out as the bytes that came.
Test: a job named caf\xe9.
- faktory_worker.py `send` took the oldest FETCH that waits, which after a reconnect may be on a dead connection; it takes the newest.
Test: a silent connection and a new one under one wid.
- make build and the platform's build shared .venv and undid each other; the tools now have .dev-venv.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,12 @@
 # Every target works from a fresh clone once `make build` has run.
-PY = .venv/bin/python
-EDGE = deploy/edge.toml  # empty: the platform's front alone
+VENV ?= .dev-venv
+# Empty: the platform's front alone.
+EDGE = deploy/edge.toml
+export PATH := $(CURDIR)/$(VENV)/bin:$(PATH)
 
 build:
-	test -x .venv/bin/python || python3 -m venv .venv
-	.venv/bin/pip install -q --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q --disable-pip-version-check -c constraints.txt -e '.[dev]'
 
 lint:
 	ruff check .
@@ -14,6 +16,6 @@
 	python -m pytest
 
 run:
-	$(PY) -m arrowfold $(EDGE)
+	python -m arrowfold $(EDGE)
 
 .PHONY: build lint test run
--- a/arrowfold/protocol/faktory_worker.py
+++ b/arrowfold/protocol/faktory_worker.py
@@ -73,7 +73,9 @@
         if self.quiet or unserved or len(self.waiting) >= MOST_WAITING:
             self._later(lambda: self._hand_back(dispatch))
             return
-        fetch = next((f for f in self.fetches if f.dispatch is None and queue in f.queues), None)
+        # The latest FETCH first: after a reconnect, an older one may wait on a dead connection.
+        waits = (f for f in reversed(self.fetches) if f.dispatch is None and queue in f.queues)
+        fetch = next(waits, None)
         if fetch is not None:
             self._hand_out(dispatch, fetch)
             return
--- a/arrowfold/protocol/http.py
+++ b/arrowfold/protocol/http.py
@@ -121,7 +121,9 @@
         """Write a whole request; Broken or Late if its last byte could not be handed over."""
         if body or method == "POST":
             headers = [*headers, ("Content-Length", str(len(body)))]
-        parts = [self.wire.send(h11.Request(method=method, target=target, headers=headers)) or b""]
+        # As they came: a header may hold any Latin-1 text, which h11 takes as bytes only.
+        rows = [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+        parts = [self.wire.send(h11.Request(method=method, target=target, headers=rows)) or b""]
         if body:
             parts.append(self.wire.send(h11.Data(data=body)) or b"")
         parts.append(self.wire.send(h11.EndOfMessage()) or b"")
--- a/arrowfold/protocol/worker.py
+++ b/arrowfold/protocol/worker.py
@@ -7,6 +7,8 @@
 from datetime import timedelta
 from urllib.parse import quote
 
+import h11
+
 from arrowfold import interface as api
 from arrowfold.protocol.http import ClientSide, Request
 from arrowfold.protocol.load import LoadReader
@@ -82,7 +84,7 @@
                 headers.append(("Idempotency-Key", job.effect_key))
             try:
                 yield from exchange.send(method, target, headers, job.body, job.deadline)
-            except (Broken, Late):
+            except (Broken, Late, h11.LocalProtocolError, UnicodeError):
                 dispatch.ended(api.Status.CONNECT_FAILED)
                 return
             try:
--- a/tests/test_faktory.py
+++ b/tests/test_faktory.py
@@ -139,6 +139,20 @@
         self.assertEqual(replies.get(timeout=LONG), "+OK")
         self.assertEqual(node.counters()["dispatched"], 1)
 
+    def test_a_job_goes_to_the_reconnected_worker_and_not_to_its_dead_connection(self) -> None:
+        """Guards against a half-open connection: its FETCH still waits when the new one comes."""
+        node = self.edge()
+        silent, back = self.client("w1"), self.client("w1")
+        silent.sock.sendall(b"FETCH default\r\n")
+        eventually(lambda: node.counters().get("faktory_commands") == 1)
+        jobs: queue.Queue[dict[str, Any]] = queue.Queue()
+        threading.Thread(target=lambda: jobs.put(back.fetch()), daemon=True).start()
+        eventually(lambda: node.counters().get("faktory_commands") == 2)
+        replies = self.pushing("job1", "once")
+        self.assertEqual(jobs.get(timeout=LONG)["jid"], "job1")
+        self.assertEqual(back.call("ACK", {"jid": "job1"}), "+OK")
+        self.assertEqual(replies.get(timeout=LONG), "+OK")
+
     def test_a_late_and_a_repeated_ack_are_counted_and_answered_and_change_nothing(self) -> None:
         node = self.edge()
         worker = self.client("w1")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -93,7 +93,7 @@
     lines += ["X-Expires-In: 5000m", *rows]
     if length is not None:
         lines.append(f"Content-Length: {length}")
-    return "\r\n".join([*lines, "", ""]).encode()
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
 
 class BadInput(EdgeCase):
@@ -131,6 +131,12 @@
             sock.sendall(b"POST /search HTT")
         self.assertEqual(node.post("t")[0], 200)
 
+    def test_headers_beyond_ascii_are_passed_on_as_they_came(self) -> None:
+        """Guards a session: h11 refuses such text, and its dispatch once never ended."""
+        worker = self.worker("s1")
+        answer = self.node(worker).raw(post("caf\xe9", "Connection: close", "X-Props: \xe9=1"))
+        self.assertEqual((answer[:12], worker.jobs[0][0]), (b"HTTP/1.1 200", "caf\xe9"))
+
     def test_requests_sent_ahead_are_answered_in_turn(self) -> None:
         node = self.node(self.worker("s1"))
         answers = node.raw(post("t1") + post("t2", "Connection: close"))
