Look for room, and pull waiting jobs, by the key's homes where the holder is no answer

Lines at fault: choice.py `_index_roster` built the key homes only where a fetch has a price, so `_pull` and `_widen` took no account of keys here, though a fetch costs run time.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -71,6 +71,7 @@
         self.workers: dict[str, Worker] = {}
         self.pools: dict[tuple[str | None, bool], list[Worker]] = {}
         self.homes: list[tuple[int, str]] = []
+        self.firsts = 2 if settings.prices.origin > 0 else 0  # homes that are asked before a holder
         self.kind_size: dict[str, list[float]] = {}
         self.failed_asks, self.line_due, self.misses, self.out = 0, False, 0, 0
         resources = 2 if settings.reports_memory else 1
@@ -158,9 +159,8 @@
         for worker in serving:
             for kind in (None, worker.kind):
                 self.pools.setdefault((kind, worker.local), []).append(worker)
-        if self.settings.prices.origin > 0:
-            marks = ((crc32(f"{i} {w.name}".encode()), w.name) for w in serving for i in range(HOME_MARKS))
-            self.homes = sorted(marks)
+        marks = ((crc32(f"{i} {w.name}".encode()), w.name) for w in serving for i in range(HOME_MARKS))
+        self.homes = sorted(marks)
         for table in self.tables.values():
             for token in table.tokens:
                 holder = None if token.holder.serving else self._cheapest(table, self._sample(table, SAMPLE))
@@ -489,13 +489,17 @@
             request.token = token
         if request.token is not None:
             request.stage = HOLDER
-            homes = [w for w in self._homes_of(request)[:2] if self.allowed(request, w)]
+            homes = [w for w in self._homes_of(request)[:self.firsts] if self.allowed(request, w)]
             self._ask(request, homes or [request.token.holder])
         else:
             self._widen(request, near=True)
 
     def _homes_of(self, request: Request) -> list[Worker]:
-        """Where a fetch costs: the workers that every dispatcher names for this key, in one order."""
+        """The workers that every dispatcher names for this key, in one order.
+
+        Guards against fetches: who looks for room, or has some, looks where the key may be kept. Only
+        where a fetch has a price do the first of them come before the drawn token's holder.
+        """
         if not request.key or not self.homes:
             return []
         if request.homes_of is not self.homes:
@@ -532,7 +536,7 @@
 
     def _widen(self, request: Request, near: bool) -> None:
         tried = [a.worker for a in request.attempts]
-        homes = self._homes_of(request)[2:] if near else self._homes_of(request)[2 + PARTNERS:]
+        homes = self._homes_of(request)[self.firsts + (0 if near else PARTNERS):]
         some = homes[:PARTNERS] or self._pool_pick(request.table, PARTNERS, near)
         picked = [w for w in dict.fromkeys(some) if w not in tried and self.allowed(request, w)]
         if request.token and request.token.holder not in picked and not homes:
@@ -607,7 +611,7 @@
             waiting = [q for q in self.lines.get(kind, ())
                        if self.now < self._late_at(q) and self.allowed(q, worker)]
             if waiting:
-                best = max(waiting, key=lambda q: (worker in self._homes_of(q), self._rank(q)))
+                best = max(waiting, key=lambda q: (worker in self._homes_of(q)[:PARTNERS], self._rank(q)))
                 self.lines[kind].remove(best)
                 self._send(best, worker)
                 return
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -5,7 +5,8 @@
 import unittest
 
 from arrowfold import interface as api
-from tests.field import SECOND, roster, sends, settings, started
+from arrowfold.state import Request
+from tests.field import SECOND, Recorder, roster, sends, settings, started
 
 
 class Bounds(unittest.TestCase):
@@ -19,3 +20,27 @@
         self.assertLess(len(dispatcher.workers), 200)
         (sent,) = sends(dispatcher.handle(2000, [api.Arrival("r", "safe", 5 * SECOND)]))
         self.assertIn(sent.worker, ("w0", "w1"))
+
+
+class Keys(unittest.TestCase):
+    def test_a_free_slot_pulls_the_waiting_job_whose_key_it_keeps(self) -> None:
+        """Guards against fetches: pulled by worth alone, waiting jobs went where their shard was not kept."""
+        field = Recorder(settings(may_probe=True), roster(8, zones="a"))
+        dispatcher = field.dispatcher
+        field.arrive("first")
+        while field.probes:
+            field.feed(api.ProbeEnded(field.probes.pop(), api.Status.OK, 500, api.LoadReport(free_slots=1)))
+        (sent,) = field.sent
+        worker = dispatcher.workers[sent.worker]
+        keys: dict[bool, str] = {}
+        for n in range(200):
+            probe = Request(api.Arrival("x", "safe", SECOND, f"k{n}"), dispatcher.tables["safe"], 0)
+            keys.setdefault(worker in dispatcher._homes_of(probe)[:1], f"k{n}")
+        for home in (False, True):  # the stranger waits first
+            field.arrive(f"waits-{home}", key=keys[home])
+            while field.probes:
+                name = field.probes.pop()
+                field.feed(api.ProbeEnded(name, api.Status.OK, 500, api.LoadReport(free_slots=0)))
+        self.assertEqual(len(field.sent), 1)
+        field.finish("first", 0, api.Status.OK, api.LoadReport(free_slots=1))
+        self.assertEqual([(s.request, s.worker) for s in field.sent[1:]], [("waits-True", worker.name)])
