--- a/tests/test_faktory.py
+++ b/tests/test_faktory.py
@@ -186,6 +186,22 @@
         self.assertEqual(worker.call("ACK", {"jid": held}), "+OK")
         self.assertEqual(pushed[held].get(timeout=LONG), "+OK")
 
+    def test_a_node_that_is_to_end_finishes_its_jobs_then_quiets_its_workers(self) -> None:
+        node = self.edge()
+        worker, beating = self.client("w1"), self.client("w1")
+        replies = self.pushing("job1", "once")
+        self.assertEqual(worker.fetch()["jid"], "job1")
+        with socket.create_connection(("127.0.0.1", node.port)) as half:
+            half.sendall(b"POST /search HTT")  # a request under way holds the end back
+            eventually(lambda: node.counters().get("connections_accepted", 0) >= 2)
+            node.process.terminate()
+            eventually(lambda: node.answers_ready() == 503)
+            self.assertEqual(beating.call("BEAT", {"wid": "w1"}), "+OK")  # its job is still owed
+            self.assertEqual(worker.call("ACK", {"jid": "job1"}), "+OK")
+            self.assertEqual(replies.get(timeout=LONG), "+OK")
+            eventually(lambda: beating.call("BEAT", {"wid": "w1"}) == {"state": "quiet"})
+        self.assertEqual(node.process.wait(LONG), 0)
+
     def test_a_dispatch_that_nobody_fetched_never_ran_and_goes_elsewhere(self) -> None:
         there = self.worker("s1")
         node = self.edge(there)
