--- a/tests/edge.py
+++ b/tests/edge.py
@@ -162,7 +162,7 @@
         self.changes.put({"rev": self.revision, "all": False, "targets": list(rows)})
 
 
-_ports = itertools.count(18_000 + os.getpid() % 1000 * 10)
+_ports = itertools.count(18_000 + os.getpid() % 100 * 140)
 
 
 def free_port() -> int:
