Give each server 64 places on the ring of key homes, for even shares

Line at fault: choice.py HOME_MARKS = 8: the ring hashes server names, which differ between the simulator and the sockets, and with 8 places a server's share of keys is much a matter of chance.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -29,7 +29,7 @@
 STRIKE_US = 4 * SECOND  # a failure's weight halves in this time
 HOLDER, NEAR, FAR = range(3)  # how far a request has looked for room
 COLD_SHARE = 0.3  # part of the cold budget that all dispatchers together aim to use
-HOME_MARKS = 8  # places of a worker on the ring of key homes; more make their shares more even
+HOME_MARKS = 64  # places of a worker on the ring of key homes; with few, shares are left to chance
 GONE_KEPT = 100  # workers remembered after they have left the roster
 COLD_PART = 1 / 6  # the most that one request may take of a window's cold budget
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -44,3 +44,13 @@
         self.assertEqual(len(field.sent), 1)
         field.finish("first", 0, api.Status.OK, api.LoadReport(free_slots=1))
         self.assertEqual([(s.request, s.worker) for s in field.sent[1:]], [("waits-True", worker.name)])
+
+    def test_each_server_is_first_home_of_about_its_share_of_keys(self) -> None:
+        """Guards against an uneven ring: with few places on it, chance decided the shares."""
+        dispatcher = started(settings(), roster(9))
+        counts = dict.fromkeys(dispatcher.workers, 0)
+        for n in range(3000):
+            request = Request(api.Arrival("x", "safe", SECOND, f"k{n}"), dispatcher.tables["safe"], 0)
+            counts[dispatcher._homes_of(request)[0].name] += 1
+        self.assertLess(max(counts.values()), 1.5 * 3000 / 9)
+        self.assertGreater(min(counts.values()), 0.5 * 3000 / 9)
