End before the SIGKILL that PROTOCOL states, and serve on until it is near

Checked: PROTOCOL counts the longest deadline 'as 3 s where it is longer'; node.py had max() where that is min(), so with 5 s deadlines what was owed would have been answered at 5.5 s, after SIGKILL at 3.7 s: requests lost. front.drain closed idle connections 450 ms after SIGTERM, so the node stood unused for most of its time. Ruled out: the moment of the restart does not depend on when we end (4.3 s after SIGTERM in both cases). Now: clients keep their connections until 0.6 s before SIGKILL, and what is owed 0.15 s before it is answered. The new test and the changed one fail without the change.

--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -17,7 +17,7 @@
 from arrowfold.protocol.descriptions import load_asyncapi, load_openapi
 from arrowfold.protocol.discovery import SOURCE, Discovery
 from arrowfold.protocol.faktory import FaktoryFront
-from arrowfold.protocol.front import STAY_OPEN, Front
+from arrowfold.protocol.front import Front
 from arrowfold.protocol.load import LoadReader
 from arrowfold.protocol.worker import SearchWorker
 from arrowfold.routing.core import Core
@@ -28,8 +28,10 @@
 RESERVED = 48  # descriptors for the program itself, discovery and connections about to be closed
 LEAST_DRAIN = timedelta(milliseconds=1000)  # clients learn of a restart in up to 0.7 s
 DRAIN_STEP = timedelta(milliseconds=20)
-SHORTEST_LONG = timedelta(seconds=3)  # the longest deadline counts as this where it is shorter
-LAST_CALL = timedelta(milliseconds=500)  # SIGKILL comes 0.7 s after the longest deadline
+LONGEST_DRAIN = timedelta(seconds=3)  # the longest deadline counts as this where it is longer
+SIGKILL_AFTER = timedelta(milliseconds=700)  # after that
+LEAVE_BEFORE = timedelta(milliseconds=600)  # clients move away this long before SIGKILL
+LAST_CALL = timedelta(milliseconds=150)  # and what is still owed then is answered
 
 
 class Node:
@@ -100,11 +102,13 @@
             if number == signal.SIGUSR1:
                 self._print_counters()
             elif number != signal.SIGHUP and self.stop_at is None:
-                longest = max(self.config.longest_deadline, SHORTEST_LONG)
+                kill = self.loop.now() + min(self.config.longest_deadline, LONGEST_DRAIN) + SIGKILL_AFTER
                 self.log("asked to end: serving on until nothing is owed")
-                self.stop_at = self.loop.now() + longest + LAST_CALL
+                self.stop_at = kill - LAST_CALL
                 self.front.drain()
-                self.loop.call_later(STAY_OPEN, self._quiet_workers)
+                # Guards the clients of a zone with one node: while it is gone, nobody serves them, so those
+                # that have a connection keep it as long as there is time.
+                self.loop.call_at(kill - LEAVE_BEFORE, self._leave)
                 self.loop.call_later(LEAST_DRAIN, self._end_if_free)
 
     def _reload(self) -> None:
@@ -126,8 +130,9 @@
             self.log(f"reload: discovery is now {fresh.discovery[0]}:{fresh.discovery[1]}")
             self.discovery.move(fresh.discovery)
 
-    def _quiet_workers(self) -> None:
-        """From here on Faktory workers are told to be quiet when they beat."""
+    def _leave(self) -> None:
+        """From here on clients move away, and Faktory workers are told to be quiet when they beat."""
+        self.front.leave()
         if self.faktory is not None:
             self.faktory.quieting = True
 
--- a/arrowfold/protocol/front.py
+++ b/arrowfold/protocol/front.py
@@ -23,7 +23,6 @@
 FIRST_LIMIT = timedelta(milliseconds=2200)  # from accept to the first request's last byte
 REQUEST_LIMIT = timedelta(milliseconds=2500)  # from a later request's first byte to its last
 WRITE_LIMIT = timedelta(seconds=5)
-STAY_OPEN = timedelta(milliseconds=450)  # after SIGTERM new connections come for 0.2 to 0.4 s
 LINGER_LIMIT = timedelta(milliseconds=5500)  # from accept, for a client that still sends
 LINGER_QUIET = timedelta(milliseconds=700)  # for one that sends nothing more
 MOST_ID = 200
@@ -78,7 +77,7 @@
     ) -> None:
         self.loop, self.core, self.classes, self.counters, self.check = loop, core, classes, counters, check
         self.connections: set[Connection] = set()
-        self.drained_since: timedelta | None = None
+        self.draining = self.leaving = False
         self.most = most
         self.listener = Listener(loop, address, most, self._accepted, self._make_room)
 
@@ -114,18 +113,16 @@
             self.listener.released()
 
     def drain(self) -> None:
-        """A planned restart: go on serving, and let clients move away once they know of it."""
-        self.drained_since = self.loop.now()
-        self.loop.call_later(STAY_OPEN, self._close_idle)
+        """A planned restart: go on serving, on what clients have and on what still comes."""
+        self.draining = True
 
-    def _close_idle(self) -> None:
+    def leave(self) -> None:
+        """The end is near: clients move away, each once it has its answer."""
+        self.leaving = True
         for connection in list(self.connections):
             if connection.stage in (Stage.SILENT, Stage.IDLE):
                 self._end(connection)
 
-    def _leaving(self) -> bool:
-        return self.drained_since is not None and self.loop.now() - self.drained_since >= STAY_OPEN
-
     def _serve(self, connection: Connection) -> Steps[None]:
         side = connection.side
         try:
@@ -191,7 +188,7 @@
             self, side: ServerSide, status: int, body: bytes, headers: list[tuple[str, str]],
             close: bool = False,
     ) -> Steps[bool]:
-        close = close or self._leaving()
+        close = close or self.leaving
         return (yield from side.write_answer(status, body, headers, close, self.loop.now() + WRITE_LIMIT))
 
     # --- requests ----------------------------------------------------------------------------------------
@@ -211,7 +208,7 @@
     def _page(self, path: str) -> tuple[int, bytes]:
         """What is told about the node itself."""
         if path == "/health/ready":
-            ready = self.drained_since is None and self.core.ready()
+            ready = not self.draining and self.core.ready()
             return (200, b"ready\n") if ready else (503, b"not ready\n")
         if path == "/health/live":
             return 200, b"live\n"
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,8 +6,9 @@
 import signal
 import socket
 import threading
+import time
 
-from tests.edge import LONG, QUICK, SETTINGS, EdgeCase, Node, eventually, in_threads, request_class
+from tests.edge import LONG, QUICK, EdgeCase, Node, eventually, in_threads
 
 
 class Serving(EdgeCase):
@@ -235,12 +236,29 @@
         self.assertIn('"answered_served": 4', last)
         self.assertIn('"taken": ', asked)
 
+    def test_after_sigterm_clients_keep_their_connections_as_long_as_there_is_time(self) -> None:
+        """Guards a zone with one node: who was sent away early found nobody until the node was back."""
+        node = self.node(self.worker("s1"))
+        kept = http.client.HTTPConnection("127.0.0.1", node.port, timeout=LONG)
+        self.assertEqual(node.post("t", connection=kept)[0], 200)
+        node.process.terminate()
+        begun = last = time.monotonic()
+        sock = kept.sock
+        for n in range(10_000):
+            status, _, headers = node.post(f"t{n}", connection=kept)
+            self.assertEqual(status, 200)
+            if kept.sock is not sock or headers.get("connection") == "close":
+                break
+            last = time.monotonic()
+            time.sleep(0.02)
+        kept.close()
+        self.assertGreater(last - begun, 1)
+        self.assertEqual(node.process.wait(LONG), 0)
 
     def test_what_is_owed_when_sigkill_is_near_is_answered_and_not_dropped(self) -> None:
         """Guards rule 1: a request that came after SIGTERM may have a deadline later than our end."""
         worker = self.worker("s1", lambda job, nth: "hold")
-        short = {**SETTINGS, "classes": [request_class("once", "unsafe", limit_ms=500)]}
-        node = self.node(worker, settings=short)
+        node = self.node(worker)  # its longest deadline is 20 s, which counts as 3 s
         node.process.terminate()
         self.assertEqual(node.post("late", "once", expires="60000m")[0], 502)
         self.assertEqual(node.process.wait(LONG), 0)
