Tell Faktory workers of the end also when nothing holds it back

Cause: workers are told to be quiet when clients are, now 0.6 s before SIGKILL, but a node to which nothing is owed ended before that. Now it takes leave first and ends 0.1 s later (node._end_if_free).

--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -31,6 +31,7 @@
 LONGEST_DRAIN = timedelta(seconds=3)  # the longest deadline counts as this where it is longer
 SIGKILL_AFTER = timedelta(milliseconds=700)  # after that
 LEAVE_BEFORE = timedelta(milliseconds=600)  # clients move away this long before SIGKILL
+LAST_BEATS = timedelta(milliseconds=100)
 LAST_CALL = timedelta(milliseconds=150)  # and what is still owed then is answered
 
 
@@ -141,7 +142,10 @@
         assert self.stop_at is not None
         free = not self.core.owed and not self.front.connections
         free = free and not (self.faktory and self.faktory.producers_owed())
-        if free or self.loop.now() >= self.stop_at:
+        if free and not self.front.leaving:
+            self._leave()  # for a moment more, so that workers which beat now learn of it
+            self.loop.call_later(LAST_BEATS, self._end_if_free)
+        elif free or self.loop.now() >= self.stop_at:
             # Guards rule 1 at the very end: SIGKILL is near, so what is owed is answered now.
             self.core.give_up_all()
             self.loop.call_later(DRAIN_STEP if not free else timedelta(0), self._stop)
