Draw tokens at the key's homes; count own jobs exactly and others' by reports

Checked: choice._take_report set free and cleared 'since' with each answer, though a report is 0.05 to 1.6 s old and repeated in every answer; 'held' was read from the wire and never used; a probe (FRESH_US 0.1 s) told the same old report for a wait; FULL raised a server's load for 4 s. Own jobs out, which this node knows exactly, were not counted at all. Now: load is own jobs out plus others' by the last new report, less own as of then; the token is drawn among those that the key's homes hold, bounded by own jobs out; L_g is finer; two FULLs and a request waits here. Three of four new or changed tests fail without the change.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -23,8 +23,17 @@
 ROUND_US = SECOND // 2  # mean time between market rounds
 SAMPLE = 8  # workers looked at in a round
 PARTNERS = 3  # workers looked at when a drawn token is traded at once
-FRESH_US = SECOND // 10  # a figure younger than this is not asked for again
-FORGET_US = 5 * SECOND  # a worker's usual load has faded half-way into the fleet's after this
+FRESH_US = SECOND  # a figure younger than this is not asked for again
+LAG_US = SECOND // 2  # how far reports lie behind, about
+FINE = 24  # tokens a worker holds on average: enough that each has some of every class
+HOMES = 4  # homes of a key whose tokens are drawn first
+HOME_SHARE = 1.25  # a home holds at most this many times the mean of this dispatcher's jobs out, and one
+HOME_LOAD = 1.8  # and no more load than this, others' jobs and failures counted in
+FULL_PART = 0.05  # a worker that turned a job away is no home for this part of a mean run time
+FULLS = 2  # turned away this often, a request waits here
+QUEUE = 0.8  # a queue is joined up to this part of a worker's size
+LINE = 5  # behind a line of this length who arrives waits too
+FORGET_US = 5 * SECOND  # what others had at a worker has faded half-way into their mean after this
 RATE_US = 10 * SECOND  # memory of the measured arrival rates
 STRIKE_US = 4 * SECOND  # a failure's weight halves in this time
 HOLDER, NEAR, FAR = range(3)  # how far a request has looked for room
@@ -71,11 +80,11 @@
         self.workers: dict[str, Worker] = {}
         self.pools: dict[tuple[str | None, bool], list[Worker]] = {}
         self.homes: list[tuple[int, str]] = []
-        self.firsts = 2 if settings.prices.origin > 0 else 0  # homes that are asked before a holder
         self.kind_size: dict[str, list[float]] = {}
         self.failed_asks, self.line_due, self.misses, self.out = 0, False, 0, 0
         resources = 2 if settings.reports_memory else 1
         self.mean, self.spread = [0.5] * resources, 0.1  # L_avg^k, and how far loads lie from it
+        self.others = [0.3] * resources  # what other dispatchers have at a worker, over its size, on average
         self.latency: dict[str, float] = {}
         self.rtt = {True: 4.0 * settings.tick_us, False: 12.0 * settings.tick_us}
         self.tables = {c.name: Table(c, RATE_US) for c in settings.classes}
@@ -217,16 +226,15 @@
         return worker.size or self.kind_size.get(worker.kind) or [1.0] * len(self.mean)
 
     def _load(self, worker: Worker, k: int) -> float:
-        """L_j^k: one minus free over size, and what failures add.
+        """L_j^k: what this dispatcher has out there, what the others have by the last report, over size.
 
-        A figure fades in a mean run time into the worker's usual load, and that slowly into the fleet's.
+        The first is known at any time; the second fades into the fleet's mean. Failures add to it.
         """
-        size, load = max(self._size(worker)[k], 1e-9), self.mean[k]
+        size = max(self._size(worker)[k], 1e-9)
+        load = self.others[k]
         if worker.free is not None:
-            age = self.now - worker.heard_us
-            load += (worker.usual[k] - load) * 2 ** (-age / FORGET_US)
-            load += (1 - worker.free[k] / size - load) * 2 ** (-age / self.run_us)
-        load += worker.since[k] / size
+            load += (worker.others[k] / size - load) * 2 ** (-(self.now - worker.heard_us) / FORGET_US)
+        load += worker.out[k] / size
         if worker.strikes:
             load += worker.strikes * 2 ** (-(self.now - worker.strike_us) / STRIKE_US)
         if worker.slow > 1.5:
@@ -259,7 +267,6 @@
     def _take_report(self, worker: Worker, report: api.LoadReport | None) -> None:
         if report is None or report.free_slots is None:
             return
-        worker.tells_queue = report.waiting is not None
         free = [report.free_slots - (report.waiting or 0.0)]
         if len(self.mean) > 1:
             free.append(report.free_memory or 0.0)
@@ -268,18 +275,37 @@
         known = self.kind_size.setdefault(worker.kind, [1.0] * len(free))
         for k, figure in enumerate(free):
             worker.size[k], known[k] = max(worker.size[k], figure), max(known[k], figure)
-        worker.free, worker.heard_us, worker.since = free, self.now, [0.0, 0.0]
+        worker.free, worker.heard_us = free, self.now
+        self._own_lag(worker)
         for k, figure in enumerate(free):
-            load = min(2.0, 1 - figure / worker.size[k])
-            away = load - self.mean[k]
+            used = worker.size[k] - figure
+            if not k and report.held is not None and report.free_slots <= 0:
+                used = max(used, report.held)  # free slots don't tell of those that wait there
+            others = max(0.0, used - worker.lag[k])
+            if report != worker.report:
+                worker.others[k] += 0.5 * (others - worker.others[k])
+                self.others[k] += 0.03 * (worker.others[k] / worker.size[k] - self.others[k])
+            away = min(2.0, self._load(worker, k)) - self.mean[k]
             self.mean[k] += 0.03 * away
-            worker.usual[k] += 0.3 * (load - worker.usual[k])
+        worker.report = report
         self.spread += 0.03 * (abs(away) - self.spread)
         if report.latency_ms:
             usual = self.latency.get(worker.kind, report.latency_ms)
             self.latency[worker.kind] = usual + 0.03 * (report.latency_ms - usual)
             self._note_pace(worker, report.latency_ms / max(usual, 1e-9))
 
+    def _own_lag(self, worker: Worker) -> None:
+        """What this dispatcher had out when the report now heard was made, about."""
+        part = 1 - 2 ** (-(self.now - worker.lag_us) / LAG_US)
+        worker.lag_us = self.now
+        for k in (0, 1):
+            worker.lag[k] += part * (worker.out[k] - worker.lag[k])
+
+    def _count_out(self, worker: Worker, request: Request, sign: int) -> None:
+        self._own_lag(worker)
+        worker.out[0] = max(0.0, worker.out[0] + sign * request.slots)
+        worker.out[1] = max(0.0, worker.out[1] + sign * request.memory)
+
     def _note_pace(self, worker: Worker, ratio: float) -> None:
         """How much slower than usual a worker runs; forgotten unless seen again."""
         worker.slow += 0.3 * (min(ratio, 10.0) - worker.slow)
@@ -372,7 +398,7 @@
         workload = {
             name: t.rate.now(self.now) * t.run_us * t.slots / SECOND for name, t in self.tables.items()}
         fleet = sum(len(p) for (kind, _), p in self.pools.items() if kind is None)
-        unit = sum(workload.values()) / max(1, fleet)
+        unit = sum(workload.values()) / max(1, fleet) / FINE
         if not 0.7 * self.unit < unit < 1.4 * self.unit:  # hysteresis: L_g stays while tokens trade
             self.unit = unit
         for name, table in self.tables.items():
@@ -469,8 +495,8 @@
         table.memory += 0.05 * (request.memory - table.memory)
         # Rule 1, whatever else fails: each open request owes this timer.
         self._after(event.deadline_us - self.now - self.settings.tick_us, self._end, request)
-        if self.lines[table.cls.kind]:
-            self._hold(request)  # others wait already: asking again for each would swamp the workers
+        if len(self.lines[table.cls.kind]) >= LINE:
+            self._hold(request)  # many wait already: asking again for each would swamp the workers
         else:
             self._seek(request)
 
@@ -484,16 +510,34 @@
         if not table.tokens:
             self._grant(table)
         tried = [a.worker for a in request.attempts]
-        token = self.random.choice(table.tokens) if table.tokens else None
+        token = self._draw(request, tried)
         if token and token.holder not in tried and self.allowed(request, token.holder):
             request.token = token
         if request.token is not None:
             request.stage = HOLDER
-            homes = [w for w in self._homes_of(request)[:self.firsts] if self.allowed(request, w)]
-            self._ask(request, homes or [request.token.holder])
+            self._ask(request, [request.token.holder])
         else:
             self._widen(request, near=True)
 
+    def _home_will_do(self, home: Worker) -> bool:
+        """Whether a home may take one more. Own jobs are known exactly, and every dispatcher's go by key.
+
+        Guards a popular key's first home, and the others against fetches that its full queue would cause.
+        """
+        fleet = sum(len(p) for (kind, _), p in self.pools.items() if kind is None)
+        return home.out[0] <= 1 + HOME_SHARE * self.out / max(1, fleet) and self._load(home, 0) < HOME_LOAD \
+            and self.now - home.full_us >= FULL_PART * self.run_us
+
+    def _draw(self, request: Request, tried: list[Worker]) -> Token | None:
+        """A token of the class: one that a home of the request's key holds, else any, by chance."""
+        tokens = request.table.tokens
+        for home in self._homes_of(request)[:HOMES]:
+            if home not in tried and self._home_will_do(home) and self.allowed(request, home):
+                token = next((t for t in home.tokens if t.table is request.table), None)
+                if token is not None:
+                    return token
+        return self.random.choice(tokens) if tokens else None
+
     def _homes_of(self, request: Request) -> list[Worker]:
         """The workers that every dispatcher names for this key, in one order.
 
@@ -514,10 +558,9 @@
         fit = [w for w in request.candidates if self.allowed(request, w)]
         room = [w for w in fit if self._has_room(w, request)]
         if request.stage == HOLDER and token:
-            homes = [w for w in room if w is not token.holder]
-            if homes:  # the first home unless the second is lighter by more than the spread
-                self._send(request, min(homes, key=lambda w: self._load(w, 0) + self.spread * homes.index(w)))
-            elif token.holder in room and self._imbalance(token.holder)[0] <= self.spread * len(self.mean):
+            home = token.holder in self._homes_of(request)[:HOMES] and self._home_will_do(token.holder)
+            even = token.holder in room and self._imbalance(token.holder)[0] <= self.spread * len(self.mean)
+            if even or (home and token.holder in fit):
                 self._send(request, token.holder)
             else:
                 self._widen(request, near=True)
@@ -536,7 +579,7 @@
 
     def _widen(self, request: Request, near: bool) -> None:
         tried = [a.worker for a in request.attempts]
-        homes = self._homes_of(request)[self.firsts + (0 if near else PARTNERS):]
+        homes = self._homes_of(request)[0 if near else PARTNERS:]
         some = homes[:PARTNERS] or self._pool_pick(request.table, PARTNERS, near)
         picked = [w for w in dict.fromkeys(some) if w not in tried and self.allowed(request, w)]
         if request.token and request.token.holder not in picked and not homes:
@@ -553,10 +596,10 @@
             self._send(request, self._pick(fit, table))
             return
         spare = len(request.attempts) + 1 < self.settings.attempt_cap
-        best = self._pick([w for w in fit if w.free is not None and w.tells_queue and spare], table)
+        best = self._pick([w for w in fit if w.free is not None and spare], table)
         if best is not None:
             ahead = (self._load(best, 0) - 1) + request.slots / self._size(best)[0]
-            if self.now + 2 * ahead * table.run_us < self._late_at(request):
+            if ahead < QUEUE and self.now + 2 * ahead * table.run_us < self._late_at(request):
                 self._send(request, best)
                 return
         self.misses += 1
@@ -656,8 +699,7 @@
         if worker is None or not self.allowed(request, worker):
             return
         request.attempts.append(Attempt(worker, self.now))
-        worker.since[0] += request.slots
-        worker.since[1] += request.memory
+        self._count_out(worker, request, 1)
         self.out += 1
         if self._warmth(worker) < 1.0:
             worker.cold_next_us = self._cold_wait(worker, self._work_us(request) * request.slots)
@@ -689,12 +731,10 @@
             return
         attempt = request.attempts[event.attempt]
         attempt.ended, attempt.may_have_run = True, not event.status.never_ran
+        self._count_out(attempt.worker, request, -1)
         self.out -= 1
         if event.status is Status.OK:
             self._measure(request, attempt)
-        if event.report is None:
-            attempt.worker.since[0] = max(0.0, attempt.worker.since[0] - request.slots)
-            attempt.worker.since[1] = max(0.0, attempt.worker.since[1] - request.memory)
         if event.final:
             self._close(request)
         if event.status is Status.OK:
@@ -705,7 +745,7 @@
             self.requests.pop(request.id, None)
         elif request.table.cls.idempotency is Idempotency.UNSAFE and attempt.may_have_run:
             self._end(request)  # rule 2: it may have run, and must not run twice
-        elif self.lines[request.table.cls.kind] and len(request.attempts) < self.settings.attempt_cap:
+        elif event.status is Status.FULL and FULLS <= len(request.attempts) < self.settings.attempt_cap:
             self._hold(request)
         else:
             self._seek(request)
@@ -714,8 +754,7 @@
         """What an outcome says of the worker; refusals and losses count as not accepted."""
         self._take_report(worker, event.report)
         if event.status is Status.FULL:
-            worker.free, worker.heard_us = [0.0] * len(self.mean), self.now
-            self._strike(worker, 0.2)
+            worker.full_us = self.now
         elif event.status in (Status.ERROR, Status.CONNECT_FAILED, Status.RESET, Status.TIMEOUT):
             self._strike(worker)
 
--- a/arrowfold/state.py
+++ b/arrowfold/state.py
@@ -13,10 +13,9 @@
     """A worker as this dispatcher sees it: its roster entry, its figures, its tokens."""
 
     __slots__ = (
-        "askers", "cell", "cold_next_us", "free", "heard_us", "kind", "launched_us", "local",
-        "name",
-        "probe_us", "serving", "since", "size", "slow", "slow_us", "strike_us", "strikes", "tells_queue",
-        "tokens", "usual", "zone",
+        "askers", "cell", "cold_next_us", "free", "full_us", "heard_us", "kind", "lag", "lag_us",
+        "launched_us", "local", "name", "others", "out", "probe_us", "report", "serving", "size", "slow",
+        "slow_us", "strike_us", "strikes", "tokens", "zone",
     )
 
     def __init__(self, name: str) -> None:
@@ -24,14 +23,17 @@
         self.launched_us, self.serving = 0, False
         self.free: list[float] | None = None  # reported free figures, less what waits
         self.size: list[float] = []  # R_j^k: the largest free figures seen
-        self.since = [0.0, 0.0]  # what this dispatcher sent after that report
+        self.full_us = -60 * SECOND  # when it last turned a job away
+        self.report: object = None  # the last one, to tell a new one from the same told again
+        self.out = [0.0, 0.0]  # what this dispatcher has out there now
+        self.lag, self.lag_us = [0.0, 0.0], 0  # the same as reports show it: some time ago
+        self.others = [0.0, 0.0]  # what the other dispatchers have there
         self.heard_us, self.slow, self.slow_us = 0, 1.0, 0
         self.strikes, self.strike_us = 0.0, 0
         self.probe_us: int | None = None  # when the probe still out was sent
         self.askers: list[Request] = []
         self.tokens: list[Token] = []
-        self.cold_next_us, self.tells_queue = 0, False
-        self.usual: list[float] = [0.5, 0.5]  # running mean of its loads
+        self.cold_next_us = 0
 
 
 class Token:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -23,6 +23,25 @@
         self.assertIn(sent.worker, ("w0", "w1"))
 
 
+class Load(unittest.TestCase):
+    def test_a_report_told_again_does_not_hide_what_was_sent_since(self) -> None:
+        """Guards against herds: each answer repeats one old report, and once reset what had been sent."""
+        field = Recorder(settings(), roster(1, zones="a"))
+        (worker,) = field.dispatcher.workers.values()
+        same = api.LoadReport(free_slots=6, held=0)
+        field.feed(api.ProbeEnded(worker.name, api.Status.OK, 500, same))
+        for n in range(5):
+            field.arrive(f"r{n}")
+        field.finish("r0", 0, api.Status.OK, same)
+        field.finish("r1", 0, api.Status.OK, same)
+        self.assertGreaterEqual(field.dispatcher._load(worker, 0), 3 / 6)
+        # What others have there is what it holds beyond our own, those that wait there counted in.
+        for n in range(40):
+            field.advance(field.now + SECOND // 2)
+            field.feed(api.ProbeEnded(worker.name, api.Status.OK, 500, api.LoadReport(0, held=9 + n % 2)))
+        self.assertAlmostEqual(worker.others[0], 6.5, delta=1)
+
+
 class Keys(unittest.TestCase):
     def test_a_free_slot_pulls_the_waiting_job_whose_key_it_keeps(self) -> None:
         """Guards against fetches: pulled by worth alone, waiting jobs went where their shard was not kept."""
@@ -39,15 +58,50 @@
             homes = dispatcher._homes_of(probe)
             if worker is homes[0] or worker not in homes[:PARTNERS]:
                 keys.setdefault(worker is homes[0], f"k{n}")
+        for n in range(9):  # others fill them all, and more wait there
+            for name in dispatcher.workers:
+                told = api.LoadReport(free_slots=0, held=20 + n)
+                field.feed(api.ProbeEnded(name, api.Status.OK, 500, told))
         for home in (False, True):  # the stranger waits first
             field.arrive(f"waits-{home}", key=keys[home])
             while field.probes:
                 name = field.probes.pop()
-                field.feed(api.ProbeEnded(name, api.Status.OK, 500, api.LoadReport(free_slots=0)))
+                full = api.LoadReport(free_slots=0, held=20)
+                field.feed(api.ProbeEnded(name, api.Status.OK, 500, full))
         self.assertEqual(len(field.sent), 1)
         field.finish("first", 0, api.Status.OK, api.LoadReport(free_slots=1))
         self.assertEqual([(s.request, s.worker) for s in field.sent[1:]], [("waits-True", worker.name)])
 
+    def test_every_dispatcher_sends_a_key_to_one_home_and_what_is_too_much_to_the_next(self) -> None:
+        """Guards against fetches: drawn by chance alone, a key's jobs went to every server."""
+        met: set[tuple[str, ...]] = set()
+        for seed in range(4):
+            field = Recorder(settings(), roster(8, zones="a"), seed=seed)
+            field.advance(3 * SECOND)
+            for n in range(12):
+                field.arrive(f"warm{n}", key=f"other{n}")
+            field.advance(field.now + 2 * SECOND)  # the market has granted tokens
+            for request, number, _ in list(field.out()):
+                field.finish(request, number, api.Status.OK, api.LoadReport(free_slots=5))
+            field.sent.clear()
+            for n in range(3):
+                field.arrive(f"r{n}", key="repo")
+            met.add(tuple(s.worker for s in field.sent))
+        (workers,) = met
+        self.assertEqual(workers[0], workers[1])
+        self.assertNotEqual(workers[1], workers[2])
+
+    def test_a_request_that_was_turned_away_twice_waits_here(self) -> None:
+        """Guards its last attempts: four were burnt within a round trip while every queue was full."""
+        field = Recorder(settings(), roster(8, zones="a"))
+        field.arrive("r", key="repo")
+        for number in range(2):
+            self.assertEqual(len(field.sent), number + 1)
+            field.finish("r", number, api.Status.FULL)
+        self.assertEqual(len(field.sent), 2)
+        field.advance(field.now + SECOND)
+        self.assertEqual(len(field.sent), 3, "and is sent again once slots have turned over")
+
     def test_each_server_is_first_home_of_about_its_share_of_keys(self) -> None:
         """Guards against an uneven ring: with few places on it, chance decided the shares."""
         dispatcher = started(settings(), roster(9))
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -20,7 +20,7 @@
     workers = [dispatcher.workers[f"w{i}"] for i in range(3)]
     for worker, size, away in zip(workers, (1.0, 3.0, 4.0), (0.04, -0.04, 0.03), strict=True):
         worker.size, worker.heard_us = [size], dispatcher.now
-        worker.free = [size * (1 - 0.5 - away)]
+        worker.free, worker.others = [0.0], [size * (0.5 + away)]
     one, two, three = workers
     assert dispatcher.pair_gain(one, two) == pytest.approx(0.04)
     assert dispatcher.pair_gain(two, three) == pytest.approx(0.07)
@@ -34,6 +34,7 @@
     workers = [dispatcher.workers["w0"], dispatcher.workers["w1"]]
     for worker, free in zip(workers, ([1.0, 9.0], [9.0, 1.0]), strict=True):
         worker.size, worker.free, worker.heard_us = [10.0, 10.0], free, dispatcher.now
+        worker.others = [10.0 - figure for figure in free]
     tokens = []
     for worker, name, needs in zip(workers, ("slots", "memory"), ((2.0, 0.1), (0.1, 2.0)), strict=True):
         table = dispatcher.tables[name]
@@ -58,6 +59,7 @@
     table = dispatcher.tables["safe"]
     for worker, free in ((heavy, 0.0), (light, 10.0)):
         worker.size, worker.free, worker.heard_us = [10.0], [free], dispatcher.now
+        worker.others = [10.0 - free]
     token = Token(table, heavy)
     heavy.tokens.append(token)
     table.tokens.append(token)
