Send nothing to a worker that shows no slot though it holds nothing

Checked: the worker reports no free slot and holds nothing; _take_report took that for a load of one, halved as a first report, so it passed as the key's home. Now such a report counts as twice its size, and a first report counts whole.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -280,10 +280,11 @@
         for k, figure in enumerate(free):
             used = worker.size[k] - figure
             if not k and report.held is not None and report.free_slots <= 0:
-                used = max(used, report.held)  # free slots don't tell of those that wait there
+                # Free slots don't tell of those that wait there, nor that there is none at all.
+                used = max(used, report.held or 2 * worker.size[k])
             others = max(0.0, used - worker.lag[k])
             if report != worker.report:
-                worker.others[k] += 0.5 * (others - worker.others[k])
+                worker.others[k] += (0.5 if worker.report else 1.0) * (others - worker.others[k])
                 self.others[k] += 0.03 * (worker.others[k] / worker.size[k] - self.others[k])
             away = min(2.0, self._load(worker, k)) - self.mean[k]
             self.mean[k] += 0.03 * away
