Leave out only who fails more than the others, and learn how long servers let connections idle

Ruled out: the wire (outcomes are reported as they were), the pools' own limits (49 to 83 of 384 descriptors). At fault: choice._load added strikes to the load of each server whatever the others' were; transport/pool.py kept connections for 0.8 of the agreed idle time though the servers closed them far sooner. Conclusion: what all servers suffer from is no reason to refuse work.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -81,6 +81,7 @@
         self.pools: dict[tuple[str | None, bool], list[Worker]] = {}
         self.homes: list[tuple[int, str]] = []
         self.kind_size: dict[str, list[float]] = {}
+        self.struck = 0.0  # the mean of the serving workers' strikes for failed attempts
         self.failed_asks, self.line_due, self.misses, self.out = 0, False, 0, 0
         resources = 2 if settings.reports_memory else 1
         self.mean, self.spread = [0.5] * resources, 0.1  # L_avg^k, and how far loads lie from it
@@ -236,7 +237,8 @@
             load += (worker.others[k] / size - load) * 2 ** (-(self.now - worker.heard_us) / FORGET_US)
         load += worker.out[k] / size
         if worker.strikes:
-            load += worker.strikes * 2 ** (-(self.now - worker.strike_us) / STRIKE_US)
+            # Guards the work when all servers fail: who fails no more than others is not left out.
+            load += max(0.0, worker.strikes * 2 ** (-(self.now - worker.strike_us) / STRIKE_US) - self.struck)
         if worker.slow > 1.5:
             load += 0.5 * (worker.slow - 1.5) * 2 ** (-(self.now - worker.slow_us) / STRIKE_US)
         return load
@@ -312,10 +314,11 @@
         worker.slow += 0.3 * (min(ratio, 10.0) - worker.slow)
         worker.slow_us = self.now
 
-    def _strike(self, worker: Worker, weight: float = 1.0) -> None:
+    def _strike(self, worker: Worker, weight: float = 1.0, failed: bool = False) -> None:
         """Guards against a worker that fails, hangs or has gone: its load rises, for a while."""
-        old = worker.strikes * 2 ** (-(self.now - worker.strike_us) / STRIKE_US)
-        worker.strikes, worker.strike_us = min(max(old + weight, 0.0), 4.0), self.now
+        part = 2 ** (-(self.now - worker.strike_us) / STRIKE_US)
+        worker.strikes, worker.strike_us = min(max(worker.strikes * part + weight, 0.0), 4.0), self.now
+        worker.failed = min(worker.failed * part + failed, worker.strikes)
 
     def _on_probe(self, event: api.ProbeEnded) -> None:
         worker = self.workers.get(event.worker)
@@ -420,6 +423,9 @@
     def _round(self) -> None:
         """One round of the market: recount the tokens, then trade among a few sampled workers."""
         self._after(self._jitter(ROUND_US), self._round)
+        failed = [w.failed * 2 ** (-(self.now - w.strike_us) / STRIKE_US) for w in self.workers.values()
+                  if w.serving]
+        self.struck = sum(failed) / max(1, len(failed))
         self._recount()
         tables = [t for t in self.tables.values() if t.tokens]
         holders = [self.random.choice(t.tokens).holder for t in tables for _ in range(2)]
@@ -757,7 +763,7 @@
         if event.status is Status.FULL:
             worker.full_us = self.now
         elif event.status in (Status.ERROR, Status.CONNECT_FAILED, Status.RESET, Status.TIMEOUT):
-            self._strike(worker)
+            self._strike(worker, failed=event.status is not Status.TIMEOUT)
 
     def _measure(self, request: Request, attempt: Attempt) -> None:
         """C_i, from told start, else send, to outcome; and how the worker's pace compares."""
--- a/arrowfold/state.py
+++ b/arrowfold/state.py
@@ -13,7 +13,7 @@
     """A worker as this dispatcher sees it: its roster entry, its figures, its tokens."""
 
     __slots__ = (
-        "askers", "cell", "cold_next_us", "free", "full_us", "heard_us", "kind", "lag", "lag_us",
+        "askers", "cell", "cold_next_us", "failed", "free", "full_us", "heard_us", "kind", "lag", "lag_us",
         "launched_us", "local", "name", "others", "out", "probe_us", "report", "serving", "size", "slow",
         "slow_us", "strike_us", "strikes", "tokens", "zone",
     )
@@ -29,7 +29,7 @@
         self.lag, self.lag_us = [0.0, 0.0], 0  # the same as reports show it: some time ago
         self.others = [0.0, 0.0]  # what the other dispatchers have there
         self.heard_us, self.slow, self.slow_us = 0, 1.0, 0
-        self.strikes, self.strike_us = 0.0, 0
+        self.strikes, self.failed, self.strike_us = 0.0, 0.0, 0
         self.probe_us: int | None = None  # when the probe still out was sent
         self.askers: list[Request] = []
         self.tokens: list[Token] = []
--- a/arrowfold/transport/pool.py
+++ b/arrowfold/transport/pool.py
@@ -9,6 +9,8 @@
 from arrowfold.transport.loop import Loop, Steps
 from arrowfold.transport.stream import Address, Broken, Stream, connect
 
+SHORTEST_LIFE = timedelta(milliseconds=100)  # one closed sooner was not closed for standing idle
+
 
 class NoRoom(Broken):
     """Every connection that this process may hold is in use: no fault of who was to be reached."""
@@ -37,6 +39,7 @@
         self.idle: deque[tuple[timedelta, Stream]] = deque()
         self.opened = 0
         self.sweeping = self.closed = False
+        self.lives: deque[timedelta] = deque(maxlen=8)  # how long the far side lately let one stand idle
         pools.open.append(self)
 
     def take(self, until: timedelta) -> Steps[Stream]:
@@ -44,7 +47,7 @@
         while self.idle:
             since, stream = self.idle.pop()
             stream.on_idle_event = None
-            if self.loop.now() - since < self.idle_span and self._stands(stream):
+            if self.loop.now() - since < self._span() and self._stands(stream):
                 return stream
             self.drop(stream)
         if not self.budget.room_for_server():
@@ -98,12 +101,21 @@
             return False
 
     def _discard(self, stream: Stream) -> None:
-        for place, (_, other) in enumerate(self.idle):
+        for place, (since, other) in enumerate(self.idle):
             if other is stream:
+                if self.loop.now() - since >= SHORTEST_LIFE:
+                    self.lives.append(self.loop.now() - since)
                 del self.idle[place]
                 self.drop(stream)
                 return
 
+    def _span(self) -> timedelta:
+        """How long one may stand idle here and still be used.
+
+        Guards against a far side that closes sooner than agreed: a request that crosses its close is a reset.
+        """
+        return min(self.idle_span, min(self.lives) * 0.8) if self.lives else self.idle_span
+
     def _sweep(self) -> None:
         self.sweeping = False
         while self.idle and self.loop.now() - self.idle[0][0] >= self.idle_span * 0.7:
--- a/tests/test_unlisted.py
+++ b/tests/test_unlisted.py
@@ -68,6 +68,22 @@
     assert field.dispatcher._load(worker, 0) < 1, "its strikes have faded: no worker is shunned for ever"
 
 
+def test_attempts_that_break_at_every_worker_do_not_stop_the_work() -> None:
+    """Guards against refusing nearly everything because each worker had a few resets."""
+    field = Recorder(settings(), roster(6, zones="a"))
+    healthy(field, 3)
+    sent = 0
+    for at in range(200):
+        field.advance(field.now + 50 * MS)
+        field.arrive(f"b{at}")
+        for request, number, _ in field.out():
+            sent += 1
+            status = api.Status.RESET if sent % 3 == 0 else api.Status.OK
+            field.finish(request, number, status, api.LoadReport(free_slots=6))
+    refused = sum(how == "Refuse" for request, how in field.closed.items() if request.startswith("b"))
+    assert refused == 0 and sum(r.startswith("b") and r not in field.closed for r in field.requests) < 5
+
+
 def test_the_roster_emptied_and_named_again() -> None:
     field = Recorder(settings(), roster(6))
     healthy(field, 2)
