Close the connections that clients leave behind idle

Ruled out: the module (no Refuse), room for servers (no connections_no_room), the crowd (LOOKING is counted apart). At fault: front.py kept idle connections 75 s, or 10 s in a full house. Now: of more than an eighth of the descriptors idle between jobs, the longest idle are closed. The test fails without the change.

--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -27,6 +27,7 @@
 from arrowfold.transport.stream import Address
 
 RESERVED = 48  # descriptors for the program itself, discovery and connections about to be closed
+IDLE_SHARE = 8  # one descriptor in this many may be a client's idle connection
 BODIES_SHARE = 8  # one part in this many of the memory may hold clients' bodies
 LEAST_DRAIN = timedelta(milliseconds=1000)  # clients learn of a restart in up to 0.7 s
 DRAIN_STEP = timedelta(milliseconds=20)
@@ -62,7 +63,7 @@
         asyncapi = load_asyncapi(config.asyncapi) if config.asyncapi else None
         self.front = Front(
             self.loop, config.listen, self.core, classes, budget, share, config.memory // BODIES_SHARE,
-            self.counters, openapi)
+            config.sockets // IDLE_SHARE, self.counters, openapi)
         self.faktory = None if config.faktory is None else FaktoryFront(
             self.loop, config.faktory.listen, config.faktory.password, self.core, settings.zone, classes,
             budget, share, config.connect_limit, self.counters, asyncapi)
--- a/arrowfold/protocol/front.py
+++ b/arrowfold/protocol/front.py
@@ -23,6 +23,7 @@
 IDLE_LIMIT = timedelta(seconds=75)  # between two requests
 FIRST_LIMIT = timedelta(milliseconds=2200)  # from accept to the first request's last byte
 REQUEST_LIMIT = timedelta(milliseconds=2500)  # from a later request's first byte to its last
+SHORTEST_IDLE = timedelta(milliseconds=250)  # however many there are
 WRITE_LIMIT = timedelta(seconds=5)
 LINGER_LIMIT = timedelta(milliseconds=5500)  # from accept, for a client that still sends
 LINGER_QUIET = timedelta(milliseconds=700)  # for one that sends nothing more
@@ -77,13 +78,15 @@
 
     def __init__(
             self, loop: Loop, address: Address, core: Core, classes: dict[str, api.RequestClass],
-            budget: Budget, share: float, most_held: int, counters: Counter[str],
+            budget: Budget, share: float, most_held: int, most_idle: int, counters: Counter[str],
             check: Check | None = None,
     ) -> None:
         self.loop, self.core, self.classes, self.counters, self.check = loop, core, classes, counters, check
         self.connections: set[Connection] = set()
         self.draining = self.leaving = False
         self.held, self.most_held = 0, most_held  # bytes of all bodies
+        self.idle: dict[Connection, None] = {}  # those between two jobs, the longest idle first
+        self.most_idle = most_idle
         self.listener = Listener(loop, address, budget, share, self._accepted, self._make_room)
         budget.sheds.append(self._make_room)
 
@@ -115,10 +118,27 @@
         """Close a connection, once; its task, if it is parked, finds it closed."""
         connection.side.stream.close()
         self._hold(connection, 0)
+        self.idle.pop(connection, None)
         if connection in self.connections:
             self.connections.discard(connection)
             self.listener.released()
 
+    def _rest(self, connection: Connection) -> None:
+        """A connection is between two requests.
+
+        Guards clients that leave connections behind and open new ones: those left use up what a client may
+        hold, and its next request finds no way in. Of too many, the longest idle go.
+        """
+        connection.enter(connection.rest, self.loop.now())
+        if connection.rest is Stage.IDLE:
+            self.idle[connection] = None
+        while len(self.idle) > self.most_idle:
+            oldest = next(iter(self.idle))
+            if self.loop.now() - oldest.since < SHORTEST_IDLE:
+                return
+            self.counters["connections_closed_as_idle"] += 1
+            self._end(oldest)
+
     def drain(self) -> None:
         """A planned restart: go on serving, on what clients have and on what still comes."""
         self.draining = True
@@ -164,6 +184,7 @@
                 return False
             side.feed(data)
         now = self.loop.now()
+        self.idle.pop(connection, None)
         connection.enter(Stage.HALF, now)
         until = connection.accepted + FIRST_LIMIT if connection.fresh else now + REQUEST_LIMIT
         try:
@@ -190,7 +211,8 @@
             connection.rest = Stage.IDLE
             more = yield from self._answer(connection, job)
         self._hold(connection, 0)
-        connection.enter(connection.rest, self.loop.now())
+        if more:
+            self._rest(connection)
         return more
 
     def _hold(self, connection: Connection, size: int) -> None:
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -138,6 +138,20 @@
         for other in (kept, *crowd):
             other.close()
 
+    def test_connections_that_clients_leave_behind_are_closed(self) -> None:
+        """Guards who may hold only so many: those left idle kept a client's next request out."""
+        node = self.node(self.worker("s1"), limits={"sockets": 128})
+        left = [socket.create_connection(("127.0.0.1", node.port), timeout=LONG) for _ in range(20)]
+        for n, sock in enumerate(left):
+            sock.sendall(post(f"t{n}"))
+            self.assertEqual(sock.recv(65536)[9:12], b"200")
+        kept = http.client.HTTPConnection("127.0.0.1", node.port, timeout=LONG)
+        eventually(lambda: node.post("t", connection=kept)[0] == 200
+                   and node.counters().get("connections_closed_as_idle", 0) >= 5)
+        self.assertEqual(answer_of(left[0]), b"", "the longest idle went")
+        for sock in (kept, *left[1:]):
+            sock.close()
+
     def test_a_server_is_reached_though_clients_hold_every_descriptor(self) -> None:
         """Guards a dispatch: a crowd that came first leaves servers their part, or gives way."""
         workers = [self.worker(f"s{n}", lambda job, nth: "hold") for n in range(4)]
