--- a/arrowfold/protocol/faktory_wire.py
+++ b/arrowfold/protocol/faktory_wire.py
@@ -13,6 +13,7 @@
 from arrowfold.transport.stream import Broken, Stream
 
 MOST_LINE = 96 * 1024  # a job of 64 KiB, escaped, and its other fields
+COMMAND_LIMIT = timedelta(milliseconds=2500)  # from a command's first byte to its last
 HASH_ROUNDS = 1500
 OK = b"+OK\r\n"
 NIL = b"$-1\r\n"
@@ -82,7 +83,12 @@
         self.stream, self.buffered = stream, bytearray()
 
     def command(self, until: timedelta) -> Steps[tuple[str, str] | None]:
-        """The next command's word and argument; None once the peer has ended between two."""
+        """The next command's word and argument; None once the peer has ended between two.
+
+        A peer may idle between two commands, but not dawdle within one.
+        """
+        begun = bool(self.buffered)
+        until = min(until, self.stream.loop.now() + COMMAND_LIMIT) if begun else until
         while (end := self.buffered.find(b"\n")) < 0:
             if len(self.buffered) > MOST_LINE:
                 raise CommandError(f"a command is over {MOST_LINE} bytes", fatal=True)
@@ -92,6 +98,8 @@
                     raise Broken("ended within a command")
                 return None
             self.buffered += data
+            if not begun:
+                begun, until = True, min(until, self.stream.loop.now() + COMMAND_LIMIT)
         if end > MOST_LINE:
             raise CommandError(f"a command is over {MOST_LINE} bytes", fatal=True)
         line = bytes(self.buffered[:end]).rstrip(b"\r")
--- a/tests/test_faktory.py
+++ b/tests/test_faktory.py
@@ -202,6 +202,19 @@
             eventually(lambda: beating.call("BEAT", {"wid": "w1"}) == {"state": "quiet"})
         self.assertEqual(node.process.wait(LONG), 0)
 
+    def test_silence_before_hello_and_half_commands_end_by_themselves(self) -> None:
+        """Guards descriptors, as on the other front; between two commands a client may idle."""
+        node = self.edge(self.worker("s1"))
+        silent, half, idle = socket.create_connection(("127.0.0.1", self.port)), self.client(), self.client()
+        half.sock.sendall(b'PUSH {"jid"')
+        silent.settimeout(8)
+        half.sock.settimeout(8)
+        with silent:
+            self.assertEqual(b"".join(iter(lambda: silent.recv(99), b""))[:3], b"+HI")
+        self.assertEqual(half.sock.recv(99), b"")
+        self.assertEqual(idle.push("job"), "+OK")
+        self.assertEqual(node.counters()["faktory_connections_broken"], 2)
+
     def test_a_dispatch_that_nobody_fetched_never_ran_and_goes_elsewhere(self) -> None:
         there = self.worker("s1")
         node = self.edge(there, settings=QUICK)
