Serve the second address: status, maintenance of backend servers, standby

Ruled out: a page on the clients' address, since a full house shuts it out (test_callers_that_stay_and_a_full_house).

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -155,12 +155,16 @@
 
     def _enter(self, entry: api.RosterEntry) -> None:
         worker = self.workers.setdefault(entry.worker, Worker(entry.worker))
+        if entry.launched_us != worker.launched_us:
+            # A restarted process: nothing believed of the last one, or still told of it, is held against it.
+            last, worker = worker, Worker(entry.worker)
+            worker.tokens, worker.launched_us, last.serving = last.tokens, entry.launched_us, False
+            for token in worker.tokens:
+                token.holder = worker
+            self.workers[entry.worker] = worker
         worker.zone, worker.kind, worker.cell = entry.zone, entry.kind, entry.cell
         worker.local = entry.zone == self.settings.zone
         worker.serving = entry.lifecycle is Lifecycle.IN_SERVICE
-        if entry.launched_us != worker.launched_us:
-            worker.launched_us, worker.free, worker.strikes, worker.slow = entry.launched_us, None, 0.0, 1.0
-            worker.cold_next_us = 0
 
     def _index_roster(self) -> None:
         """Rebuild what draws and trades sample from, and move tokens off workers that leave."""
@@ -731,12 +735,11 @@
             self.actions.append(api.Cancel(request.id, number))
 
     def _on_ended(self, event: api.AttemptEnded) -> None:
-        request, worker = self.requests.get(event.request), self.workers.get(event.worker)
-        if worker is not None:
-            self._judge(worker, event)
+        request = self.requests.get(event.request)
         if request is None or event.attempt >= len(request.attempts):
             return
         attempt = request.attempts[event.attempt]
+        self._judge(attempt.worker, event)
         attempt.ended, attempt.may_have_run = True, not event.status.never_ran
         self._count_out(attempt.worker, request, -1)
         self.out -= 1
--- a/arrowfold/program/config.py
+++ b/arrowfold/program/config.py
@@ -39,6 +39,7 @@
     name: str
     listen: Address
     discovery: Address | None
+    admin: Address | None
     seed: int
     sockets: int
     memory: int  # bytes
@@ -143,7 +144,8 @@
         raise ConfigError("EDGE_CONFIG is missing")
     file = _read_json(path)
     values = dict(file)
-    for variable, key in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_DISCOVERY", "discovery")):
+    for variable, key in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"),
+                          ("EDGE_DISCOVERY", "discovery"), ("EDGE_ADMIN", "admin")):
         if environ.get(variable) and (first is None or file.get(key) == first.file.get(key)):
             values[key] = environ[variable]
     reader = _Reader(values, "")
@@ -168,6 +170,7 @@
     return Config(
         name=reader.get("name", str, "node"), listen=reader.address("listen"),
         discovery=reader.address("discovery") if values.get("discovery") else None,
+        admin=reader.address("admin") if values.get("admin") else None,
         seed=_read_seed(values.get("seed", 0)), sockets=sockets, memory=int(memory * 2**20),
         settings=settings, meanings=meanings, known=reader.get("known", dict, None),
         connect_limit=timedelta(microseconds=allowed.get("connectTimeoutUs", int, 250_000)),
--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -11,9 +11,10 @@
 from typing import Any
 
 from arrowfold import interface as api
-from arrowfold.program.config import Config, read_config
+from arrowfold.program.config import Config, ConfigError, read_config
 from arrowfold.program.log import Log
 from arrowfold.program.signals import Signals
+from arrowfold.protocol.admin import Admin, Call, Refused
 from arrowfold.protocol.descriptions import load_asyncapi, load_openapi
 from arrowfold.protocol.discovery import SOURCE, Discovery
 from arrowfold.protocol.faktory import FaktoryFront
@@ -22,7 +23,7 @@
 from arrowfold.protocol.worker import SearchWorker
 from arrowfold.routing.core import Core
 from arrowfold.transport.budget import Budget
-from arrowfold.transport.loop import Loop
+from arrowfold.transport.loop import Loop, Steps
 from arrowfold.transport.pool import Pools
 from arrowfold.transport.stream import Address
 
@@ -46,6 +47,7 @@
         self.counters: Counter[str] = Counter()
         self.loop = Loop(self._fault)
         self.stop_at: timedelta | None = None
+        self.left_at = self.loop.now()  # when clients were told to move away
         budget = Budget(config.sockets - RESERVED)
         self.pools = Pools(budget)
         settings = config.settings
@@ -68,6 +70,37 @@
             self.loop, config.faktory.listen, config.faktory.password, self.core, settings.zone, classes,
             budget, share, config.connect_limit, self.counters, asyncapi)
 
+        try:
+            self.admin = None if config.admin is None else Admin(
+                self.loop, config.admin, self._obey, self.counters, self.log)
+        except OSError as error:
+            raise ConfigError(f"admin: {error}") from error
+
+    # --- operators ---------------------------------------------------------------------------------------
+
+    def _obey(self, call: Call) -> Steps[str]:
+        """Do what an operator asks; what it says once this returns holds."""
+        if call.name == "status":
+            if (why := self.front.why_not_ready()) is not None:
+                raise Refused(f"not ready: {why}")
+            out = sorted(self.core.table.out)
+            return f"ready; in maintenance: {', '.join(out) or 'none'}"
+        if call.name.startswith("maint-") and not self.core.table.known(call.argument):
+            raise Refused(f"no backend server {call.argument[:80]!r} is known")
+        self._apply(call.name, call.argument)
+        return f"{call}"
+        yield
+
+    def _apply(self, name: str, argument: str) -> None:
+        if name == "maint-on":
+            self.core.take_out(argument)
+        elif name == "maint-off":
+            self.core.bring_back(argument)
+        else:
+            self.front.stand_by(name == "standby")
+            if self.faktory is not None:
+                self.faktory.stand_by(name == "standby")
+
     def _fault(self, where: str, error: BaseException) -> None:
         self.counters["faults"] += 1
         place, trace = "", error.__traceback__
@@ -139,6 +172,7 @@
 
     def _leave(self) -> None:
         """From here on clients move away, and Faktory workers are told to be quiet when they beat."""
+        self.left_at = self.loop.now()
         self.front.leave()
         if self.faktory is not None:
             self.faktory.quieting = True
@@ -146,12 +180,15 @@
     def _end_if_free(self) -> None:
         """End once every client has had its answer and has gone, at the latest before SIGKILL."""
         assert self.stop_at is not None
+        now = self.loop.now()
         free = not self.core.owed and not self.front.connections
         free = free and not (self.faktory and self.faktory.producers_owed())
         if free and not self.front.leaving:
-            self._leave()  # for a moment more, so that workers which beat now learn of it
+            self._leave()
             self.loop.call_later(LAST_BEATS, self._end_if_free)
-        elif free or self.loop.now() >= self.stop_at:
+        elif (free and now - self.left_at >= LAST_BEATS) or now >= self.stop_at:
+            # A moment more, so that workers which beat now learn of it, and so that a client whose request
+            # crossed the end of its connection finds a way in once more.
             # Guards rule 1 at the very end: SIGKILL is near, so what is owed is answered now.
             self.core.give_up_all()
             self.loop.call_later(DRAIN_STEP if not free else timedelta(0), self._stop)
--- a/arrowfold/protocol/faktory.py
+++ b/arrowfold/protocol/faktory.py
@@ -34,7 +34,7 @@
 from arrowfold.protocol.waiting import Waiting
 from arrowfold.routing.core import Core
 from arrowfold.routing.session import Job, Verdict
-from arrowfold.transport.budget import Budget
+from arrowfold.transport.budget import Budget, ClientShare
 from arrowfold.transport.loop import Loop, Steps
 from arrowfold.transport.stream import Address, Broken, Late, Listener, Stream
 
@@ -43,6 +43,7 @@
 IDLE_LIMIT = timedelta(minutes=10)
 WRITE_LIMIT = timedelta(seconds=5)
 LINGER_LIMIT = timedelta(seconds=1)
+STANDBY_STEP = timedelta(milliseconds=500)
 LONGEST_WAIT = timedelta(hours=1)
 MOST_ID = 200
 Check = Callable[[str, object], None]  # a command's word and its payload
@@ -51,12 +52,13 @@
 class Peer(Waiting):
     """One connection: a producer, and with a wid a worker too."""
 
-    __slots__ = ("commands", "worker")
+    __slots__ = ("commands", "idle", "worker")
 
     def __init__(self, commands: CommandStream) -> None:
         super().__init__()
         self.commands = commands
         self.worker: FaktoryWorker | None = None
+        self.idle = False  # between two commands
 
 
 class FaktoryFront:
@@ -72,13 +74,30 @@
         self.workers = Workers(loop, core, zone, fetch_limit, counters)
         self.peers: set[Peer] = set()
         self.started = loop.now()
-        self.quieting = False
-        self.listener = Listener(loop, address, budget, share, self._accepted)
+        self.quieting = self.standby = False
+        self.listener = Listener(loop, address, ClientShare(budget, share), self._accepted)
         self.verbs: dict[str, Callable[[Peer, Any], Steps[bytes]]] = {
             "PUSH": self._push, "FETCH": self._fetch, "ACK": self._ack, "FAIL": self._fail,
             "BEAT": self._beat, "INFO": self._info,
         }
 
+    def stand_by(self, standby: bool) -> None:
+        """Send producers away, each after its answer, or take them again. Workers stay: jobs need them."""
+        changed, self.standby = standby != self.standby, standby
+        if changed and standby:
+            self.loop.call_later(STANDBY_STEP, self._end_idle)
+
+    def _end_idle(self) -> None:
+        """End producers that ask nothing, while standby lasts, and nothing of whom waits to be read."""
+        if not self.standby:
+            return
+        for peer in list(self.peers):
+            stream = peer.commands.stream
+            if peer.idle and peer.worker is None and not peer.commands.buffered and stream.quiet():
+                self.counters["connections_sent_away"] += 1
+                stream.close()  # its task, parked, finds it closed
+        self.loop.call_later(STANDBY_STEP, self._end_idle)
+
     def producers_owed(self) -> bool:
         """Whether an answer has still to be written to a producer."""
         return any(peer.answered is not None for peer in self.peers)
@@ -95,7 +114,9 @@
             yield from self._greet(peer)
             while True:
                 try:
+                    peer.idle = True
                     command = yield from peer.commands.command(self.loop.now() + IDLE_LIMIT)
+                    peer.idle = False
                     if command is None:
                         return
                     if command[0] == "END":
@@ -111,6 +132,8 @@
                 if reply:
                     yield from stream.write(reply, self.loop.now() + WRITE_LIMIT)
                 peer.answered = None
+                if self.standby and peer.worker is None and not peer.commands.buffered and stream.quiet():
+                    return
         except CommandError as error:
             self.counters["faktory_errors"] += 1
             yield from self._last_words(stream, error_reply(str(error)))
--- a/arrowfold/protocol/faktory_worker.py
+++ b/arrowfold/protocol/faktory_worker.py
@@ -100,6 +100,11 @@
                 return True
         return not self._forget(errand)
 
+    def rest(self) -> None:
+        """What was not fetched yet goes back, and may go elsewhere."""
+        for dispatch in list(self.waiting):
+            self._later(lambda dispatch=dispatch: self._hand_back(dispatch))  # type: ignore[misc]
+
     def load(self) -> api.LoadReport:
         """Its free slots are the FETCHes that wait here."""
         free = sum(fetch.dispatch is None for fetch in self.fetches)
--- a/arrowfold/protocol/front.py
+++ b/arrowfold/protocol/front.py
@@ -16,7 +16,7 @@
 from arrowfold.protocol.waiting import Waiting
 from arrowfold.routing.core import Core
 from arrowfold.routing.session import Job, Verdict
-from arrowfold.transport.budget import Budget
+from arrowfold.transport.budget import Budget, ClientShare
 from arrowfold.transport.loop import ZERO, Loop, Steps
 from arrowfold.transport.stream import Address, Broken, Late, Listener, Stream
 
@@ -25,6 +25,8 @@
 REQUEST_LIMIT = timedelta(milliseconds=2500)  # from a later request's first byte to its last
 SHORTEST_IDLE = timedelta(milliseconds=250)  # however many there are
 WRITE_LIMIT = timedelta(seconds=5)
+STANDBY_AFTER = timedelta(milliseconds=500)  # clients' new connections have stopped by then
+STANDBY_STEP = timedelta(milliseconds=100)
 LINGER_LIMIT = timedelta(milliseconds=5500)  # from accept, for a client that still sends
 LINGER_QUIET = timedelta(milliseconds=700)  # for one that sends nothing more
 MOST_ID = 200
@@ -83,11 +85,12 @@
     ) -> None:
         self.loop, self.core, self.classes, self.counters, self.check = loop, core, classes, counters, check
         self.connections: set[Connection] = set()
-        self.draining = self.leaving = False
+        self.draining = self.leaving = self.standby = False
         self.held, self.most_held = 0, most_held  # bytes of all bodies
         self.idle: dict[Connection, None] = {}  # those between two jobs, the longest idle first
         self.most_idle = most_idle
-        self.listener = Listener(loop, address, budget, share, self._accepted, self._make_room)
+        self.listener = Listener(
+            loop, address, ClientShare(budget, share), self._accepted, self._make_room)
         budget.sheds.append(self._make_room)
 
     # --- connections -----------------------------------------------------------------------------------
@@ -143,6 +146,24 @@
         """A planned restart: go on serving, on what clients have and on what still comes."""
         self.draining = True
 
+    def stand_by(self, standby: bool) -> None:
+        """Send clients away, each after its answer, or take them again."""
+        changed, self.standby = standby != self.standby, standby
+        if changed and standby:
+            self.loop.call_later(STANDBY_AFTER, self._end_idle)
+
+    def _end_idle(self) -> None:
+        """End what is idle, while standby lasts; who has just come may have a request on its way."""
+        if not self.standby:
+            return
+        now = self.loop.now()
+        for connection in list(self.connections):
+            idle = connection.stage in (Stage.SILENT, Stage.LOOKING, Stage.IDLE)
+            if idle and now - connection.since >= STANDBY_AFTER and connection.side.stream.quiet():
+                self.counters["connections_sent_away"] += 1
+                self._end(connection)
+        self.loop.call_later(STANDBY_STEP, self._end_idle)
+
     def leave(self) -> None:
         """The end is near: clients move away, each once it has its answer."""
         self.leaving = True
@@ -226,7 +247,7 @@
             self, side: ServerSide, status: int, body: bytes, headers: list[tuple[str, str]],
             close: bool = False,
     ) -> Steps[bool]:
-        close = close or self.leaving
+        close = close or self.leaving or self.standby
         return (yield from side.write_answer(status, body, headers, close, self.loop.now() + WRITE_LIMIT))
 
     # --- requests ----------------------------------------------------------------------------------------
@@ -243,11 +264,19 @@
         body = answer.body if answer.verdict is Verdict.SERVED else answer.verdict.value.encode() + b"\n"
         return (yield from self._reply(side, _STATUS[answer.verdict], body, headers))
 
+    def why_not_ready(self) -> str | None:
+        """What keeps the node from serving; None if nothing does."""
+        if self.draining:
+            return "it is to end"
+        if self.standby:
+            return "standby"
+        return None if self.core.ready() else "no backend server is known that may serve"
+
     def _page(self, path: str) -> tuple[int, bytes]:
         """What is told about the node itself."""
         if path == "/health/ready":
-            ready = not self.draining and self.core.ready()
-            return (200, b"ready\n") if ready else (503, b"not ready\n")
+            why = self.why_not_ready()
+            return (200, b"ready\n") if why is None else (503, f"not ready: {why}\n".encode())
         if path == "/health/live":
             return 200, b"live\n"
         if path == "/counters":
--- a/arrowfold/protocol/worker.py
+++ b/arrowfold/protocol/worker.py
@@ -57,6 +57,11 @@
             errand.errand.stop()
         return False  # how far the request had got is not looked into: it may have run
 
+    def rest(self) -> None:
+        """Guards against connections that a restart leaves dead, and what their end would seem to tell."""
+        while self.pool.drop_oldest():
+            pass
+
     def close(self) -> None:
         self.pool.close()
 
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -68,6 +68,18 @@
         self._consult(api.RosterUpdate(api.RosterMode.ERROR))
         self._drain()
 
+    def take_out(self, name: str) -> None:
+        """Maintenance: nothing more goes to this server until it is brought back."""
+        server = self.table.find(name)
+        self._consult(self.table.take_out(name))
+        if server is not None:
+            server.rest()
+        self._drain()
+
+    def bring_back(self, name: str) -> None:
+        self._consult(self.table.bring_back(name, to_us(self.clock.now())))
+        self._drain()
+
     def ready(self) -> bool:
         return self.table.serving() > 0
 
@@ -144,6 +156,7 @@
         now, number = self.clock.now(), len(session.dispatches)
         server = self.table.find(order.worker)
         moot = session.answered or now >= session.job.deadline or number >= self.settings.attempt_cap
+        moot = moot or order.worker in self.table.out  # guards rule 3, whatever the module does
         if moot or server is None:
             status = api.Status.MOOT if moot else api.Status.CONNECT_FAILED
             dispatch = Dispatch(session, number, order.worker, _NOBODY, now, self._tell)
@@ -245,7 +258,7 @@
                 probe.server.cancel(probe)
                 self._probed(probe, api.Status.TIMEOUT, None)
 
-        if server is None:
+        if server is None or name in self.table.out:
             probe.timer = self.clock.call_at(
                 probe.sent, lambda: self._probed(probe, api.Status.CONNECT_FAILED, None))
             return
@@ -297,5 +310,8 @@
         del errand
         return True
 
+    def rest(self) -> None:
+        pass
+
 
 _NOBODY = _Nobody()
--- a/arrowfold/routing/session.py
+++ b/arrowfold/routing/session.py
@@ -76,6 +76,9 @@
     def cancel(self, errand: Dispatch | Probe) -> bool:
         """Stop it; its report is no longer wanted. True if it surely never ran."""
 
+    def rest(self) -> None:
+        """Nothing more will be sent for a while: let go of what is kept for that."""
+
 
 class Dispatch:
     """One attempt of a session at a backend server."""
--- a/arrowfold/transport/budget.py
+++ b/arrowfold/transport/budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Protocol
 
 
 class Budget:
@@ -22,3 +23,48 @@
     def room_for_server(self) -> bool:
         """Whether one more connection to a server may be opened, something idle given up if need be."""
         return self.clients + self.servers < self.most or any(shed() for shed in self.sheds)
+
+
+class House(Protocol):
+    """How many connections one listener may hold."""
+
+    def has_room(self) -> bool: ...
+
+    def take(self) -> None: ...
+
+    def release(self) -> None: ...
+
+
+class ClientShare:
+    """One listener's part of what clients may hold."""
+
+    def __init__(self, budget: Budget, part: float) -> None:
+        self.budget, self.part, self.held = budget, part, 0
+
+    def has_room(self) -> bool:
+        most = self.budget.most_clients()
+        return self.budget.clients < most and self.held < most * self.part
+
+    def take(self) -> None:
+        self.held += 1
+        self.budget.clients += 1
+
+    def release(self) -> None:
+        self.held -= 1
+        self.budget.clients -= 1
+
+
+class Reserve:
+    """A few descriptors for one listener alone, whatever the others hold."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.held = most, 0
+
+    def has_room(self) -> bool:
+        return self.held < self.most
+
+    def take(self) -> None:
+        self.held += 1
+
+    def release(self) -> None:
+        self.held -= 1
--- a/arrowfold/transport/loop.py
+++ b/arrowfold/transport/loop.py
@@ -19,6 +19,7 @@
 
 ZERO = timedelta(0)
 LONGEST_POLL = timedelta(seconds=1)
+MOST_EVENTS = 64  # in one turn, so that who is urgent waits for no crowd
 
 
 class Watcher(Protocol):
@@ -42,17 +43,20 @@
 class Task:
     """A running generator."""
 
-    __slots__ = ("done", "loop", "name", "queued", "steps")
+    __slots__ = ("done", "loop", "name", "queued", "steps", "urgent")
 
-    def __init__(self, loop: Loop, steps: Steps[None], name: str) -> None:
-        self.loop, self.steps, self.name = loop, steps, name
+    def __init__(self, loop: Loop, steps: Steps[None], name: str, urgent: bool = False) -> None:
+        self.loop, self.steps, self.name, self.urgent = loop, steps, name, urgent
         self.queued = self.done = False
 
     def wake(self) -> None:
         """Let the task run on in this turn of the loop."""
         if not self.queued and not self.done:
             self.queued = True
-            self.loop.ready.append(self)
+            if self.urgent:
+                self.loop.ready.appendleft(self)
+            else:
+                self.loop.ready.append(self)
 
     def stop(self) -> None:
         """End the task where it is parked; its `finally` blocks run now."""
@@ -83,6 +87,7 @@
     def __init__(self, on_fault: Callable[[str, BaseException], None]) -> None:
         self.epoll = select.epoll()
         self.watchers: dict[int, Watcher] = {}
+        self.urgent: set[int] = set()  # descriptors served before all others in each turn
         self.ready: deque[Task] = deque()
         self.timers: list[tuple[timedelta, int, Timer]] = []
         self.sequence = 0
@@ -96,12 +101,15 @@
         """Time since the Unix epoch, going forward only."""
         return self._epoch + timedelta(seconds=time.monotonic())
 
-    def watch(self, fd: int, watcher: Watcher) -> None:
-        """Tell the watcher of each change of this descriptor."""
+    def watch(self, fd: int, watcher: Watcher, urgent: bool = False) -> None:
+        """Tell the watcher of each change of this descriptor; who is urgent comes first in each turn."""
         self.watchers[fd] = watcher
+        if urgent:
+            self.urgent.add(fd)
         self.epoll.register(fd, select.EPOLLIN | select.EPOLLOUT | select.EPOLLRDHUP | select.EPOLLET)
 
     def unwatch(self, fd: int) -> None:
+        self.urgent.discard(fd)
         if self.watchers.pop(fd, None) is not None:
             self.epoll.unregister(fd)
 
@@ -114,8 +122,8 @@
     def call_later(self, delay: timedelta, call: Callable[[], None]) -> Timer:
         return self.call_at(self.now() + delay, call)
 
-    def spawn(self, steps: Steps[None], name: str) -> Task:
-        task = Task(self, steps, name)
+    def spawn(self, steps: Steps[None], name: str, urgent: bool = False) -> Task:
+        task = Task(self, steps, name, urgent)
         task.wake()
         return task
 
@@ -145,7 +153,10 @@
         """Turn until `stopping` is set."""
         while not self.stopping:
             self._run_ready()
-            for fd, mask in self.epoll.poll(0 if self.ready else self._poll_span(), 256):
+            events = self.epoll.poll(0 if self.ready else self._poll_span(), MOST_EVENTS)
+            if not self.urgent.isdisjoint(fd for fd, _ in events):
+                events.sort(key=lambda event: event[0] not in self.urgent)
+            for fd, mask in events:
                 watcher = self.watchers.get(fd)
                 if watcher is not None:
                     watcher.on_ready(mask)
--- a/arrowfold/transport/stream.py
+++ b/arrowfold/transport/stream.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from arrowfold.transport.budget import Budget
+from arrowfold.transport.budget import House
 from arrowfold.transport.loop import ZERO, Loop, Steps, Task
 
 CHUNK = 65536
@@ -33,13 +33,15 @@
 
     __slots__ = ("closed", "connected", "loop", "on_idle_event", "reader", "sock", "writer")
 
-    def __init__(self, loop: Loop, sock: socket.socket, connected: bool) -> None:
+    def __init__(
+            self, loop: Loop, sock: socket.socket, connected: bool, urgent: bool = False,
+    ) -> None:
         self.loop, self.sock, self.connected = loop, sock, connected
         self.closed = False
         self.reader: Task | None = None
         self.writer: Task | None = None
         self.on_idle_event: Callable[[], None] | None = None
-        loop.watch(sock.fileno(), self)
+        loop.watch(sock.fileno(), self, urgent)
 
     def on_ready(self, mask: int) -> None:
         if self.on_idle_event is not None and mask & ~select.EPOLLOUT:
@@ -61,6 +63,16 @@
         except OSError as error:
             raise Broken(str(error)) from error
 
+    def quiet(self) -> bool:
+        """Whether nothing waits to be read. Guards a request that has come, and was not looked at yet."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            pass
+        return False
+
     def read(self, until: timedelta | None = None) -> Steps[bytes]:
         """The next bytes; empty once the peer has ended its sending."""
         while True:
@@ -172,18 +184,18 @@
     """Accepts connections while there is room for them; those beyond wait in the system's backlog."""
 
     def __init__(
-            self, loop: Loop, address: Address, budget: Budget, share: float,
+            self, loop: Loop, address: Address, house: House,
             on_stream: Callable[[Stream], None], on_full: Callable[[], bool] = lambda: False,
+            urgent: bool = False,
     ) -> None:
-        self.loop, self.budget, self.share = loop, budget, share
+        self.loop, self.house, self.urgent = loop, house, urgent
         self.on_stream, self.on_full = on_stream, on_full
-        self.held = 0
         self.waiting = False
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(address)
         self.sock.listen(1024)
-        loop.watch(self.sock.fileno(), self)
+        loop.watch(self.sock.fileno(), self, urgent)
 
     @property
     def address(self) -> Address:
@@ -197,7 +209,7 @@
     def accept(self) -> None:
         """Take what waits. A full house or table of descriptors is looked at again a little later."""
         for _ in range(MOST_ACCEPTED):
-            if not self.has_room() and not self.on_full():
+            if not self.house.has_room() and not self.on_full():
                 self._again(RETRY_ACCEPT)
                 return
             try:
@@ -213,20 +225,13 @@
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.held += 1
-            self.budget.clients += 1
-            self.on_stream(Stream(self.loop, sock, connected=True))
+            self.house.take()
+            self.on_stream(Stream(self.loop, sock, connected=True, urgent=self.urgent))
         self._again(ZERO)  # guards who is served already against a crowd that comes all at once
 
-    def has_room(self) -> bool:
-        """Whether one more may be accepted: in its listener's share of what clients may hold."""
-        most = self.budget.most_clients()
-        return self.budget.clients < most and self.held < most * self.share
-
     def released(self) -> None:
         """One accepted stream has been closed."""
-        self.held -= 1
-        self.budget.clients -= 1
+        self.house.release()
 
     def _again(self, delay: timedelta) -> None:
         if not self.waiting:
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -189,8 +189,9 @@
             self, folder: Path, rows: list[dict[str, Any]], discovery: str | None = None,
             edge: str | None = None, wait: bool = True, shell: str | None = None, **changes: Any,
     ) -> None:
-        self.port, self.log = free_port(), ""
+        self.port, self.admin, self.log = free_port(), free_port(), ""
         config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "1f",
+                  "admin": f"127.0.0.1:{self.admin}",
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
                   "known": {"rev": 1, "all": True, "targets": rows}, "settings": SETTINGS, **changes}
         if discovery:
@@ -264,6 +265,12 @@
             own.close()
         return result
 
+    def call(self, line: str, end: bytes = b"\n") -> str:
+        """An operator's call, and its answer."""
+        with socket.create_connection(("127.0.0.1", self.admin), timeout=LONG) as sock:
+            sock.sendall(line.encode() + end)
+            return b"".join(iter(lambda: sock.recv(4096), b"")).decode()
+
     def raw(self, data: bytes) -> bytes:
         """Send bytes, and return all that comes until the node closes."""
         with socket.create_connection(("127.0.0.1", self.port), timeout=LONG) as sock:
