Replace the process under load: a newcomer inherits the sockets and the state

Seen: a second start at the same address exited with 2 (Listener.__init__ bound with SO_REUSEADDR alone), and the old process kept accepting after SIGTERM although somebody was there to take over. Checked: six clients hammering through a change, half of them on new connections, with no second try: no fault; a held job is answered by the old process; calls at either hold for both; a killed, a hung and a dying newcomer or predecessor. Ruled out: two queues with SO_REUSEPORT as the ordinary way (what waits in the closed one is reset).

--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 from collections import Counter
 from datetime import timedelta
 from typing import Any
@@ -14,6 +15,7 @@
 from arrowfold.program.config import Config, ConfigError, read_config
 from arrowfold.program.log import Log
 from arrowfold.program.signals import Signals
+from arrowfold.program.succession import Message, Succession, inherit, place_of
 from arrowfold.protocol.admin import Admin, Call, Refused
 from arrowfold.protocol.descriptions import load_asyncapi, load_openapi
 from arrowfold.protocol.discovery import SOURCE, Discovery
@@ -35,6 +37,7 @@
 LONGEST_DRAIN = timedelta(seconds=3)  # the longest deadline counts as this where it is longer
 SIGKILL_AFTER = timedelta(milliseconds=700)  # after that
 LEAVE_BEFORE = timedelta(milliseconds=600)  # clients move away this long before SIGKILL
+LONGEST_START = timedelta(seconds=1)  # a newcomer waits this long for the list before it serves
 LAST_BEATS = timedelta(milliseconds=100)
 LAST_CALL = timedelta(milliseconds=150)  # and what is still owed then is answered
 
@@ -48,11 +51,16 @@
         self.loop = Loop(self._fault)
         self.stop_at: timedelta | None = None
         self.left_at = self.loop.now()  # when clients were told to move away
-        budget = Budget(config.sockets - RESERVED)
+        place = place_of(config.name, config.listen)
+        self.inherited = inherit(place)
+        self.succession = Succession(
+            self.loop, place, self._describe, self._apply, self._share_limits, self.log)
+        self.budget = budget = Budget(config.sockets - RESERVED)
         self.pools = Pools(budget)
         settings = config.settings
         self.core = Core(
             settings, config.seed, self.loop, self.counters, self._ask_list, self.log, config.most_sessions)
+        self.core.held_elsewhere, self.core.on_session = self.succession.holds, self.succession.note_session
         self.loads = LoadReader(config.meanings)
         # A connection is closed here well before the far side would close it under a request.
         self.idle = timedelta(microseconds=settings.connection_idle_us or 30_000_000) * 0.8
@@ -65,10 +73,11 @@
         asyncapi = load_asyncapi(config.asyncapi) if config.asyncapi else None
         self.front = Front(
             self.loop, config.listen, self.core, classes, budget, share, config.memory // BODIES_SHARE,
-            config.sockets // IDLE_SHARE, self.counters, openapi)
+            config.sockets // IDLE_SHARE, self.counters, openapi, self._listener(config.listen))
         self.faktory = None if config.faktory is None else FaktoryFront(
             self.loop, config.faktory.listen, config.faktory.password, self.core, settings.zone, classes,
-            budget, share, config.connect_limit, self.counters, asyncapi)
+            budget, share, config.connect_limit, self.counters, asyncapi,
+            self._listener(config.faktory.listen))
 
         try:
             self.admin = None if config.admin is None else Admin(
@@ -88,8 +97,9 @@
         if call.name.startswith("maint-") and not self.core.table.known(call.argument):
             raise Refused(f"no backend server {call.argument[:80]!r} is known")
         self._apply(call.name, call.argument)
+        if not (yield from self.succession.tell(call.name, call.argument)):
+            raise Refused("done here, but the other process of this node did not confirm it")
         return f"{call}"
-        yield
 
     def _apply(self, name: str, argument: str) -> None:
         if name == "maint-on":
@@ -115,20 +125,94 @@
     def _ask_list(self, follow: bool) -> None:
         self.discovery.ask(follow)
 
+    # --- replacing the process ---------------------------------------------------------------------------
+
+    def _listener(self, address: Address) -> socket.socket | None:
+        return self.inherited.listener(address) if self.inherited is not None else None
+
+    def _describe(self) -> tuple[Message, tuple[int, ...]]:
+        """What a newcomer gets: what it must know to act as this process would, and the listening sockets."""
+        table = self.core.table
+        listeners = [front.listener.sock for front in (self.front, self.faktory) if front is not None]
+        return {
+            "maintenance": table.out, "back": table.back, "standby": self.front.standby,
+            "discovery": self.discovery.address, "known": self.discovery.known(),
+            "sessions": list(self.core.sessions),
+        }, tuple(sock.fileno() for sock in listeners if sock.fileno() >= 0)
+
+    def _follow(self) -> None:
+        """Begin where the predecessor is now."""
+        assert self.inherited is not None
+        state = self.inherited.state
+        self.core.table.out.update(state.get("maintenance") or {})
+        self.core.table.back.update({n: tuple(pair) for n, pair in (state.get("back") or {}).items()})
+        if state.get("standby"):
+            self._apply("standby", "")
+        known = state["known"]
+        if list(self.discovery.address or ()) != list(state.get("discovery") or ()):
+            known["rev"] = None  # versions count at one address
+        self.discovery.take(known, api.RosterMode.PERSISTED)
+
+    def _share_limits(self) -> None:
+        """Two processes of a node hold half of its descriptors each."""
+        most = self.config.sockets - RESERVED
+        if self.succession.links:
+            most = max(self.config.sockets // 2 - RESERVED, self.config.sockets // 8)
+        self.budget.resize(most)
+        if self.stop_at is not None and self.succession.succeeded:
+            self._retire()
+        elif self.stop_at is None and not self.front.starting and not self.succession.succeeded \
+                and self.succession.sock is not None and not self.succession.in_place():
+            self.succession.publish()  # the newcomer has gone again: the next one is to find this process
+
+    def _start_when_known(self, until: timedelta) -> None:
+        """Accept, and say yes, once the list has come; a predecessor serves until then."""
+        heard = self.counters["discovery_messages"] > 1 or self.discovery.address is None
+        if not heard and self.loop.now() < until and self.succession.links:
+            self.loop.call_later(DRAIN_STEP, lambda: self._start_when_known(until))
+            return
+        self.front.start()
+        if self.faktory is not None:
+            self.faktory.start()
+        self.succession.publish()
+        self.log(f"listens on {self.config.listen[0]}:{self.config.listen[1]}")
+
+    def _retire(self) -> None:
+        """The newcomer serves: stop accepting, serve what is here, and go as soon as nothing is owed."""
+        if not self.front.retired:
+            self.log("the newcomer has the listening sockets: serving what is here")
+            self.front.retire()
+            if self.faktory is not None:
+                self.faktory.retire()
+
     def run(self) -> int:
         """Serve until a signal and what is owed let it end."""
         self.loop.watch(self.signals.fileno(), self)
+        if self.inherited is not None:
+            try:
+                self._follow()
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
+                self.log(f"succession: {type(error).__name__}: {error}; starting without its state")
+            self.succession.meet(self.inherited)
+            self.inherited.close_rest()
+            # The predecessor's module has subscribed to the list: this goes on with it, without a gap.
+            self.discovery.ask(True)
+        else:
+            self._take_known()
+        gc.freeze()
+        self._start_when_known(self.loop.now() + LONGEST_START)
+        self.loop.run()
+        self.succession.withdraw()
+        self._print_counters()
+        return 0
+
+    def _take_known(self) -> None:
         known: Any = self.config.known or {"all": True, "targets": []}
         try:
             self.discovery.take(known, api.RosterMode.PERSISTED)
         except ValueError as error:
             self.log(f"known: {error}; starting without it")
             self.core.list_servers(SOURCE, (), api.RosterMode.PERSISTED)
-        gc.freeze()
-        self.log(f"listens on {self.config.listen[0]}:{self.config.listen[1]}")
-        self.loop.run()
-        self._print_counters()
-        return 0
 
     # --- signals and the end -----------------------------------------------------------------------------
 
@@ -146,10 +230,13 @@
                 self.log("asked to end: serving on until nothing is owed")
                 self.stop_at = kill - LAST_CALL
                 self.front.drain()
+                if self.succession.succeeded:
+                    self._retire()
                 # Guards the clients of a zone with one node: while it is gone, nobody serves them, so those
                 # that have a connection keep it as long as there is time.
                 self.loop.call_at(kill - LEAVE_BEFORE, self._leave)
-                self.loop.call_later(LEAST_DRAIN, self._end_if_free)
+                least = DRAIN_STEP if self.succession.succeeded else LEAST_DRAIN
+                self.loop.call_later(least, self._end_if_free)
 
     def _reload(self) -> None:
         """The file has been replaced: what can change while running does, a bad file changes nothing."""
@@ -174,14 +261,15 @@
         """From here on clients move away, and Faktory workers are told to be quiet when they beat."""
         self.left_at = self.loop.now()
         self.front.leave()
-        if self.faktory is not None:
+        if self.faktory is not None and not self.front.retired:
             self.faktory.quieting = True
 
     def _end_if_free(self) -> None:
         """End once every client has had its answer and has gone, at the latest before SIGKILL."""
         assert self.stop_at is not None
         now = self.loop.now()
-        free = not self.core.owed and not self.front.connections
+        # While a newcomer is about to serve, nobody else is there for new clients.
+        free = not self.core.owed and not self.front.connections and not self.succession.awaits
         free = free and not (self.faktory and self.faktory.producers_owed())
         if free and not self.front.leaving:
             self._leave()
--- a/arrowfold/protocol/admin.py
+++ b/arrowfold/protocol/admin.py
@@ -52,6 +52,7 @@
         self.callers: dict[Stream, Task] = {}  # who has not said a whole line yet, longest here first
         self.listener = Listener(
             loop, address, Reserve(MOST_CALLERS), self._accepted, self._make_room, urgent=True)
+        self.listener.open()
 
     def _accepted(self, stream: Stream) -> None:
         self.callers[stream] = self.loop.spawn(self._serve(stream), "admin call", urgent=True)
--- a/arrowfold/protocol/discovery.py
+++ b/arrowfold/protocol/discovery.py
@@ -41,6 +41,7 @@
         self.loop, self.address, self.core = loop, address, core
         self.make_server, self.counters, self.log = make_server, counters, log
         self.revision: int | None = None
+        self.listed: dict[str, Any] = {}  # each server's entry as it was last told
         self.servers: dict[str, tuple[Address, int, SearchWorker]] = {}
         self.watch: Task | None = None
         self.moving = False  # the address is new, and has not told its whole list yet
@@ -79,6 +80,9 @@
         revision = message.get("rev")
         if isinstance(revision, int):
             self.revision = revision
+        if whole:
+            self.listed.clear()
+        self.listed |= {str(t["uid"]): t for t in message["targets"] if isinstance(t, dict) and "uid" in t}
         if mode is None:
             mode = api.RosterMode.COMPLETE if whole else api.RosterMode.PARTIAL
         if mode is not api.RosterMode.PARTIAL:
@@ -90,6 +94,12 @@
         for entry, _ in rows:
             if entry.lifecycle is api.Lifecycle.TERMINATED:
                 self._forget(entry.worker)
+                self.listed.pop(entry.worker, None)
+
+    def known(self) -> dict[str, Any]:
+        """The list as this node last had it, in discovery's form."""
+        return {"rev": None if self.moving else self.revision, "all": True,
+                "targets": list(self.listed.values())}
 
     def _row(self, target: Any) -> Row | None:
         """A server's row. An entry that can't be read is left out, and the others still count."""
--- a/arrowfold/protocol/faktory.py
+++ b/arrowfold/protocol/faktory.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
@@ -67,15 +68,15 @@
     def __init__(
             self, loop: Loop, address: Address, password: str | None, core: Core, zone: str,
             classes: dict[str, api.RequestClass], budget: Budget, share: float, fetch_limit: timedelta,
-            counters: Counter[str], check: Check | None = None,
+            counters: Counter[str], check: Check | None = None, sock: socket.socket | None = None,
     ) -> None:
         self.loop, self.core, self.password, self.classes = loop, core, password, classes
         self.counters, self.check = counters, check
         self.workers = Workers(loop, core, zone, fetch_limit, counters)
         self.peers: set[Peer] = set()
         self.started = loop.now()
-        self.quieting = self.standby = False
-        self.listener = Listener(loop, address, ClientShare(budget, share), self._accepted)
+        self.quieting = self.standby = self.retired = self.sending_away = False
+        self.listener = Listener(loop, address, ClientShare(budget, share), self._accepted, sock=sock)
         self.verbs: dict[str, Callable[[Peer, Any], Steps[bytes]]] = {
             "PUSH": self._push, "FETCH": self._fetch, "ACK": self._ack, "FAIL": self._fail,
             "BEAT": self._beat, "INFO": self._info,
@@ -83,19 +84,40 @@
 
     def stand_by(self, standby: bool) -> None:
         """Send producers away, each after its answer, or take them again. Workers stay: jobs need them."""
-        changed, self.standby = standby != self.standby, standby
-        if changed and standby:
+        self.standby = standby
+        self._send_away()
+
+    def _send_away(self) -> None:
+        if not self.sending_away and (self.standby or self.retired):
+            self.sending_away = True
             self.loop.call_later(STANDBY_STEP, self._end_idle)
 
+    def start(self) -> None:
+        """Accept from now on."""
+        self.listener.open()
+
+    def retire(self) -> None:
+        """Another process accepts: producers move there after their answers, workers once nothing is owed."""
+        self.listener.close()
+        self.retired = True
+        self._send_away()
+
+    def _may_go(self, peer: Peer) -> bool:
+        """Whether this peer is to move away now, between two commands."""
+        worker = peer.worker
+        if not (self.standby or self.retired) or peer.commands.buffered or not peer.commands.stream.quiet():
+            return False
+        return worker is None or (self.retired and not worker.reserved and not self.core.owed)
+
     def _end_idle(self) -> None:
         """End producers that ask nothing, while standby lasts, and nothing of whom waits to be read."""
-        if not self.standby:
+        self.sending_away = self.standby or self.retired
+        if not self.sending_away:
             return
         for peer in list(self.peers):
-            stream = peer.commands.stream
-            if peer.idle and peer.worker is None and not peer.commands.buffered and stream.quiet():
+            if peer.idle and self._may_go(peer):
                 self.counters["connections_sent_away"] += 1
-                stream.close()  # its task, parked, finds it closed
+                peer.commands.stream.close()  # its task, parked, finds it closed
         self.loop.call_later(STANDBY_STEP, self._end_idle)
 
     def producers_owed(self) -> bool:
@@ -132,7 +154,7 @@
                 if reply:
                     yield from stream.write(reply, self.loop.now() + WRITE_LIMIT)
                 peer.answered = None
-                if self.standby and peer.worker is None and not peer.commands.buffered and stream.quiet():
+                if self._may_go(peer):
                     return
         except CommandError as error:
             self.counters["faktory_errors"] += 1
--- a/arrowfold/protocol/front.py
+++ b/arrowfold/protocol/front.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import socket
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
@@ -81,16 +82,17 @@
     def __init__(
             self, loop: Loop, address: Address, core: Core, classes: dict[str, api.RequestClass],
             budget: Budget, share: float, most_held: int, most_idle: int, counters: Counter[str],
-            check: Check | None = None,
+            check: Check | None = None, sock: socket.socket | None = None,
     ) -> None:
         self.loop, self.core, self.classes, self.counters, self.check = loop, core, classes, counters, check
         self.connections: set[Connection] = set()
         self.draining = self.leaving = self.standby = False
+        self.starting, self.retired, self.sending_away = True, False, False
         self.held, self.most_held = 0, most_held  # bytes of all bodies
         self.idle: dict[Connection, None] = {}  # those between two jobs, the longest idle first
         self.most_idle = most_idle
         self.listener = Listener(
-            loop, address, ClientShare(budget, share), self._accepted, self._make_room)
+            loop, address, ClientShare(budget, share), self._accepted, self._make_room, sock=sock)
         budget.sheds.append(self._make_room)
 
     # --- connections -----------------------------------------------------------------------------------
@@ -148,13 +150,29 @@
 
     def stand_by(self, standby: bool) -> None:
         """Send clients away, each after its answer, or take them again."""
-        changed, self.standby = standby != self.standby, standby
-        if changed and standby:
+        self.standby = standby
+        self._send_away()
+
+    def _send_away(self) -> None:
+        if not self.sending_away and (self.standby or self.retired):
+            self.sending_away = True
             self.loop.call_later(STANDBY_AFTER, self._end_idle)
 
+    def start(self) -> None:
+        """Accept clients from now on."""
+        self.starting = False
+        self.listener.open()
+
+    def retire(self) -> None:
+        """Another process of this node accepts in this one's place: serve what is here to its end."""
+        self.listener.close()
+        self.draining = self.retired = True
+        self._send_away()
+
     def _end_idle(self) -> None:
         """End what is idle, while standby lasts; who has just come may have a request on its way."""
-        if not self.standby:
+        self.sending_away = self.standby or self.retired
+        if not self.sending_away:
             return
         now = self.loop.now()
         for connection in list(self.connections):
@@ -168,7 +186,8 @@
         """The end is near: clients move away, each once it has its answer."""
         self.leaving = True
         for connection in list(self.connections):
-            if connection.stage in (Stage.SILENT, Stage.LOOKING, Stage.IDLE):
+            idle = connection.stage in (Stage.SILENT, Stage.LOOKING, Stage.IDLE)
+            if idle and connection.side.stream.quiet():  # else its request is answered first
                 self._end(connection)
 
     def _serve(self, connection: Connection) -> Steps[None]:
@@ -247,7 +266,7 @@
             self, side: ServerSide, status: int, body: bytes, headers: list[tuple[str, str]],
             close: bool = False,
     ) -> Steps[bool]:
-        close = close or self.leaving or self.standby
+        close = close or self.leaving or self.standby or self.retired
         return (yield from side.write_answer(status, body, headers, close, self.loop.now() + WRITE_LIMIT))
 
     # --- requests ----------------------------------------------------------------------------------------
@@ -266,6 +285,8 @@
 
     def why_not_ready(self) -> str | None:
         """What keeps the node from serving; None if nothing does."""
+        if self.starting:
+            return "it is starting"
         if self.draining:
             return "it is to end"
         if self.standby:
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -49,6 +49,9 @@
         self.owed = 0  # sessions with no final answer yet
         self._inbox: deque[tuple[Session, object]] = deque()
         self._draining = False
+        # Where another process serves this node too: what it has open, and what it is told of.
+        self.held_elsewhere: Callable[[str], bool] = lambda job_id: False
+        self.on_session: Callable[[str, bool], None] = lambda job_id, opened: None
 
     # --- what the wires call -------------------------------------------------------------------------
 
@@ -84,7 +87,7 @@
         return self.table.serving() > 0
 
     def holds(self, job_id: str) -> bool:
-        return job_id in self.sessions
+        return job_id in self.sessions or self.held_elsewhere(job_id)
 
     def take(self, job: Job, client: Client) -> Session:
         """Take a job in; the client gets exactly one answer for it, perhaps before this returns."""
@@ -96,6 +99,7 @@
             self._answer(session, Answer(Verdict.DENIED))
             return session
         self.sessions[job.id] = session
+        self.on_session(job.id, True)
         session.timer = self.clock.call_at(job.deadline, lambda: self._tell(session, Expired()))
         session.life = self._life(session)
         next(session.life)
@@ -151,6 +155,7 @@
         if session.timer is not None:
             session.timer.cancel()
         del self.sessions[job.id]
+        self.on_session(job.id, False)
 
     def _dispatch(self, session: Session, order: api.Send) -> None:
         now, number = self.clock.now(), len(session.dispatches)
--- a/arrowfold/routing/table.py
+++ b/arrowfold/routing/table.py
@@ -22,7 +22,7 @@
         self._sources: dict[str, dict[str, Row]] = {}
         self._names: dict[str, None] = {}
         self.out: dict[str, int] = {}  # servers in maintenance, and the start that was listed at the call out
-        self._back: dict[str, tuple[int, int]] = {}  # brought back: the start listed, and the one assumed
+        self.back: dict[str, tuple[int, int]] = {}  # brought back: the start listed, and the one assumed
 
     def replace(self, source: str, rows: Iterable[Row], mode: api.RosterMode) -> api.RosterUpdate:
         """A source's whole list."""
@@ -76,7 +76,7 @@
         listed_then = self.out.pop(name, None)
         row = self._row(name)
         if listed_then is not None and (row is None or row[0].launched_us == listed_then):
-            self._back[name] = listed_then, now_us
+            self.back[name] = listed_then, now_us
         return self._told(row)
 
     def _row(self, name: str) -> Row | None:
@@ -90,11 +90,11 @@
         if entry.worker in self.out:
             if entry.lifecycle is api.Lifecycle.IN_SERVICE:
                 return replace(entry, lifecycle=api.Lifecycle.TERMINATING)
-        elif entry.worker in self._back:
-            listed, assumed = self._back[entry.worker]
+        elif entry.worker in self.back:
+            listed, assumed = self.back[entry.worker]
             if entry.launched_us == listed:
                 return replace(entry, launched_us=assumed)
-            del self._back[entry.worker]  # the list knows of the start by now
+            del self.back[entry.worker]  # the list knows of the start by now
         return entry
 
     def _note(self, names: Iterable[str]) -> None:
@@ -104,4 +104,4 @@
         while len(self._names) > NAMES_KEPT:  # guards the memory against ever new names
             oldest = next(iter(self._names))
             del self._names[oldest]
-            self._back.pop(oldest, None)
+            self.back.pop(oldest, None)
--- a/arrowfold/transport/budget.py
+++ b/arrowfold/transport/budget.py
@@ -16,6 +16,12 @@
         self.most, self.clients, self.servers = most, 0, 0
         self.sheds: list[Callable[[], bool]] = []  # who can give up what is idle, in this order
 
+    def resize(self, most: int) -> None:
+        """Another limit from now on; what is idle beyond it is given up."""
+        self.most = most
+        while self.clients + self.servers > self.most and any(shed() for shed in self.sheds):
+            pass
+
     def most_clients(self) -> int:
         """At least half, at most three quarters; in between, an eighth more than servers have is kept."""
         return self.most - min(max(self.most // 4, self.servers + self.most // 8), self.most // 2)
--- a/arrowfold/transport/stream.py
+++ b/arrowfold/transport/stream.py
@@ -186,16 +186,24 @@
     def __init__(
             self, loop: Loop, address: Address, house: House,
             on_stream: Callable[[Stream], None], on_full: Callable[[], bool] = lambda: False,
-            urgent: bool = False,
+            urgent: bool = False, sock: socket.socket | None = None,
     ) -> None:
         self.loop, self.house, self.urgent = loop, house, urgent
         self.on_stream, self.on_full = on_stream, on_full
         self.waiting = False
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(address)
+        if sock is None:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            # A process that replaces one which hangs has to listen beside it.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            sock.bind(address)
+        self.sock = sock  # bound here, or inherited from this node's process before
+
+    def open(self) -> None:
+        """Accept from now on."""
         self.sock.listen(1024)
-        loop.watch(self.sock.fileno(), self, urgent)
+        self.loop.watch(self.sock.fileno(), self, self.urgent)
+        self.accept()
 
     @property
     def address(self) -> Address:
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -187,16 +187,17 @@
 
     def __init__(
             self, folder: Path, rows: list[dict[str, Any]], discovery: str | None = None,
-            edge: str | None = None, wait: bool = True, shell: str | None = None, **changes: Any,
+            edge: str | None = None, wait: bool = True, shell: str | None = None, port: int | None = None,
+            **changes: Any,
     ) -> None:
-        self.port, self.admin, self.log = free_port(), free_port(), ""
+        self.port, self.admin, self.log = port or free_port(), free_port(), ""
         config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "1f",
                   "admin": f"127.0.0.1:{self.admin}",
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
                   "known": {"rev": 1, "all": True, "targets": rows}, "settings": SETTINGS, **changes}
         if discovery:
             config["discovery"] = discovery
-        self.file, self.config = folder / "config.json", config
+        self.file, self.config = folder / f"config-{self.admin}.json", config
         self.file.write_text(json.dumps(config))
         command = [sys.executable, "-m", "arrowfold"]
         if edge is not None:
@@ -207,7 +208,8 @@
             environ["EDGE_DISCOVERY"] = discovery  # as on the platform, where it stays what it was at start
         self.process = subprocess.Popen(
             command if shell is None else ["/bin/sh", "-c", shell], cwd=ROOT,
-            env={**environ, "EDGE_CONFIG": str(self.file)}, stderr=subprocess.PIPE, text=True)
+            env={**environ, "EDGE_CONFIG": str(self.file), "TMPDIR": str(folder)},
+            stderr=subprocess.PIPE, text=True)
         if wait:
             eventually(lambda: self.answers_ready() is not None or self.process.poll() is not None)
 
