Take new settings at SIGHUP: checked whole, in one event, jobs keep their class

Seen: Node._reload logged settings as not changed while running, so new classes got 404 and vanished ones went on; config let a deadline of 0 or of text pass, and filled keys that a cut-off file lacked with defaults. Ruled out: keeping settings in the table alone, since a request would change its class half way. The test of classes that appear and vanish fails without the event, the rows of bad files without the checks.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -48,7 +48,7 @@
 
 def may_refuse(request: Request) -> bool:
     """Rule 2: a refusal says that trying again is harmless, so it must be."""
-    cls = request.table.cls
+    cls = request.cls
     if cls.idempotency is Idempotency.SAFE:
         return True
     reach_all = cls.idempotency is Idempotency.KEYED and cls.group == "all"
@@ -57,7 +57,7 @@
 
 def may_repeat_on(request: Request, worker: Worker, now: int) -> bool:
     """Rule 2: whether an earlier attempt that may have run lets the request go to this worker."""
-    cls = request.table.cls
+    cls = request.cls
     for attempt in request.attempts:
         if not attempt.may_have_run or cls.idempotency is Idempotency.SAFE:
             continue
@@ -100,6 +100,7 @@
             api.AttemptEnded: self._on_ended, api.AttemptProgress: self._on_progress,
             api.StreamStarted: self._on_stream, api.ProbeEnded: self._on_probe,
             api.TimerFired: self._on_timer, api.Withdrawn: self._on_withdrawn,
+            api.SettingsChanged: self._on_settings,
         }
 
     def handle(self, now_us: int, events: Iterable[api.Event]) -> list[api.Action]:
@@ -166,6 +167,31 @@
         worker.local = entry.zone == self.settings.zone
         worker.serving = entry.lifecycle is Lifecycle.IN_SERVICE
 
+    def _on_settings(self, event: api.SettingsChanged) -> None:
+        """Other settings; requests keep their class, tables that stay their tokens and measurements."""
+        new, last, self.settings = event.settings, self.tables, event.settings
+        self.tables = {c.name: last.get(c.name) or Table(c, RATE_US) for c in new.classes}
+        gone = [t for name, t in last.items() if name not in self.tables]
+        for cls in new.classes:
+            self.lines.setdefault(cls.kind, [])
+            if self.tables[cls.name].cls.kind != cls.kind:
+                gone.append(self.tables[cls.name])
+            self.tables[cls.name].cls = cls
+        for table in gone:
+            for token in table.tokens:
+                token.holder.tokens.remove(token)
+            table.tokens = []
+        if len(self.mean) != 1 + new.reports_memory:
+            self.mean, self.others = [0.5] * (1 + new.reports_memory), [0.3] * (1 + new.reports_memory)
+            self.kind_size = {}
+            for worker in self.workers.values():
+                worker.free, worker.size, worker.report = None, [], None
+        for worker in self.workers.values():
+            worker.local = worker.zone == new.zone
+        self.tenants = {t.name: self.tenants.get(t.name) or Rate(RATE_US) for t in new.tenants}
+        self.quotas = {t.name: t.quota_per_s / new.fleet_size for t in new.tenants}
+        self._index_roster()
+
     def _index_roster(self) -> None:
         """Rebuild what draws and trades sample from, and move tokens off workers that leave."""
         serving = [w for w in self.workers.values() if w.serving]
@@ -201,10 +227,10 @@
 
     def allowed(self, request: Request, worker: Worker) -> bool:
         """The one guard that every send passes: may this worker get this request now?"""
-        settings, cls = self.settings, request.table.cls
+        settings, cls = self.settings, request.cls
         if not request.open or request.streaming or not worker.serving:  # rules 1 and 3
             return False
-        if cls.kind not in (None, worker.kind) or len(request.attempts) >= settings.attempt_cap:
+        if cls.kind not in (None, worker.kind) or not self._attempts_left(request):
             return False
         out = request.out()
         if out and (not settings.second_copies or out > 1 or cls.idempotency is Idempotency.UNSAFE):
@@ -499,7 +525,8 @@
             # A class the settings don't name: nothing is known of repeating it, so it is refused unsent.
             self.actions.append(api.Refuse(event.request))
             return
-        request = self.requests[event.request] = Request(event, table, self.now)
+        cap = self.settings.attempt_cap
+        request = self.requests[event.request] = Request(event, table, self.now, cap)
         table.rate.count(self.now)
         request.over_share = self._over_share(event.tenant)
         table.slots += 0.05 * (request.slots - table.slots)
@@ -515,10 +542,10 @@
         """Draw a token and look at its holder first."""
         table = request.table
         request.token = None
-        if len(request.attempts) >= self.settings.attempt_cap:
+        if not self._attempts_left(request):
             self._stuck(request)
             return
-        if not table.tokens:
+        if not table.tokens and self.tables.get(table.cls.name) is table:
             self._grant(table)
         tried = [a.worker for a in request.attempts]
         token = self._draw(request, tried)
@@ -579,7 +606,7 @@
         best = self._pick(room, table)
         if best is not None:
             self.misses = 0
-        if best is None and request.stage == NEAR and (request.table.cls.kind, False) in self.pools:
+        if best is None and request.stage == NEAR and (request.cls.kind, False) in self.pools:
             self._widen(request, near=False)
         elif best is None:
             self._crowded(request, fit)
@@ -606,7 +633,7 @@
             # Guards against figures that say zero for ever: who has nothing out believes none of them.
             self._send(request, self._pick(fit, table))
             return
-        spare = len(request.attempts) + 1 < self.settings.attempt_cap
+        spare = self._attempts_left(request) > 1
         best = self._pick([w for w in fit if w.free is not None and spare], table)
         if best is not None:
             ahead = (self._load(best, 0) - 1) + request.slots / self._size(best)[0]
@@ -628,7 +655,7 @@
 
     def _rank(self, request: Request) -> float:
         """Who goes first when room is short: the most worth for the work."""
-        cls, work = request.table.cls, max(1.0, self._work_us(request) * request.slots)
+        cls, work = request.cls, max(1.0, self._work_us(request) * request.slots)
         worth = cls.worth * (self.settings.over_share_worth if request.over_share else 1.0)
         return worth if self.settings.worth_by_work else worth / work
 
@@ -637,7 +664,7 @@
 
         The line is looked at as often as slots turn over; more often, all would chase one stale figure.
         """
-        line = self.lines[request.table.cls.kind]
+        line = self.lines[request.cls.kind]
         if request not in line:
             line.append(request)
         if not self.line_due:
@@ -672,9 +699,13 @@
 
     # --- attempts ------------------------------------------------------------------------------------
 
+    def _attempts_left(self, request: Request) -> int:
+        """By the settings at its arrival and by those now: fewer attempts bind at once."""
+        return max(0, min(request.cap, self.settings.attempt_cap) - len(request.attempts))
+
     def _late_at(self, request: Request) -> float:
         """The last moment to start and still be in time, as far as can be told."""
-        cls, work = request.table.cls, self._work_us(request)
+        cls, work = request.cls, self._work_us(request)
         in_time = request.born_us + cls.aim_us + (cls.stretch - 1) * work - self.wait_us
         return min(in_time, request.deadline_us - work)
 
@@ -698,8 +729,8 @@
 
     def _close(self, request: Request) -> None:
         request.open, request.candidates = False, []
-        if request in self.lines[request.table.cls.kind]:
-            self.lines[request.table.cls.kind].remove(request)
+        if request in self.lines[request.cls.kind]:
+            self.lines[request.cls.kind].remove(request)
         for number, attempt in enumerate(request.attempts):
             if not attempt.ended and self.settings.may_cancel:
                 self.actions.append(api.Cancel(request.id, number))
@@ -719,7 +750,7 @@
 
     def _patience_us(self, request: Request) -> float:
         """After this long without an outcome an attempt is suspect."""
-        return request.table.cls.aim_us + max(2.0, request.table.cls.stretch) * self._work_us(request)
+        return request.cls.aim_us + max(2.0, request.cls.stretch) * self._work_us(request)
 
     def _overdue(self, request: Request, number: int) -> None:
         """Guards against a worker that has gone silent or crawls."""
@@ -728,10 +759,10 @@
             return
         self._strike(attempt.worker, 0.5)
         if self.settings.second_copies:
-            if request.out() == 1 and request.table.cls.idempotency is not Idempotency.UNSAFE:
+            if request.out() == 1 and request.cls.idempotency is not Idempotency.UNSAFE:
                 self._seek(request)
-        elif self.settings.may_cancel and request.table.cls.idempotency is Idempotency.SAFE \
-                and len(request.attempts) < self.settings.attempt_cap and attempt.begun_us == attempt.sent_us:
+        elif self.settings.may_cancel and request.cls.idempotency is Idempotency.SAFE \
+                and self._attempts_left(request) and attempt.begun_us == attempt.sent_us:
             self.actions.append(api.Cancel(request.id, number))
 
     def _on_ended(self, event: api.AttemptEnded) -> None:
@@ -753,9 +784,9 @@
             return
         if not request.open:
             self.requests.pop(request.id, None)
-        elif request.table.cls.idempotency is Idempotency.UNSAFE and attempt.may_have_run:
+        elif request.cls.idempotency is Idempotency.UNSAFE and attempt.may_have_run:
             self._end(request)  # rule 2: it may have run, and must not run twice
-        elif event.status is Status.FULL and FULLS <= len(request.attempts) < self.settings.attempt_cap:
+        elif event.status is Status.FULL and len(request.attempts) >= FULLS and self._attempts_left(request):
             self._hold(request)
         else:
             self._seek(request)
--- a/arrowfold/interface.py
+++ b/arrowfold/interface.py
@@ -256,6 +256,13 @@
     request: str
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """Other settings from now on; a request that is open keeps the class it came with."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """A message from another dispatcher."""
@@ -266,7 +273,7 @@
 
 Event = (
     RosterUpdate | Arrival | AttemptEnded | AttemptProgress | StreamStarted | ProbeEnded | TimerFired
-    | Withdrawn | PeerMessage
+    | Withdrawn | PeerMessage | SettingsChanged
 )
 
 
--- a/arrowfold/program/config.py
+++ b/arrowfold/program/config.py
@@ -124,6 +124,36 @@
     return faktory, openapi, asyncapi
 
 
+def _check_figures(conf: Mapping[str, Any]) -> None:
+    """Guards against settings that say nothing: deadlines, aims or attempts that are no positive number."""
+    allowed = conf.get("permissions") or {}
+    rows = [(f"classes[{n}].{key}", row[key]) for n, row in enumerate(conf["classes"])
+            for key in ("hardLimitUs", "onTimeUs")]
+    if "sendCap" in allowed:
+        rows.append(("permissions.sendCap", allowed["sendCap"]))
+        if allowed["sendCap"] != int(allowed["sendCap"]):
+            raise ValueError("permissions.sendCap is no whole number")
+    for key, value in rows:
+        if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < 1e15:
+            raise ValueError(f"{key} is no positive number")
+
+
+def _check_whole(fresh: object, running: object, path: str) -> None:
+    """Guards against a file that was cut off: what the running one has must be there, in every class too."""
+    if isinstance(running, dict):
+        if not isinstance(fresh, dict):
+            raise ConfigError(f"{path or 'the file'} is no object")
+        for key, value in running.items():
+            if key not in fresh or (fresh[key] is None and value is not None):
+                raise ConfigError(f"{path}{key} is missing")
+            if key not in ("known", "limits", "tenants"):
+                _check_whole(fresh[key], value, f"{path}{key}.")
+    elif path == "settings.classes." and isinstance(running, list) and isinstance(fresh, list):
+        common = set.intersection(*(set(row) for row in running))
+        for n, row in enumerate(fresh):
+            _check_whole(row, dict.fromkeys(common), f"settings.classes[{n}].")
+
+
 def _read_seed(value: object) -> int:
     if isinstance(value, int) and not isinstance(value, bool):
         return value
@@ -133,16 +163,21 @@
         raise ConfigError(f"seed: {value!r} is no hexadecimal number") from None
 
 
-def read_config(environ: Mapping[str, str], edge_file: Path | None, first: Config | None = None) -> Config:
+def read_config(
+        environ: Mapping[str, str], edge_file: Path | None, first: Config | None = None,
+        running: Config | None = None,
+) -> Config:
     """Read and check it all; ConfigError names the faulty key.
 
-    `first` is what a running node started with: the environment overrides a key of the file only while the
-    file says what it said then, for the environment can't follow a change.
+    `running` is what a running node goes by, `first` what it started with: the environment overrides a key
+    of the file only while the file says what it said then, for the environment can't follow a change.
     """
     path = environ.get("EDGE_CONFIG")
     if not path:
         raise ConfigError("EDGE_CONFIG is missing")
     file = _read_json(path)
+    if running is not None:
+        _check_whole(file, running.file, "")
     values = dict(file)
     for variable, key in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"),
                           ("EDGE_DISCOVERY", "discovery"), ("EDGE_ADMIN", "admin")):
@@ -151,6 +186,7 @@
     reader = _Reader(values, "")
     conf = reader.get("settings", dict)
     try:
+        _check_figures(conf)
         settings, row = build_settings(conf), report_fields(conf)
     except KeyError as error:
         raise ConfigError(f"settings: key {error.args[0]} is missing") from error
--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -47,6 +47,7 @@
 
     def __init__(self, config: Config, signals: Signals) -> None:
         self.config, self.signals, self.log = config, signals, Log(config.name)
+        self.running = config  # what SIGHUP last brought
         self.counters: Counter[str] = Counter()
         self.loop = Loop(self._fault)
         self.stop_at: timedelta | None = None
@@ -62,11 +63,10 @@
             settings, config.seed, self.loop, self.counters, self._ask_list, self.log, config.most_sessions)
         self.core.held_elsewhere, self.core.on_session = self.succession.holds, self.succession.note_session
         self.loads = LoadReader(config.meanings)
-        # A connection is closed here well before the far side would close it under a request.
-        self.idle = timedelta(microseconds=settings.connection_idle_us or 30_000_000) * 0.8
+        self.idle = _idle_span(settings)
         self.discovery = Discovery(
             self.loop, config.discovery, self.core, self._make_server, self.counters, self.log)
-        classes = {c.name: c for c in settings.classes}
+        self.classes = classes = {c.name: c for c in settings.classes}  # as the fronts know them
         # With two fronts, neither fills the house alone.
         share = 0.75 if config.faktory else 1.0
         openapi = load_openapi(config.openapi) if config.openapi else None
@@ -120,7 +120,7 @@
 
     def _make_server(self, address: Address) -> SearchWorker:
         return SearchWorker(
-            self.loop, address, self.idle, self.config.connect_limit, self.pools, self.loads, self.counters)
+            self.loop, address, self.idle, self.running.connect_limit, self.pools, self.loads, self.counters)
 
     def _ask_list(self, follow: bool) -> None:
         self.discovery.ask(follow)
@@ -226,7 +226,7 @@
             if number == signal.SIGUSR1:
                 self._print_counters()
             elif number != signal.SIGHUP and self.stop_at is None:
-                kill = self.loop.now() + min(self.config.longest_deadline, LONGEST_DRAIN) + SIGKILL_AFTER
+                kill = self.loop.now() + min(self.running.longest_deadline, LONGEST_DRAIN) + SIGKILL_AFTER
                 self.log("asked to end: serving on until nothing is owed")
                 self.stop_at = kill - LAST_CALL
                 self.front.drain()
@@ -239,21 +239,28 @@
                 self.loop.call_later(least, self._end_if_free)
 
     def _reload(self) -> None:
-        """The file has been replaced: what can change while running does, a bad file changes nothing."""
+        """The file has been replaced: all that can change while running does, or, if it is bad, nothing."""
         self.counters["reloads"] += 1
         try:
-            fresh = read_config(os.environ, self.config.edge_file, self.config)
+            fresh = read_config(os.environ, self.config.edge_file, self.config, self.running)
         except Exception as error:  # whatever a file may hold, the node goes on
             self.counters["reloads_refused"] += 1
             self.log(f"reload: configuration: {error}; going on with the old one")
             return
-        fixed = [key for key in self.config.changed(fresh) if key != "discovery"]
+        fixed = [key for key in self.config.changed(fresh) if key not in ("discovery", "settings", "known")]
         if fixed:
             self.log(f"reload: not changed while running: {', '.join(fixed)}")
-        if fresh.discovery is None:
-            if self.discovery.address is not None:
-                self.log("reload: discovery is missing; going on with the old one")
-        elif fresh.discovery != self.discovery.address:
+        if fresh.settings != self.running.settings:
+            self.counters["reloads_settings"] += 1
+            self.log(f"reload: settings: classes {', '.join(c.name for c in fresh.settings.classes)}; "
+                     f"{fresh.settings.attempt_cap} attempts")
+            self.core.change_settings(fresh.settings, fresh.most_sessions)
+        self.running, self.idle = fresh, _idle_span(fresh.settings)
+        self.classes.clear()
+        self.classes.update({c.name: c for c in fresh.settings.classes})
+        self.loads.learn(fresh.meanings)
+        self.discovery.limit(self.idle, fresh.connect_limit)
+        if fresh.discovery is not None and fresh.discovery != self.discovery.address:
             self.log(f"reload: discovery is now {fresh.discovery[0]}:{fresh.discovery[1]}")
             self.discovery.move(fresh.discovery)
 
@@ -288,3 +295,8 @@
 
     def _print_counters(self) -> None:
         self.log("counters " + json.dumps(dict(sorted(self.counters.items()))))
+
+
+def _idle_span(settings: api.Settings) -> timedelta:
+    """A connection is closed here well before the far side would close it under a request."""
+    return timedelta(microseconds=settings.connection_idle_us or 30_000_000) * 0.8
--- a/arrowfold/protocol/discovery.py
+++ b/arrowfold/protocol/discovery.py
@@ -96,6 +96,11 @@
                 self._forget(entry.worker)
                 self.listed.pop(entry.worker, None)
 
+    def limit(self, idle: timedelta, connect_limit: timedelta) -> None:
+        """Other time limits for every search worker."""
+        for _, _, server in self.servers.values():
+            server.connect_limit, server.pool.idle_span = connect_limit, idle
+
     def known(self) -> dict[str, Any]:
         """The list as this node last had it, in discovery's form."""
         return {"rev": None if self.moving else self.revision, "all": True,
--- a/arrowfold/protocol/load.py
+++ b/arrowfold/protocol/load.py
@@ -18,6 +18,10 @@
     """Reads reports; what x0 and x1 mean comes from the settings."""
 
     def __init__(self, meanings: Mapping[str, str]) -> None:
+        self.fields: Mapping[str, str] = {}
+        self.learn(meanings)
+
+    def learn(self, meanings: Mapping[str, str]) -> None:
         self.fields = {**_FIELDS, **meanings}
 
     def from_object(self, row: object) -> api.LoadReport | None:
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -71,6 +71,12 @@
         self._consult(api.RosterUpdate(api.RosterMode.ERROR))
         self._drain()
 
+    def change_settings(self, settings: api.Settings, most_sessions: int) -> None:
+        """Other settings from now on; open sessions keep their class."""
+        self.settings, self.most_sessions = settings, most_sessions
+        self._consult(api.SettingsChanged(settings))
+        self._drain()
+
     def take_out(self, name: str) -> None:
         """Maintenance: nothing more goes to this server until it is brought back."""
         server = self.table.find(name)
--- a/arrowfold/state.py
+++ b/arrowfold/state.py
@@ -59,12 +59,13 @@
     """An open request and its attempts."""
 
     __slots__ = (
-        "attempts", "awaiting", "born_us", "candidates", "deadline_us", "hint", "homes", "homes_of",
-        "id", "key", "memory", "open", "over_share", "slots", "stage", "streaming", "table",
+        "attempts", "awaiting", "born_us", "candidates", "cap", "cls", "deadline_us", "hint", "homes",
+        "homes_of", "id", "key", "memory", "open", "over_share", "slots", "stage", "streaming", "table",
         "token", "wave",
     )
 
-    def __init__(self, event: api.Arrival, table: Table, now: int) -> None:
+    def __init__(self, event: api.Arrival, table: Table, now: int, cap: int = 1) -> None:
+        self.cls, self.cap = table.cls, cap  # as they were at its arrival
         self.id, self.table, self.deadline_us, self.born_us = event.request, table, event.deadline_us, now
         self.slots, self.memory, self.hint = event.slots, event.memory, event.effort_us
         self.key, self.open, self.streaming, self.over_share = event.key, True, False, False
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.edge import LONG, ROOT, Discovery, EdgeCase, Node, Worker, eventually
+from tests.edge import LONG, ROOT, SETTINGS, Discovery, EdgeCase, Node, Worker, eventually
 
 
 class Reloading(EdgeCase):
@@ -77,6 +77,49 @@
         node.reload(discovery=fresh.address)
         eventually(lambda: node.post("u")[1] == b"s2:u")
 
+    @staticmethod
+    def changed(change: dict[str, Any], place: int = 0) -> dict[str, Any]:
+        """Settings with one class changed; None takes a key out."""
+        rows = [dict(row) for row in SETTINGS["classes"]]
+        rows[place] = {k: v for k, v in (rows[place] | change).items() if v is not None}
+        return {"settings": {**SETTINGS, "classes": rows}}
+
+    def test_classes_appear_and_vanish_and_a_session_keeps_the_one_it_came_with(self) -> None:
+        tries: list[str] = []
+        gate = threading.Event()
+
+        def behave(job: str, nth: int) -> str:
+            tries.append(job)
+            if job == "open" and tries.count("open") == 1:
+                gate.wait(LONG)
+                return "lost"
+            return "failed" if job in ("strict", "few") else "done"
+
+        node = self.node(self.worker("s1", behave), self.worker("s2", behave))
+        for n in range(4):
+            node.post(f"warm{n}")
+        answers: list[Any] = []
+        thread = threading.Thread(target=lambda: answers.append(node.post("open")))
+        thread.start()
+        eventually(lambda: "open" in tries)
+        self.assertEqual(node.post("new", "fresh")[0], 404)
+        search, record, _ = SETTINGS["classes"]
+        rows = [{**search, "idempotency": "unsafe"}, {**record, "name": "fresh"}]
+        node.reload(settings={**SETTINGS, "classes": rows,
+                              "permissions": {**SETTINGS["permissions"], "sendCap": 2}})
+        eventually(lambda: node.counters().get("reloads_settings") == 1)
+        self.assertEqual(node.post("gone", "once")[0], 404)
+        self.assertEqual(node.post("new", "fresh", Idempotency_Key="k")[0], 200)
+        # Stricter from now on: what may have run is not sent again.
+        self.assertEqual((node.post("strict")[0], tries.count("strict")), (502, 1))
+        # Fewer attempts: a safe class's job ends after two.
+        self.assertEqual(node.post("few", "fresh", Idempotency_Key="k2")[0] // 100, 5)
+        self.assertLessEqual(tries.count("few"), 2)
+        # And the one that came before is still safe to repeat.
+        gate.set()
+        thread.join(LONG)
+        self.assertEqual((answers[0][0], tries.count("open")), (200, 2))
+
     def test_a_bad_file_changes_nothing_and_its_key_is_named(self) -> None:
         worker = self.worker("s1")
         discovery = self.discovery(worker)
@@ -85,7 +128,11 @@
         bad: list[tuple[str | None, dict[str, Any]]] = [
             ("{", {}), ("", {}), ("[]", {}), (None, {"discovery": "nowhere"}),
             (None, {"limits": {"sockets": "x"}}), (None, {"settings": {"classes": [{}]}}),
-            (None, {"seed": "z"})]
+            (None, {"seed": "z"}), (None, self.changed({"hardLimitUs": 0})),
+            (None, self.changed({"onTimeUs": "300"})), (None, self.changed({"group": None})),
+            (None, {"settings": {**SETTINGS, "permissions": {**SETTINGS["permissions"], "sendCap": -1}}}),
+            (None, {"settings": {k: v for k, v in SETTINGS.items() if k != "contract"}}),
+            (None, {"settings": {**SETTINGS, "classes": []}, "discovery": "127.0.0.1:1"})]
         for count, (text, changes) in enumerate(bad, 1):
             node.reload(text, **changes)
             eventually(lambda: node.counters().get("reloads_refused", 0) == count)  # noqa: B023
