--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -38,6 +38,7 @@
 SIGKILL_AFTER = timedelta(milliseconds=700)  # after that
 LEAVE_BEFORE = timedelta(milliseconds=600)  # clients move away this long before SIGKILL
 LONGEST_START = timedelta(seconds=1)  # a newcomer waits this long for the list before it serves
+LAST_JOB = timedelta(milliseconds=400)  # clients that could still come would have come since
 LAST_BEATS = timedelta(milliseconds=100)
 LAST_CALL = timedelta(milliseconds=150)  # and what is still owed then is answered
 
@@ -276,7 +277,7 @@
         assert self.stop_at is not None
         now = self.loop.now()
         # While a newcomer is about to serve, nobody else is there for new clients.
-        free = not self.core.owed and not self.front.connections and not self.succession.awaits
+        free = not self.core.owed and not self.succession.awaits and not self.front.busy(LAST_JOB)
         free = free and not (self.faktory and self.faktory.producers_owed())
         if free and not self.front.leaving:
             self._leave()
--- a/arrowfold/protocol/faktory.py
+++ b/arrowfold/protocol/faktory.py
@@ -40,7 +40,7 @@
 from arrowfold.transport.stream import Address, Broken, Late, Listener, Stream
 
 FETCH_BLOCK = timedelta(seconds=2)
-HELLO_LIMIT = timedelta(milliseconds=2200)  # from accept, as on the other front
+HELLO_LIMIT = timedelta(milliseconds=2700)  # from accept, as on the other front
 IDLE_LIMIT = timedelta(minutes=10)
 WRITE_LIMIT = timedelta(seconds=5)
 LINGER_LIMIT = timedelta(seconds=1)
--- a/arrowfold/protocol/faktory_wire.py
+++ b/arrowfold/protocol/faktory_wire.py
@@ -13,7 +13,7 @@
 from arrowfold.transport.stream import Broken, Stream
 
 MOST_LINE = 96 * 1024  # a job of 64 KiB, escaped, and its other fields
-COMMAND_LIMIT = timedelta(milliseconds=2500)  # from a command's first byte to its last
+COMMAND_LIMIT = timedelta(milliseconds=2700)  # from a command's first byte to its last
 HASH_ROUNDS = 1500
 OK = b"+OK\r\n"
 NIL = b"$-1\r\n"
--- a/arrowfold/protocol/front.py
+++ b/arrowfold/protocol/front.py
@@ -22,10 +22,11 @@
 from arrowfold.transport.stream import Address, Broken, Late, Listener, Stream
 
 IDLE_LIMIT = timedelta(seconds=75)  # between two requests
-FIRST_LIMIT = timedelta(milliseconds=2200)  # from accept to the first request's last byte
-REQUEST_LIMIT = timedelta(milliseconds=2500)  # from a later request's first byte to its last
+FIRST_LIMIT = timedelta(milliseconds=2700)  # from accept to the first request's last byte
+REQUEST_LIMIT = timedelta(milliseconds=2700)  # from a later request's first byte to its last
 SHORTEST_IDLE = timedelta(milliseconds=250)  # however many there are
 WRITE_LIMIT = timedelta(seconds=5)
+STILL_WRITES = timedelta(milliseconds=600)  # since its last byte
 STANDBY_AFTER = timedelta(milliseconds=500)  # clients' new connections have stopped by then
 STANDBY_STEP = timedelta(milliseconds=100)
 LINGER_LIMIT = timedelta(milliseconds=5500)  # from accept, for a client that still sends
@@ -51,8 +52,8 @@
 
     SILENT = timedelta(milliseconds=150)  # connected, and not a byte came
     LEAVING = timedelta(milliseconds=300)  # has had its error
-    LOOKING = timedelta(milliseconds=500)  # idle, and has asked for pages only
-    HALF = timedelta(milliseconds=1000)  # a part of a request has come
+    LOOKING = timedelta(milliseconds=100)  # idle, and has asked for pages only
+    HALF = timedelta(milliseconds=1000)  # a part of a request has come; counted from its last byte
     IDLE = timedelta(seconds=10)  # idle, and has handed in jobs
     OWED = None  # never closed: an answer is owed
 
@@ -75,6 +76,10 @@
     def enter(self, stage: Stage, now: timedelta) -> None:
         self.stage, self.since = stage, now
 
+    def unchanged(self) -> timedelta:
+        """Since when it stands as it does. Guards slow writers against those who stopped half way."""
+        return self.side.heard if self.stage is Stage.HALF else self.since
+
 
 class Front:
     """Listens for clients, reads their jobs, and writes their answers."""
@@ -88,11 +93,12 @@
         self.connections: set[Connection] = set()
         self.draining = self.leaving = self.standby = False
         self.starting, self.retired, self.sending_away = True, False, False
+        self.last_job = loop.now()
         self.held, self.most_held = 0, most_held  # bytes of all bodies
         self.idle: dict[Connection, None] = {}  # those between two jobs, the longest idle first
         self.most_idle = most_idle
-        self.listener = Listener(
-            loop, address, ClientShare(budget, share), self._accepted, self._make_room, sock=sock)
+        self.house = ClientShare(budget, share)
+        self.listener = Listener(loop, address, self.house, self._accepted, self._make_room, sock=sock)
         budget.sheds.append(self._make_room)
 
     # --- connections -----------------------------------------------------------------------------------
@@ -111,8 +117,8 @@
         """
         now = self.loop.now()
         may_go = [c for c in self.connections
-                  if c.stage.value is not None and now - c.since >= c.stage.value]
-        may_go.sort(key=lambda c: (_SHED_FIRST.index(c.stage), c.since))
+                  if c.stage.value is not None and now - c.unchanged() >= c.stage.value]
+        may_go.sort(key=lambda c: (_SHED_FIRST.index(c.stage), c.unchanged()))
         gone = may_go[:max(1, len(self.connections) // 8)]
         for connection in gone:
             self.counters["connections_closed_for_room"] += 1
@@ -144,6 +150,13 @@
             self.counters["connections_closed_as_idle"] += 1
             self._end(oldest)
 
+    def busy(self, quiet: timedelta) -> bool:
+        """Whether an answer is owed, a request is being written, or a job came less than a while ago."""
+        now = self.loop.now()
+        return now - self.last_job < quiet or any(
+            c.stage is Stage.OWED or (c.stage is Stage.HALF and now - c.unchanged() < STILL_WRITES)
+            for c in self.connections)
+
     def drain(self) -> None:
         """A planned restart: go on serving, on what clients have and on what still comes."""
         self.draining = True
@@ -243,12 +256,15 @@
             self.check(request)
         if job is None:
             status, body = self._page(urlsplit(request.target).path)
-            more = yield from self._reply(side, status, b"" if request.method == "HEAD" else body, [])
+            # Guards those with jobs: in a house that fills up, who only looks does not stay.
+            more = yield from self._reply(
+                side, status, b"" if request.method == "HEAD" else body, [], close=self.house.crowded())
         else:
             self._not_open(job.id)
             # Its time counts from its last byte.
             job = replace(job, deadline=self.loop.now() + wait, body=request.body)
             connection.rest = Stage.IDLE
+            self.last_job = self.loop.now()
             more = yield from self._answer(connection, job)
         self._hold(connection, 0)
         if more:
--- a/arrowfold/protocol/http.py
+++ b/arrowfold/protocol/http.py
@@ -43,9 +43,10 @@
         self.stream = stream
         self.wire = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         self.begun = False  # whether a part of the next request has come
+        self.heard = stream.loop.now()  # when the last bytes came
 
     def feed(self, data: bytes) -> None:
-        self.begun = self.begun or bool(data)
+        self.begun, self.heard = self.begun or bool(data), self.stream.loop.now()
         self.wire.receive_data(data)
 
     def read_head(self, until: timedelta) -> Steps[Request | None]:
--- a/arrowfold/transport/budget.py
+++ b/arrowfold/transport/budget.py
@@ -51,6 +51,10 @@
         most = self.budget.most_clients()
         return self.budget.clients < most and self.held < most * self.part
 
+    def crowded(self) -> bool:
+        """Whether half of it is taken."""
+        return self.held * 2 > self.budget.most_clients() * self.part
+
     def take(self) -> None:
         self.held += 1
         self.budget.clients += 1
