--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -303,10 +303,13 @@
         if len(self.mean) > 1:
             free.append(report.free_memory or 0.0)
         if not worker.size:
-            worker.size = list(self.kind_size.get(worker.kind, [1.0] * len(free)))
-        known = self.kind_size.setdefault(worker.kind, [1.0] * len(free))
-        for k, figure in enumerate(free):
-            worker.size[k], known[k] = max(worker.size[k], figure), max(known[k], figure)
+            # One figure for a kind: a worker that was never seen idle once counted as a fraction of its size.
+            blank = [1.0] * len(free)
+            worker.size = self.kind_size.setdefault(worker.kind, blank) if worker.kind else blank
+        # With two slots free nobody waits there, so each that it holds has one at least.
+        seen = [round(free[0]) + round(report.held or 0) if free[0] >= 1.5 else free[0], *free[1:]]
+        for k, figure in enumerate(seen):
+            worker.size[k] = max(worker.size[k], figure)
         worker.free, worker.heard_us = free, self.now
         self._own_lag(worker)
         for k, figure in enumerate(free):
