--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -42,6 +42,16 @@
         self.assertAlmostEqual(worker.others[0], 6.5, delta=1)
 
 
+    def test_a_newcomer_soon_knows_how_large_servers_are(self) -> None:
+        """Guards the time after a start: who was only seen busy counted as a fraction of its size."""
+        field = Recorder(settings(may_probe=True), roster(3, zones="a"))
+        one, two, _ = field.dispatcher.workers.values()
+        field.feed(api.ProbeEnded(one.name, api.Status.OK, 500, api.LoadReport(free_slots=2.02, held=3.1)))
+        field.feed(api.ProbeEnded(two.name, api.Status.OK, 500, api.LoadReport(free_slots=0, held=9)))
+        sizes = [field.dispatcher._size(worker)[0] for worker in field.dispatcher.workers.values()]
+        self.assertEqual(sizes, [5, 5, 5])
+
+
 class Keys(unittest.TestCase):
     def test_a_free_slot_pulls_the_waiting_job_whose_key_it_keeps(self) -> None:
         """Guards against fetches: pulled by worth alone, waiting jobs went where their shard was not kept."""
