--- a/tests/edge.py
+++ b/tests/edge.py
@@ -49,20 +49,31 @@
 
 class Quiet(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    cut = False  # whether every byte goes out by itself
 
     def log_message(self, *_: Any) -> None:
         pass
 
     def chunk(self, value: object) -> None:
         data = (json.dumps(value) if value is not None else "").encode() + b"\n"
-        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
-        self.wfile.flush()
+        self.say(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def say(self, data: bytes) -> None:
+        for part in [data[n:n + 1] for n in range(len(data))] if self.cut else [data]:
+            self.wfile.write(part)
+
+    def flush_headers(self) -> None:
+        self.say(b"".join(getattr(self, "_headers_buffer", [])))
+        self._headers_buffer: list[bytes] = []
 
 
 class Server:
     """A threaded HTTP server on a free port, closed with the test."""
 
     def __init__(self, handler: type[BaseHTTPRequestHandler]) -> None:
+        self.handler = handler
+
         class Silent(ThreadingHTTPServer):
             daemon_threads = True
 
@@ -97,7 +108,7 @@
                     self.send_header(name.replace("_", "-"), value)
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
-                self.wfile.write(body)
+                self.say(body)
 
             def do_POST(self) -> None:
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
@@ -122,7 +133,7 @@
                         return
                     result = f"{outer.uid}:{job}"
                     self.chunk({"id": job, "from": outer.uid, "state": how, "result": result, "load": LOAD})
-                    self.wfile.write(b"0\r\n\r\n")
+                    self.say(b"0\r\n\r\n")
 
         super().__init__(Handler)
 
