--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -214,13 +214,19 @@
             return 1.0
         return self.settings.cold_from + (1 - self.settings.cold_from) * max(0, age) / whole
 
-    def _cold_wait(self, worker: Worker, work_us: float) -> int:
+    def _cold_wait(self, worker: Worker, work_us: float) -> None:
         """When this dispatcher may next send to a cold worker: its part of a share of the budget.
 
-        Random times keep the dispatchers from coming in step.
+        Random times keep the dispatchers from coming in step. Who waits here is looked at right then.
         """
         rate = COLD_SHARE * self._cold_budget(worker) / self.settings.fleet_size
-        return self.now + 1 + int(self.random.expovariate(rate / max(work_us, 1.0)))
+        wait = 1 + int(self.random.expovariate(rate / max(work_us, 1.0)))
+        worker.cold_next_us = self.now + wait
+        self._after(wait, self._cold_pull, worker)
+
+    def _cold_pull(self, worker: Worker) -> None:
+        if self._load(worker, 0) < 1:
+            self._pull(worker)
 
     def _cold_budget(self, worker: Worker) -> float:
         return self.settings.overload_factor * self._size(worker)[0] * self._warmth(worker)
@@ -245,7 +251,7 @@
         """Rule 4: a cold worker gets light requests only, at a rate that holds for all dispatchers."""
         work = self._work_us(request) * request.slots
         if not worker.cold_next_us:
-            worker.cold_next_us = self._cold_wait(worker, work)
+            self._cold_wait(worker, work)
         # Guards against one heavy request that alone would spend the window's budget.
         light = COLD_PART * self._cold_budget(worker) * self.settings.overload_for_us
         return self.now >= worker.cold_next_us and work <= light
@@ -747,7 +753,7 @@
         self._count_out(worker, request, 1)
         self.out += 1
         if self._warmth(worker) < 1.0:
-            worker.cold_next_us = self._cold_wait(worker, self._work_us(request) * request.slots)
+            self._cold_wait(worker, self._work_us(request) * request.slots)
         self.actions.append(api.Send(request.id, worker.name))
         self._after(self._patience_us(request), self._overdue, request, len(request.attempts) - 1)
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -52,6 +52,28 @@
         self.assertEqual(sizes, [5, 5, 5])
 
 
+    def test_a_cold_servers_turn_pulls_a_job_that_waits(self) -> None:
+        """Guards those who wait: its turn once passed unless one of them looked for room just then."""
+        cold = settings(cold_us=9 * SECOND, cold_from=0.4, overload_factor=3.0, overload_for_us=SECOND)
+        field = Recorder(cold, roster(1, zones="a"))
+        for n in range(3):
+            field.arrive(f"warm{n}")
+            field.advance(field.now + SECOND // 5)
+            field.finish(f"warm{n}", 0, api.Status.OK, api.LoadReport(free_slots=5, held=0))
+        for n in range(30):
+            field.arrive(f"r{n}")
+        self.assertLess(len(field.sent), 20)
+        entry = api.RosterEntry("w1", "a", "std", launched_us=field.now)
+        field.feed(api.RosterUpdate(api.RosterMode.PARTIAL, (entry,)))
+        field.timers.clear()  # nothing ends, and nobody who waits looks by himself
+        field.dispatcher.actions = []
+        field.dispatcher._cold_wait(field.dispatcher.workers["w1"], SECOND / 5)
+        for action in field.dispatcher.actions:
+            field._check(action)
+        field.advance(field.now + 2 * SECOND)
+        self.assertIn("w1", [sent.worker for sent in field.sent])
+
+
 class Keys(unittest.TestCase):
     def test_a_free_slot_pulls_the_waiting_job_whose_key_it_keeps(self) -> None:
         """Guards against fetches: pulled by worth alone, waiting jobs went where their shard was not kept."""
