Routes and expectations of routing, checked without traffic; a command line and one KDL document

Operators could not say beside their configuration what they expect of routing, nor find out before a change goes live whether it still holds.

- routes/: an ordered table, first match wins, compiled to one intersection of bit sets a part and one radix look-up for networks; asked at one place in the core (`Core._route`).
The module chooses among what a route leaves (`Arrival.reach`): it tries the tiers in order and goes on when nobody seen has room.
`arrowfold check`, and `judge` over a trace.
- program/: click command line (`run`, `check`, `judge`, `try`), KDL document in place of edge.toml, spans by opentelemetry-sdk in a file, bounded, written by the loop.
- standins/: what tests used is a package now, used by `arrowfold try` too.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every target works from a fresh clone once `make build` has run.
 VENV ?= .dev-venv
 # Empty: the platform's front alone.
-EDGE = deploy/edge.toml
+EDGE = deploy/edge.kdl
 export PATH := $(CURDIR)/$(VENV)/bin:$(PATH)
 
 build:
@@ -13,9 +13,18 @@
 	mypy
 
 test:
-	python -m pytest
+	python -m pytest -n 4
 
 run:
-	trap '' HUP; exec python -m arrowfold $(EDGE)
+	trap '' HUP; exec python -m arrowfold $(if $(EDGE),run $(EDGE))
 
-.PHONY: build lint test run
+try:
+	arrowfold try
+
+check:
+	arrowfold check $(EDGE)
+
+benchmark:
+	python -m pytest benchmarks -q --benchmark-only
+
+.PHONY: build lint test run try check benchmark
--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -82,7 +82,7 @@
         self.homes: list[tuple[int, str]] = []
         self.kind_size: dict[str, list[float]] = {}
         self.struck = 0.0  # the mean of the serving workers' strikes for failed attempts
-        self.failed_asks, self.line_due, self.misses, self.out = 0, False, 0, 0
+        self.failed_asks, self.line_due, self.misses, self.out, self.fleet = 0, False, 0, 0, 0
         resources = 2 if settings.reports_memory else 1
         self.mean, self.spread = [0.5] * resources, 0.1  # L_avg^k, and how far loads lie from it
         self.others = [0.3] * resources  # what other dispatchers have at a worker, over its size, on average
@@ -195,7 +195,7 @@
     def _index_roster(self) -> None:
         """Rebuild what draws and trades sample from, and move tokens off workers that leave."""
         serving = [w for w in self.workers.values() if w.serving]
-        self.pools = {}
+        self.pools, self.fleet = {}, len(serving)
         for worker in serving:
             for kind in (None, worker.kind):
                 self.pools.setdefault((kind, worker.local), []).append(worker)
@@ -234,7 +234,7 @@
     def allowed(self, request: Request, worker: Worker) -> bool:
         """The one guard that every send passes: may this worker get this request now?"""
         settings, cls = self.settings, request.cls
-        if not request.open or request.streaming or not worker.serving:  # rules 1 and 3
+        if not (request.open and worker.serving and request.reaches(worker)) or request.streaming:  # 1 and 3
             return False
         if cls.kind not in (None, worker.kind) or not self._attempts_left(request):
             return False
@@ -440,8 +440,7 @@
         """N_i = ceil(L_i / L_g): add or recall tokens as the measured workload moves (ch. 5)."""
         workload = {
             name: t.rate.now(self.now) * t.run_us * t.slots / SECOND for name, t in self.tables.items()}
-        fleet = sum(len(p) for (kind, _), p in self.pools.items() if kind is None)
-        unit = sum(workload.values()) / max(1, fleet) / FINE
+        unit = sum(workload.values()) / max(1, self.fleet) / FINE
         if not 0.7 * self.unit < unit < 1.4 * self.unit:  # hysteresis: L_g stays while tokens trade
             self.unit = unit
         for name, table in self.tables.items():
@@ -547,10 +546,10 @@
         else:
             self._seek(request)
 
-    def _seek(self, request: Request) -> None:
-        """Draw a token and look at its holder first."""
+    def _seek(self, request: Request, tier: int = 0) -> None:
+        """Draw a token and look at its holder first, among what the route leaves up to this tier."""
         table = request.table
-        request.token = None
+        request.token, request.tier = None, tier
         if not self._attempts_left(request):
             self._stuck(request)
             return
@@ -559,10 +558,8 @@
         tried = [a.worker for a in request.attempts]
         token = self._draw(request, tried)
         if token and token.holder not in tried and self.allowed(request, token.holder):
-            request.token = token
-        if request.token is not None:
-            request.stage = HOLDER
-            self._ask(request, [request.token.holder])
+            request.token, request.stage = token, HOLDER
+            self._ask(request, [token.holder])
         else:
             self._widen(request, near=True)
 
@@ -571,13 +568,12 @@
 
         Guards a popular key's first home, and the others against fetches that its full queue would cause.
         """
-        fleet = sum(len(p) for (kind, _), p in self.pools.items() if kind is None)
-        return home.out[0] <= 1 + HOME_SHARE * self.out / max(1, fleet) and self._load(home, 0) < HOME_LOAD \
-            and self.now - home.full_us >= FULL_PART * self.run_us
+        return home.out[0] <= 1 + HOME_SHARE * self.out / max(1, self.fleet) \
+            and self._load(home, 0) < HOME_LOAD and self.now - home.full_us >= FULL_PART * self.run_us
 
     def _draw(self, request: Request, tried: list[Worker]) -> Token | None:
         """A token of the class: one that a home of the request's key holds, else any, by chance."""
-        tokens = request.table.tokens
+        tokens = request.within() if request.reach else request.table.tokens
         for home in self._homes_of(request)[:HOMES]:
             if home not in tried and self._home_will_do(home) and self.allowed(request, home):
                 token = next((t for t in home.tokens if t.table is request.table), None)
@@ -615,19 +611,21 @@
         best = self._pick(room, table)
         if best is not None:
             self.misses = 0
-        if best is None and request.stage == NEAR and (request.cls.kind, False) in self.pools:
-            self._widen(request, near=False)
-        elif best is None:
-            self._crowded(request, fit)
-        else:
             if token and token.holder is not best and token in request.table.tokens:
                 self._move(token, best)  # the drawn holder is full or barred: traded at once by C_j(w)
             self._send(request, best)
+        elif request.stage == NEAR and (request.cls.kind, False) in self.pools:
+            self._widen(request, near=False)
+        else:
+            self._crowded(request, fit)
 
     def _widen(self, request: Request, near: bool) -> None:
         tried = [a.worker for a in request.attempts]
         homes = self._homes_of(request)[0 if near else PARTNERS:]
         some = homes[:PARTNERS] or self._pool_pick(request.table, PARTNERS, near)
+        if request.reach:  # a few at random would miss a small region's room
+            some = [w for w in self.workers.values() if w.serving and request.reaches(w)]
+            some = self.random.sample(some, min(SAMPLE, len(some)))
         picked = [w for w in dict.fromkeys(some) if w not in tried and self.allowed(request, w)]
         if request.token and request.token.holder not in picked and not homes:
             picked.append(request.token.holder)
@@ -637,6 +635,9 @@
     def _crowded(self, request: Request, fit: list[Worker]) -> None:
         """Nobody seen has room: join a queue that is told to be short enough, else wait here."""
         table = request.table
+        if request.reach and request.tier < request.reach.last:
+            self._seek(request, request.tier + 1)  # the preferred regions have no room: the next one's turn
+            return
         # The last attempt is kept for a worker with room: a full queue turns requests away.
         if fit and not self.out:
             # Guards against figures that say zero for ever: who has nothing out believes none of them.
--- a/arrowfold/interface.py
+++ b/arrowfold/interface.py
@@ -187,6 +187,31 @@
     entries: tuple[RosterEntry, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Reach:
+    """The workers that a route leaves a request: zones in tiers, the preferred first, and kinds (empty: any).
+
+    With `others`, all other zones form a last tier.
+    """
+
+    zones: tuple[frozenset[str], ...] = ()
+    others: bool = True
+    kinds: frozenset[str] = frozenset()
+
+    @property
+    def last(self) -> int:
+        """The number of the last tier."""
+        return len(self.zones) - (not self.others) if self.zones else 0
+
+    def holds(self, zone: str, kind: str, tier: int) -> bool:
+        """Whether a worker of this zone and kind lies within the tiers up to this one."""
+        if self.kinds and kind not in self.kinds:
+            return False
+        if not self.zones or (self.others and tier >= len(self.zones)):
+            return True
+        return any(zone in zones for zones in self.zones[:tier + 1])
+
+
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """A request that this dispatcher now owes one final answer."""
@@ -200,6 +225,7 @@
     slots: float = 1.0
     memory: float = 0.0
     resent: bool = False
+    reach: Reach | None = None  # what a route leaves; None where there is no route
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/arrowfold/program/commands.py
@@ -0,0 +1,199 @@
+"""The command line: `run`, `check`, `judge`, `try`. The platform names no command and loads none of this."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import click
+
+from arrowfold.program.signals import Signals
+
+if TYPE_CHECKING:
+    from arrowfold.expectations.check import Report
+    from arrowfold.expectations.worlds import Plan
+    from arrowfold.program.edge import EdgeDocument
+
+FAULTY = 2
+BROKEN = 1
+_FILE = click.Path(path_type=Path, dir_okay=False)
+
+
+class Fault(click.ClickException):
+    """Something handed in is at fault: one line, and exit code 2."""
+
+    exit_code = FAULTY
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]}, no_args_is_help=False)
+@click.version_option(package_name="arrowfold")
+def cli() -> None:
+    """A multi-protocol edge: takes jobs, sends each to a backend server, gives each one final answer.
+
+    With no command at all, a node starts as the platform starts it, from EDGE_CONFIG alone. `arrowfold try`
+    shows a node at work and needs no configuration.
+    """
+
+
+@cli.command()
+@click.argument("edge_file", required=False, type=_FILE)
+@click.pass_obj
+def run(signals: Signals | None, edge_file: Path | None) -> None:
+    """Run a node.
+
+    EDGE_FILE is the deployment's KDL document, such as deploy/edge.kdl: the Faktory front, descriptions,
+    the trace, regions and routes. What the platform says comes by EDGE_CONFIG and the other EDGE_ variables.
+    SIGHUP reads both again, SIGTERM ends the node once nothing is owed.
+    """
+    from arrowfold.program.start import run_node
+
+    if edge_file is not None and edge_file.suffix == ".toml":
+        _read(edge_file)  # says which form the file has now
+    raise click.exceptions.Exit(run_node(edge_file, signals or Signals()))
+
+
+@cli.command()
+@click.argument("edge_file", type=_FILE)
+@click.option("--settings", type=_FILE, metavar="JSON",
+              help="The platform's configuration or its settings; else what the document's check names.")
+@click.option("--seed", default=1, show_default=True,
+              help="For the module's chance; the same seed, the same output.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object instead of lines.")
+@click.option("--replay", metavar="TOKEN", help="Tell one world step by step, and what it breaks.")
+@click.option("--only", metavar="NAME", multiple=True, help="Check this expectation alone; may be repeated.")
+def check(
+        edge_file: Path, settings: Path | None, seed: int, as_json: bool, replay: str | None,
+        only: tuple[str, ...],
+) -> None:
+    """Check what EDGE_FILE expects of routing, without a socket and without traffic.
+
+    Plays the node's own decisions through states of servers in virtual time. Exit code 0: everything holds;
+    1: something fails, or was never brought about; 2: the document is at fault.
+    """
+    from arrowfold.expectations.check import Check
+    from arrowfold.expectations.worlds import TokenError, World
+
+    document = _read(edge_file)
+    plan = _plan(document, settings)
+    expectations = [e for e in document.expectations if not only or e.name in only]
+    for name in only:
+        if all(name != e.name for e in expectations):
+            raise Fault(f"--only: no expectation is named {name!r}")
+    checking = Check(plan, expectations, seed)
+    if replay is not None:
+        try:
+            world = World.from_token(replay)
+        except TokenError as error:
+            raise Fault(f"--replay: {error}") from error
+        for line in checking.replay(world):
+            click.echo(line)
+        return
+    reports = checking.run()
+    _print(reports, as_json, {"worlds": checking.played, "seed": seed})
+
+
+@cli.command()
+@click.argument("edge_file", type=_FILE)
+@click.argument("trace", type=_FILE)
+@click.option("--fleet", type=_FILE, metavar="JSONL",
+              help="What the servers did themselves: lines with at, server and state.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object instead of lines.")
+def judge(edge_file: Path, trace: Path, fleet: Path | None, as_json: bool) -> None:
+    """Hold real traffic to what EDGE_FILE expects.
+
+    TRACE is the file that the document's trace node has a node write. Claims that count from what a server
+    did itself need --fleet. Exit codes as for check.
+    """
+    from arrowfold.expectations.check import Report
+    from arrowfold.expectations.claims import judge_all, share_owed
+    from arrowfold.program.judging import TraceError, read_history
+
+    document = _read(edge_file)
+    try:
+        history, dropped = read_history(trace, fleet)
+    except TraceError as error:
+        raise Fault(str(error)) from error
+    tallies = judge_all(history, document.expectations, document.routes.regions)
+    reports = []
+    for expectation, tally in zip(document.expectations, tallies, strict=True):
+        report = Report(expectation.name, expectation.path, "vacuous", bool(tally.applied), tally.good,
+                        len(tally.bad))
+        if tally.applied:
+            report.share = tally.good / tally.applied
+            report.verdict = "holds" if report.share >= share_owed(expectation.claim) else "fails"
+        if report.verdict == "fails":
+            report.broke = tally.bad[0].text
+        reports.append(report)
+    _print(reports, as_json, {"sessions": len(history.lives), "spans_dropped": dropped})
+
+
+@cli.command(name="try")
+@click.option("--jobs", default=12, show_default=True, type=click.IntRange(1, 500),
+              help="How many jobs to hand in.")
+def try_out(jobs: int) -> None:
+    """Start a node with stand-in servers, hand in jobs over both wires, and show the answers.
+
+    Needs no configuration, uses free ports of this machine's loopback address, and ends by itself.
+    """
+    from arrowfold.program.trial import Trial
+
+    raise click.exceptions.Exit(Trial(click.echo).run(jobs))
+
+
+def main(arguments: list[str], signals: Signals | None = None) -> int:
+    """Obey a command line; a fault is one line on standard error, and exit code 2."""
+    if arguments and arguments[0].endswith(".toml"):
+        arguments = ["run", *arguments]  # as nodes were started before there were commands
+    try:
+        code = cli.main(arguments, prog_name="arrowfold", standalone_mode=False, obj=signals)
+    except click.ClickException as error:
+        print(f"arrowfold: {' '.join(error.format_message().split())}", file=sys.stderr)
+        return FAULTY
+    except click.Abort:
+        return 130
+    return code if isinstance(code, int) else 0
+
+
+def _read(path: Path) -> EdgeDocument:
+    from arrowfold.program.document import DocumentError
+    from arrowfold.program.edge import read_edge
+
+    try:
+        return read_edge(path)
+    except DocumentError as error:
+        raise Fault(f"configuration: {error}") from error
+
+
+def _plan(document: EdgeDocument, settings: Path | None) -> Plan:
+    """What is checked: the settings, from the option or the document, and the fleet."""
+    from arrowfold.expectations.check import fleet_of
+    from arrowfold.expectations.claims import AtMostAt, Reaches
+    from arrowfold.expectations.worlds import Plan
+    from arrowfold.program.config import ConfigError, read_settings
+
+    path = settings or document.check.settings
+    if path is None:
+        raise Fault("configuration: check > settings is missing: name the settings there or by --settings")
+    try:
+        values, listed = read_settings(path)
+    except ConfigError as error:
+        raise Fault(f"configuration: {error}") from error
+    targets = [e.claim.target for e in document.expectations if isinstance(e.claim, Reaches | AtMostAt)]
+    kinds = {target.kind: None for target in targets if target.kind is not None}
+    fleet = fleet_of(values, document.routes, document.check.fleet or listed, kinds)
+    return Plan(values, document.routes, fleet)
+
+
+def _print(reports: list[Report], as_json: bool, about: dict[str, Any]) -> None:
+    broken = [report for report in reports if report.verdict != "holds"]
+    if as_json:
+        click.echo(json.dumps({**about, "expectations": [report.as_row() for report in reports]}, indent=1))
+    else:
+        for report in reports:
+            for line in report.lines():
+                click.echo(line)
+        click.echo(f"{len(reports)} expectations, {len(broken)} of them do not hold; " + ", ".join(
+            f"{name.replace('_', ' ')} {value}" for name, value in about.items()))
+    raise click.exceptions.Exit(BROKEN if broken else 0)
--- a/arrowfold/program/config.py
+++ b/arrowfold/program/config.py
@@ -1,37 +1,31 @@
 """The one place where configuration is read, checked and given defaults.
 
-A node's own figures come from the platform (EDGE_* variables and the JSON file that EDGE_CONFIG names);
-what this deployment adds, the Faktory front and the descriptions, from a TOML file named on the command line.
+A node's own figures come from the platform (EDGE_* variables and the JSON file that EDGE_CONFIG names); what
+this deployment adds, from a KDL document named on the command line, which `edge.py` beside this file reads.
 """
 
 from __future__ import annotations
 
 import json
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from arrowfold import interface as api
 from arrowfold.protocol.http import parse_address
 from arrowfold.simhost import build_settings, report_fields
 from arrowfold.transport.stream import Address
 
+if TYPE_CHECKING:
+    from arrowfold.program.edge import EdgeDocument, FaktoryConfig
+
 
 class ConfigError(Exception):
     """Names the key at fault."""
 
 
-@dataclass(frozen=True, slots=True)
-class FaktoryConfig:
-    """Where the Faktory front listens, and the password that it asks for, if any."""
-
-    listen: Address
-    password: str | None
-
-
 @dataclass(frozen=True, slots=True)
 class Config:
     """Everything that a node is told, checked."""
@@ -49,18 +43,28 @@
     connect_limit: timedelta
     most_sessions: int
     longest_deadline: timedelta
-    faktory: FaktoryConfig | None
-    openapi: Path | None
-    asyncapi: Path | None
     edge_file: Path | None
+    edge: EdgeDocument | None
     file: Mapping[str, Any]  # the platform's file, word for word
 
+    @property
+    def faktory(self) -> FaktoryConfig | None:
+        return self.edge.faktory if self.edge is not None else None
+
+    @property
+    def openapi(self) -> Path | None:
+        return self.edge.openapi if self.edge is not None else None
+
+    @property
+    def asyncapi(self) -> Path | None:
+        return self.edge.asyncapi if self.edge is not None else None
+
     def changed(self, other: Config) -> list[str]:
         """The keys in which another configuration differs from this one."""
         keys = sorted({*self.file, *other.file})
         return [key for key in keys if self.file.get(key) != other.file.get(key)] + [
-            key for key in ("faktory", "openapi", "asyncapi")
-            if getattr(self, key) != getattr(other, key)]
+            key for key in ("faktory", "openapi", "asyncapi", "trace")
+            if getattr(self.edge, key, None) != getattr(other.edge, key, None)]
 
 
 class _Reader:
@@ -96,32 +100,41 @@
     return value
 
 
-def _read_edge(path: Path | None) -> tuple[FaktoryConfig | None, Path | None, Path | None]:
-    """The deployment's own file: [faktory] and [descriptions], both optional."""
+def _read_edge(path: Path | None) -> EdgeDocument | None:
+    """The deployment's own document, if one is named; the platform's node loads none of its libraries."""
     if path is None:
-        return None, None, None
+        return None
+    from arrowfold.program.document import DocumentError
+    from arrowfold.program.edge import read_edge
+
     try:
-        values = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+        return read_edge(path)
+    except DocumentError as error:
+        raise ConfigError(str(error)) from error
+
+
+def read_settings(path: Path) -> tuple[api.Settings, list[tuple[str, str]]]:
+    """The platform's settings from a file, which may be a node's whole configuration; zones and kinds listed.
+
+    ConfigError names the file and the faulty key.
+    """
+    try:
+        value = json.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: {error}") from error
-    known = {"faktory": {"listen", "password"}, "descriptions": {"openapi", "asyncapi"}}
-    for table, row in values.items():
-        if table not in known or not isinstance(row, dict):
-            raise ConfigError(f"{path}: unknown key {table}")
-        for key in row:
-            if key not in known[table]:
-                raise ConfigError(f"{path}: unknown key {table}.{key}")
-    faktory = None
-    if "faktory" in values:
-        reader = _Reader(values["faktory"], f"{path}: faktory.")
-        listen = reader.address("listen")
-        if not listen[0].startswith("127."):
-            raise ConfigError(f"{path}: faktory.listen: {listen[0]} is no loopback address")
-        faktory = FaktoryConfig(listen, reader.get("password", str, None) or None)
-    reader = _Reader(values.get("descriptions", {}), f"{path}: descriptions.")
-    names = [reader.get(key, str, None) for key in ("openapi", "asyncapi")]
-    openapi, asyncapi = (path.parent / name if name else None for name in names)
-    return faktory, openapi, asyncapi
+    if not isinstance(value, dict):
+        raise ConfigError(f"{path}: not an object")
+    conf, known = value.get("settings", value), value.get("known")
+    targets = known.get("targets") if isinstance(known, dict) else None
+    pairs = [(str(target.get("az") or ""), str(target.get("model") or ""))
+             for target in targets or [] if isinstance(target, dict)]
+    try:
+        _check_figures(conf)
+        return build_settings(conf), pairs
+    except KeyError as error:
+        raise ConfigError(f"{path}: settings: key {error.args[0]} is missing") from error
+    except (ValueError, TypeError, AttributeError, IndexError) as error:
+        raise ConfigError(f"{path}: settings: {error}") from error
 
 
 def _check_figures(conf: Mapping[str, Any]) -> None:
@@ -202,7 +215,6 @@
     if memory < 16:
         raise ConfigError("limits.memory_mb must be at least 16")
     allowed = _Reader(conf.get("permissions") or {}, "settings.permissions.")
-    faktory, openapi, asyncapi = _read_edge(edge_file)
     return Config(
         name=reader.get("name", str, "node"), listen=reader.address("listen"),
         discovery=reader.address("discovery") if values.get("discovery") else None,
@@ -212,4 +224,4 @@
         connect_limit=timedelta(microseconds=allowed.get("connectTimeoutUs", int, 250_000)),
         most_sessions=allowed.get("openCap", int, 30_000),
         longest_deadline=timedelta(microseconds=max(c.deadline_us for c in settings.classes)),
-        faktory=faktory, openapi=openapi, asyncapi=asyncapi, edge_file=edge_file, file=file)
+        edge_file=edge_file, edge=_read_edge(edge_file), file=file)
--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -9,7 +9,7 @@
 import socket
 from collections import Counter
 from datetime import timedelta
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from arrowfold import interface as api
 from arrowfold.program.config import Config, ConfigError, read_config
@@ -23,12 +23,17 @@
 from arrowfold.protocol.front import Front
 from arrowfold.protocol.load import LoadReader
 from arrowfold.protocol.worker import SearchWorker
+from arrowfold.routes.rules import Router
 from arrowfold.routing.core import Core
 from arrowfold.transport.budget import Budget
 from arrowfold.transport.loop import Loop, Steps
 from arrowfold.transport.pool import Pools
 from arrowfold.transport.stream import Address
 
+if TYPE_CHECKING:
+    from arrowfold.program.edge import TraceConfig
+    from arrowfold.program.trace import TraceFile
+
 RESERVED = 48  # descriptors for the program itself, discovery and connections about to be closed
 IDLE_SHARE = 8  # one descriptor in this many may be a client's idle connection
 BODIES_SHARE = 8  # one part in this many of the memory may hold clients' bodies
@@ -60,8 +65,12 @@
         self.budget = budget = Budget(config.sockets - RESERVED)
         self.pools = Pools(budget)
         settings = config.settings
+        self.trace: TraceFile | None = None
         self.core = Core(
             settings, config.seed, self.loop, self.counters, self._ask_list, self.log, config.most_sessions)
+        self.core.routes = compile_routes(config)
+        if config.edge is not None and config.edge.trace is not None:
+            self._open_trace(config.edge.trace)
         self.core.held_elsewhere, self.core.on_session = self.succession.holds, self.succession.note_session
         self.loads = LoadReader(config.meanings)
         self.idle = _idle_span(settings)
@@ -86,6 +95,16 @@
         except OSError as error:
             raise ConfigError(f"admin: {error}") from error
 
+    def _open_trace(self, config: TraceConfig) -> None:
+        from arrowfold.program.trace import TraceFile
+
+        try:
+            self.trace = TraceFile(self.loop, config, self.config.name, self.counters, self.log)
+        except OSError as error:
+            raise ConfigError(f"trace > file: {error}") from error
+        self.core.observer = self.trace
+        self.trace.settled(self.config.settings)
+
     # --- operators ---------------------------------------------------------------------------------------
 
     def _obey(self, call: Call) -> Steps[str]:
@@ -204,6 +223,8 @@
         self._start_when_known(self.loop.now() + LONGEST_START)
         self.loop.run()
         self.succession.withdraw()
+        if self.trace is not None:
+            self.trace.close()
         self._print_counters()
         return 0
 
@@ -244,6 +265,7 @@
         self.counters["reloads"] += 1
         try:
             fresh = read_config(os.environ, self.config.edge_file, self.config, self.running)
+            routes = compile_routes(fresh)
         except Exception as error:  # whatever a file may hold, the node goes on
             self.counters["reloads_refused"] += 1
             self.log(f"reload: configuration: {error}; going on with the old one")
@@ -256,6 +278,11 @@
             self.log(f"reload: settings: classes {', '.join(c.name for c in fresh.settings.classes)}; "
                      f"{fresh.settings.attempt_cap} attempts")
             self.core.change_settings(fresh.settings, fresh.most_sessions)
+        if fresh.edge is not None and self.running.edge is not None \
+                and fresh.edge.routes != self.running.edge.routes:
+            self.counters["reloads_routes"] += 1
+            self.core.routes = routes
+            self.log(f"reload: routes: {len(fresh.edge.routes.rules)} rules; open sessions keep theirs")
         self.running, self.idle = fresh, _idle_span(fresh.settings)
         self.classes.clear()
         self.classes.update({c.name: c for c in fresh.settings.classes})
@@ -298,6 +325,15 @@
         self.log("counters " + json.dumps(dict(sorted(self.counters.items()))))
 
 
+def compile_routes(config: Config) -> Router | None:
+    """The route table of a configuration; None, and no library loaded, where it has no rules."""
+    if config.edge is None or not config.edge.routes.rules:
+        return None
+    from arrowfold.routes.table import RouteTable
+
+    return RouteTable(config.edge.routes)
+
+
 def _idle_span(settings: api.Settings) -> timedelta:
     """A connection is closed here well before the far side would close it under a request."""
     return timedelta(microseconds=settings.connection_idle_us or 30_000_000) * 0.8
--- /dev/null
+++ b/arrowfold/program/start.py
@@ -0,0 +1,27 @@
+"""Starts a node and runs it to its end."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+from arrowfold.program.config import ConfigError, read_config
+from arrowfold.program.node import Node
+from arrowfold.program.signals import Signals
+from arrowfold.protocol.descriptions import DescriptionError
+
+FAULTY = 2
+
+
+def run_node(edge_file: Path | None, signals: Signals) -> int:
+    """The exit code of a node; a bad configuration ends it with one line and code 2."""
+    try:
+        node = Node(read_config(os.environ, edge_file), signals)
+    except (ConfigError, DescriptionError) as error:
+        print(f"arrowfold: configuration: {error}", file=sys.stderr)
+        return FAULTY
+    except OSError as error:
+        print(f"arrowfold: configuration: listen: {error}", file=sys.stderr)
+        return FAULTY
+    return node.run()
--- a/arrowfold/protocol/faktory.py
+++ b/arrowfold/protocol/faktory.py
@@ -218,7 +218,7 @@
 
     def _push(self, peer: Peer, fields: dict[str, Any]) -> Steps[bytes]:
         """One session, from PUSH to its reply."""
-        job = self._read_job(fields)
+        job = self._read_job(fields, peer.commands.stream.peer)
         answer = yield from peer.hand_in(
             self.loop, self.core, job, peer.commands.stream, peer.commands.peer_gone)
         if answer is None:
@@ -230,7 +230,7 @@
         after = f"; retry after {answer.retry_after.total_seconds():.3f} s" if answer.retry_after else ""
         return error_reply(f"denied: job {job.id} may be pushed again{after}")
 
-    def _read_job(self, fields: dict[str, Any]) -> Job:
+    def _read_job(self, fields: dict[str, Any], client: str | None) -> Job:
         """The job that a PUSH hands in, or what is wrong with it."""
         for key, kind in (("jid", str), ("jobtype", str), ("args", list)):
             if not isinstance(fields.get(key), kind) or (kind is str and not fields[key]):
@@ -252,13 +252,15 @@
             span = timedelta(milliseconds=_number(custom, "expires_in_ms", 0))
         effect_key = custom.get("idempotency_key", jid) if cls.idempotency is api.Idempotency.KEYED else None
         for name, text in (("key", custom.get("key")), ("tenant", custom.get("tenant")),
+                           ("region", custom.get("region")),
                            ("idempotency_key", effect_key)):
             if text is not None and not (isinstance(text, str) and text.isascii() and text.isprintable()):
                 raise CommandError(f"PUSH: custom.{name} is no plain text")
         return Job(
             jid, cls.name, self.loop.now() + min(span, LONGEST_WAIT), json.dumps(fields["args"]).encode(),
             custom.get("key"), effect_key, custom.get("tenant"), None,
-            _number(custom, "slots", 1.0), _number(custom, "memory", 0.0), False, PushedJob(fields))
+            _number(custom, "slots", 1.0), _number(custom, "memory", 0.0), False,
+            custom.get("region"), client, PushedJob(fields))
 
     # --- workers -----------------------------------------------------------------------------------------
 
--- a/arrowfold/protocol/front.py
+++ b/arrowfold/protocol/front.py
@@ -262,7 +262,7 @@
         else:
             self._not_open(job.id)
             # Its time counts from its last byte.
-            job = replace(job, deadline=self.loop.now() + wait, body=request.body)
+            job = replace(job, deadline=self.loop.now() + wait, body=request.body, client=side.stream.peer)
             connection.rest = Stage.IDLE
             self.last_job = self.loop.now()
             more = yield from self._answer(connection, job)
@@ -353,7 +353,8 @@
         job = Job(
             headers["x-trace-id"], name, ZERO, b"", keys[0] if keys else None,
             headers.get("idempotency-key"), headers.get("x-customer"), None,
-            props.get("slots", 1.0), props.get("memory", 0.0), headers.get("x-second-try") == "1", request)
+            props.get("slots", 1.0), props.get("memory", 0.0), headers.get("x-second-try") == "1",
+            headers.get("x-region"), None, request)
         return job, wait
 
     def _not_open(self, job_id: str) -> None:
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -12,6 +12,7 @@
 
 from arrowfold import interface as api
 from arrowfold.choice import Dispatcher
+from arrowfold.routes.rules import Router, Subject
 from arrowfold.routing.session import (
     Answer,
     Client,
@@ -21,6 +22,7 @@
     Expired,
     Job,
     Left,
+    Observer,
     Probe,
     Progress,
     Session,
@@ -49,6 +51,8 @@
         self.owed = 0  # sessions with no final answer yet
         self._inbox: deque[tuple[Session, object]] = deque()
         self._draining = False
+        self.routes: Router | None = None  # None: every job may go anywhere
+        self.observer: Observer | None = None
         # Where another process serves this node too: what it has open, and what it is told of.
         self.held_elsewhere: Callable[[str], bool] = lambda job_id: False
         self.on_session: Callable[[str, bool], None] = lambda job_id, opened: None
@@ -63,7 +67,7 @@
             update = self.table.change(source, rows)
         else:
             update = self.table.replace(source, rows, mode)
-        self._consult(update)
+        self._tell_list(update)
         self._drain()
 
     def list_failed(self) -> None:
@@ -74,21 +78,28 @@
     def change_settings(self, settings: api.Settings, most_sessions: int) -> None:
         """Other settings from now on; open sessions keep their class."""
         self.settings, self.most_sessions = settings, most_sessions
+        if self.observer is not None:
+            self.observer.settled(settings)
         self._consult(api.SettingsChanged(settings))
         self._drain()
 
     def take_out(self, name: str) -> None:
         """Maintenance: nothing more goes to this server until it is brought back."""
         server = self.table.find(name)
-        self._consult(self.table.take_out(name))
+        self._tell_list(self.table.take_out(name))
         if server is not None:
             server.rest()
         self._drain()
 
     def bring_back(self, name: str) -> None:
-        self._consult(self.table.bring_back(name, to_us(self.clock.now())))
+        self._tell_list(self.table.bring_back(name, to_us(self.clock.now())))
         self._drain()
 
+    def _tell_list(self, update: api.RosterUpdate) -> None:
+        if self.observer is not None:
+            self.observer.listed(update, self.table.out)
+        self._consult(update)
+
     def ready(self) -> bool:
         return self.table.serving() > 0
 
@@ -100,6 +111,8 @@
         session = Session(job, client)
         self.counters["taken"] += 1
         self.owed += 1
+        if self.observer is not None:
+            self.observer.taken(session)
         if len(self.sessions) >= self.most_sessions:  # guards the memory: nothing is held for this one
             self.counters["over_capacity"] += 1
             self._answer(session, Answer(Verdict.DENIED))
@@ -108,7 +121,7 @@
         self.on_session(job.id, True)
         session.timer = self.clock.call_at(job.deadline, lambda: self._tell(session, Expired()))
         session.life = self._life(session)
-        next(session.life)
+        self._step(session, None)
         self._drain()
         return session
 
@@ -127,16 +140,20 @@
     def _life(self, session: Session) -> Generator[None, object, None]:
         """One session from its arrival to its last outcome."""
         job = session.job
+        may_go, reach = self._route(session)
         # The module chooses: to send, to let the session wait, or to deny it.
-        self._consult(api.Arrival(
-            job.id, job.request_class, to_us(job.deadline), job.key, job.tenant,
-            None if job.effort is None else to_us(job.effort), job.slots, job.memory, job.resent))
+        if may_go:
+            self._consult(api.Arrival(
+                job.id, job.request_class, to_us(job.deadline), job.key, job.tenant,
+                None if job.effort is None else to_us(job.effort), job.slots, job.memory, job.resent, reach))
         while not session.answered or session.out():
             happening = yield
             match happening:
                 case api.Send():
                     self._dispatch(session, happening)
                 case Progress(dispatch, share) if not dispatch.over:
+                    if self.observer is not None:
+                        self.observer.progressed(dispatch, share)
                     self._consult(api.AttemptProgress(job.id, dispatch.number, share))
                 case Ended(dispatch, status, body, load) if not dispatch.over:
                     self._close(dispatch)
@@ -155,6 +172,8 @@
                     self.counters["client_left"] += 1
                     session.answered = True
                     self.owed -= 1
+                    if self.observer is not None:
+                        self.observer.answered(session, None)
                     self._consult(api.Withdrawn(job.id))
                 case Expired():
                     self._expire(session)
@@ -163,6 +182,27 @@
         del self.sessions[job.id]
         self.on_session(job.id, False)
 
+    def _route(self, session: Session) -> tuple[bool, api.Reach | None]:
+        """The one place where the routes are asked: whether the job may go on, and what they leave it."""
+        if self.routes is None:
+            return True, None
+        job = session.job
+        found = self.routes.find(
+            Subject(job.request_class, job.region, job.key, job.tenant, job.client, job.resent))
+        if found is None:
+            return True, None
+        rule, reach = found
+        session.rule = rule.name
+        self.counters["routes_matched"] += 1
+        if not rule.action.deny:
+            return True, reach
+        self.counters["routes_denied"] += 1
+        retry_after = rule.action.retry_after if self.settings.retry_after else None
+        if retry_after is not None:
+            retry_after = min(retry_after, from_us(self.settings.max_retry_after_us))
+        self._answer(session, Answer(Verdict.DENIED, retry_after=retry_after))
+        return False, None
+
     def _dispatch(self, session: Session, order: api.Send) -> None:
         now, number = self.clock.now(), len(session.dispatches)
         server = self.table.find(order.worker)
@@ -181,6 +221,8 @@
         if order.timeout_us:
             until = min(now + from_us(order.timeout_us), session.job.deadline)
             dispatch.timer = self.clock.call_at(until, lambda: self._time_out(dispatch))
+        if self.observer is not None:
+            self.observer.dispatched(dispatch)
         server.send(dispatch)
 
     def _time_out(self, dispatch: Dispatch) -> None:
@@ -201,6 +243,8 @@
 
     def _told_end(self, dispatch: Dispatch, status: api.Status, load: api.LoadReport | None) -> None:
         self.counters[f"outcome_{status.name.lower()}"] += 1
+        if self.observer is not None:
+            self.observer.ended(dispatch, status, load)
         elapsed = to_us(self.clock.now() - dispatch.sent)
         session = dispatch.session
         self._consult(api.AttemptEnded(
@@ -224,6 +268,8 @@
         self.counters[f"answered_{answer.verdict.value}"] += 1
         if self.clock.now() > session.job.deadline:
             self.counters["answered_late"] += 1
+        if self.observer is not None:
+            self.observer.answered(session, answer)
         session.client.answer(answer)
 
     # --- the module ------------------------------------------------------------------------------------
@@ -284,6 +330,8 @@
             probe.timer.cancel()
         self.counters["probes_ok" if status is api.Status.OK else "probes_failed"] += 1
         elapsed = to_us(self.clock.now() - probe.sent)
+        if self.observer is not None:
+            self.observer.probed(probe.server_name, status, load)
         self._consult(api.ProbeEnded(probe.server_name, status, elapsed, load))
         self._drain()
 
@@ -299,14 +347,19 @@
         try:
             while self._inbox:
                 session, happening = self._inbox.popleft()
-                if session.life is not None:
-                    try:
-                        session.life.send(happening)
-                    except StopIteration:
-                        session.life = None
+                self._step(session, happening)
         finally:
             self._draining = False
 
+    @staticmethod
+    def _step(session: Session, happening: object) -> None:
+        """Let a session go on, if it has not ended; nothing has happened yet at its first step."""
+        if session.life is not None:
+            try:
+                session.life.send(happening)
+            except StopIteration:
+                session.life = None
+
 
 class _Nobody:
     """Stands in for a backend server that the table no longer holds."""
--- a/arrowfold/routing/session.py
+++ b/arrowfold/routing/session.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Collection, Generator
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -54,6 +54,8 @@
     slots: float = 1.0
     memory: float = 0.0
     resent: bool = False
+    region: str | None = None  # the region tag that its client gave it
+    client: str | None = None  # the address that its client called from
     origin: Any = None
 
 
@@ -83,7 +85,8 @@
 class Dispatch:
     """One attempt of a session at a backend server."""
 
-    __slots__ = ("_report", "errand", "number", "over", "sent", "server", "server_name", "session", "timer")
+    __slots__ = (
+        "_report", "errand", "number", "over", "sent", "server", "server_name", "session", "span", "timer")
 
     def __init__(
             self, session: Session, number: int, server_name: str, server: BackendServer, sent: timedelta,
@@ -93,6 +96,7 @@
         self.sent, self.over, self._report = sent, False, report
         self.timer: Cancellable | None = None
         self.errand: Any = None  # what the wire keeps of it
+        self.span: Any = None  # what an observer keeps of it
 
     @property
     def job(self) -> Job:
@@ -154,14 +158,44 @@
     """The session's deadline has come."""
 
 
+class Observer(Protocol):
+    """Is told what the core does, as it happens. It must not call back into the core, nor raise."""
+
+    def settled(self, settings: api.Settings) -> None:
+        """These settings hold from now on."""
+
+    def listed(self, update: api.RosterUpdate, out: Collection[str]) -> None:
+        """The module was told this of the server table; `out` are the servers in maintenance."""
+
+    def taken(self, session: Session) -> None:
+        """A session has begun."""
+
+    def dispatched(self, dispatch: Dispatch) -> None:
+        """An attempt was sent to a backend server."""
+
+    def progressed(self, dispatch: Dispatch, share: float | None) -> None:
+        """It has started (`share` is None), or a part of it is done."""
+
+    def ended(self, dispatch: Dispatch, status: api.Status, load: api.LoadReport | None) -> None:
+        """It has had its one outcome."""
+
+    def probed(self, server: str, status: api.Status, load: api.LoadReport | None) -> None:
+        """A probe has had its one result."""
+
+    def answered(self, session: Session, answer: Answer | None) -> None:
+        """The session's final answer, or None where its client had left."""
+
+
 class Session:
     """A job that was taken: it is owed exactly one final answer."""
 
-    __slots__ = ("answered", "client", "dispatches", "job", "life", "timer")
+    __slots__ = ("answered", "client", "dispatches", "job", "life", "rule", "span", "timer")
 
     def __init__(self, job: Job, client: Client) -> None:
         self.job, self.client = job, client
         self.answered = False
+        self.rule: str | None = None  # the route's rule that held for it
+        self.span: Any = None  # what an observer keeps of it
         self.dispatches: list[Dispatch] = []
         self.life: Generator[None, object, None] | None = None
         self.timer: Cancellable | None = None
--- a/arrowfold/state.py
+++ b/arrowfold/state.py
@@ -60,8 +60,8 @@
 
     __slots__ = (
         "attempts", "awaiting", "born_us", "candidates", "cap", "cls", "deadline_us", "hint", "homes",
-        "homes_of", "id", "key", "memory", "open", "over_share", "slots", "stage", "streaming", "table",
-        "token", "wave",
+        "homes_of", "id", "key", "memory", "open", "over_share", "reach", "slots", "stage", "streaming",
+        "table", "tier", "token", "wave",
     )
 
     def __init__(self, event: api.Arrival, table: Table, now: int, cap: int = 1) -> None:
@@ -70,12 +70,21 @@
         self.slots, self.memory, self.hint = event.slots, event.memory, event.effort_us
         self.key, self.open, self.streaming, self.over_share = event.key, True, False, False
         self.attempts: list[Attempt] = []
-        self.awaiting = self.stage = self.wave = 0
+        self.awaiting = self.stage = self.wave = self.tier = 0
+        self.reach = event.reach
         self.candidates: list[Worker] = []
         self.token: Token | None = None
         self.homes: list[Worker] = []
         self.homes_of: object = None
 
+    def reaches(self, worker: Worker) -> bool:
+        """Whether the route leaves this worker, up to the tier that is looked at."""
+        return self.reach is None or self.reach.holds(worker.zone, worker.kind, self.tier)
+
+    def within(self) -> list[Token]:
+        """The class's tokens that lie within reach."""
+        return [token for token in self.table.tokens if self.reaches(token.holder)]
+
     def out(self) -> int:
         """How many attempts have no outcome yet."""
         return sum(not a.ended for a in self.attempts)
--- a/arrowfold/transport/stream.py
+++ b/arrowfold/transport/stream.py
@@ -31,13 +31,14 @@
 class Stream:
     """One connection. One task reads; writes wait for room, so that nothing piles up here."""
 
-    __slots__ = ("closed", "connected", "loop", "on_idle_event", "reader", "sock", "writer")
+    __slots__ = ("closed", "connected", "loop", "on_idle_event", "peer", "reader", "sock", "writer")
 
     def __init__(
             self, loop: Loop, sock: socket.socket, connected: bool, urgent: bool = False,
     ) -> None:
         self.loop, self.sock, self.connected = loop, sock, connected
         self.closed = False
+        self.peer: str | None = None  # the other side's address, of a connection that was accepted
         self.reader: Task | None = None
         self.writer: Task | None = None
         self.on_idle_event: Callable[[], None] | None = None
@@ -221,7 +222,7 @@
                 self._again(RETRY_ACCEPT)
                 return
             try:
-                sock, _ = self.sock.accept()
+                sock, address = self.sock.accept()
             except (BlockingIOError, InterruptedError):
                 return
             except ConnectionError:
@@ -234,7 +235,9 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.house.take()
-            self.on_stream(Stream(self.loop, sock, connected=True, urgent=self.urgent))
+            stream = Stream(self.loop, sock, connected=True, urgent=self.urgent)
+            stream.peer = address[0]
+            self.on_stream(stream)
         self._again(ZERO)  # guards who is served already against a crowd that comes all at once
 
     def released(self) -> None:
--- a/tests/test_descriptions.py
+++ b/tests/test_descriptions.py
@@ -9,8 +9,9 @@
 
 import yaml
 
+from arrowfold.standins.producers import Client
 from tests.edge import LONG, ROOT, SETTINGS, Node, free_port, request_class
-from tests.test_faktory import Client, FaktoryCase
+from tests.test_faktory import FaktoryCase
 
 OPENAPI = yaml.safe_load((ROOT / "deploy/openapi.yaml").read_text())
 ASYNCAPI = yaml.safe_load((ROOT / "deploy/asyncapi.yaml").read_text())
@@ -27,8 +28,8 @@
 class Described(FaktoryCase):
     def described(self, *workers: Any) -> Node:
         self.port = free_port()
-        text = (ROOT / "deploy/edge.toml").read_text().replace("7419", str(self.port))
-        text = text.replace('api = "', f'api = "{ROOT}/deploy/')
+        text = (ROOT / "deploy/edge.kdl").read_text().replace("7419", str(self.port))
+        text = text.replace('api "', f'api "{ROOT}/deploy/')
         return self.node(*workers, edge=text, settings=HERE)
 
     def test_every_described_operation_is_served_as_described(self) -> None:
@@ -87,7 +88,8 @@
     def refused(self, key: str, text: str) -> str:
         """The one line with which the program refuses a document."""
         (self.folder / "document.yaml").write_text(text)
-        edge = f"[faktory]\nlisten = '127.0.0.1:{free_port()}'\n[descriptions]\n{key} = 'document.yaml'\n"
+        edge = f'faktory {{\n listen "127.0.0.1:{free_port()}"\n}}\n' \
+               f'descriptions {{\n {key} "document.yaml"\n}}\n'
         node = self.node(wait=False, edge=edge)
         self.assertEqual(node.process.wait(LONG), 2)
         (line,) = node.close().splitlines()
@@ -119,7 +121,7 @@
             self.assertIn(place, line)
 
     def test_a_missing_document_is_named(self) -> None:
-        edge = "[descriptions]\nopenapi = 'nowhere.yaml'\n"
+        edge = 'descriptions {\n openapi "nowhere.yaml"\n}\n'
         node = self.node(wait=False, edge=edge)
         self.assertEqual(node.process.wait(LONG), 2)
         self.assertIn(str(Path("nowhere.yaml")), node.close())
--- a/tests/test_faktory.py
+++ b/tests/test_faktory.py
@@ -2,67 +2,21 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 import queue
 import socket
 import threading
 from typing import Any
 
+from arrowfold.standins.producers import Client
 from tests.edge import LONG, QUICK, EdgeCase, Node, eventually, free_port, in_threads
 
 
-class Client:
-    """One Faktory connection: a producer, and with a wid a worker."""
-
-    def __init__(self, port: int, wid: str | None = None, password: str | None = None, **hello: Any) -> None:
-        self.sock = socket.create_connection(("127.0.0.1", port), timeout=LONG)
-        self.lines = self.sock.makefile("rb")
-        self.hi = json.loads(self.lines.readline().removeprefix(b"+HI "))
-        fields: dict[str, Any] = {"v": 2, **hello}
-        if wid is not None:
-            fields["wid"] = wid
-        if password is not None:
-            digest = (password + self.hi["s"]).encode()
-            for _ in range(self.hi["i"]):
-                digest = hashlib.sha256(digest).digest()
-            fields["pwdhash"] = digest.hex()
-        self.greeted = self.call("HELLO", fields)
-
-    def call(self, word: str, argument: object = None) -> Any:
-        """A command's reply: text of +OK or -ERR, a bulk's JSON, or None."""
-        text = argument if isinstance(argument, str) else json.dumps(argument) if argument is not None else ""
-        self.sock.sendall(f"{word} {text}".strip().encode() + b"\r\n")
-        return self.reply()
-
-    def reply(self) -> Any:
-        line = self.lines.readline().decode().rstrip("\r\n")
-        if not line.startswith("$"):
-            return line
-        size = int(line[1:])
-        return None if size < 0 else json.loads(self.lines.read(size + 2))
-
-    def fetch(self) -> dict[str, Any]:
-        """The next job, however many empty answers come before it."""
-        while (job := self.call("FETCH", "default")) is None:
-            pass
-        assert isinstance(job, dict), job
-        return job
-
-    def push(self, jid: str, name: str = "search", **fields: Any) -> str:
-        reply = self.call("PUSH", {"jid": jid, "jobtype": name, "args": [jid], **fields})
-        assert isinstance(reply, str)
-        return reply
-
-    def close(self) -> None:
-        self.lines.close()
-        self.sock.close()
-
-
 class FaktoryCase(EdgeCase):
     def edge(self, *workers: Any, extra: str = "", **options: Any) -> Node:
         self.port = free_port()
-        return self.node(*workers, edge=f"[faktory]\nlisten = '127.0.0.1:{self.port}'\n{extra}", **options)
+        edge = f'faktory {{\n listen "127.0.0.1:{self.port}"\n {extra}\n}}\n'
+        return self.node(*workers, edge=edge, **options)
 
     def client(self, wid: str | None = None, **hello: Any) -> Client:
         client = Client(self.port, wid, **hello)
@@ -302,7 +256,7 @@
         self.assertEqual(node.post("t")[0], 200)
 
     def test_hello_wants_the_version_and_the_password(self) -> None:
-        self.edge(extra="password = 'secret'")
+        self.edge(extra='password "secret"')
         self.assertEqual(self.client(password="secret").greeted, "+OK")
         self.assertRegex(self.client(password="wrong").greeted, "^-ERR .*password")
         self.assertRegex(self.client(v=1, password="secret").greeted, "^-ERR .*v must be 2")
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import ast
+import subprocess
+import sys
 import unittest
 from pathlib import Path
 
@@ -10,10 +12,18 @@
 MODULE = {"choice", "interface", "state"}
 MAY_USE = {
     "transport": {"transport"},
-    "routing": {"routing", *MODULE},
+    "routes": {"routes", "interface"},
+    "routing": {"routing", "routes", *MODULE},
+    "expectations": {"expectations", "routing", "routes", "interface"},
     "protocol": {"protocol", "routing", "transport", "interface"},
-    "program": {"program", "protocol", "routing", "transport", "simhost", *MODULE},
+    "standins": {"standins"},
+    "program": {"program", "protocol", "expectations", "routing", "routes", "transport", "standins",
+                "simhost", *MODULE},
 }
+NO_IO = ("routes", "expectations")
+IO = {"socket", "os", "io", "pathlib", "select", "time", "subprocess", "threading", "asyncio", "logging",
+      "sys"}
+NODE_NEEDS = {"h11"}  # of what is installed, all that a node of the platform's may load
 WIRE_WORDS = ("socket", "http", "h11", "faktory", "epoll", "select")
 
 
@@ -38,6 +48,21 @@
                     if name.startswith("arrowfold"):
                         self.assertIn(name.split(".")[1], allowed, f"{path}: {name}")
 
+    def test_what_is_settled_apart_does_no_input_or_output(self) -> None:
+        for layer in NO_IO:
+            for path in (PACKAGE / layer).glob("*.py"):
+                self.assertFalse({n.split(".")[0] for n in imported(path)} & IO, path)
+                self.assertNotIn("open(", path.read_text(encoding="utf-8"), path)
+
+    def test_the_platforms_node_loads_only_what_it_needs(self) -> None:
+        code = ("import sys; from arrowfold.program import config, node; "
+                "print(*sorted({m.split('.')[0] for m in sys.modules}))")
+        loaded = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.split()
+        ours = {"arrowfold", *NODE_NEEDS, *sys.stdlib_module_names}
+        extra = {name for name in loaded if name not in ours and not name.startswith(("_", "sitecustomize"))}
+        self.assertLessEqual(extra, {"__editable___arrowfold_0_1_0_finder"})
+
     def test_the_core_knows_no_wire(self) -> None:
         for path in (PACKAGE / "routing").glob("*.py"):
             text = path.read_text(encoding="utf-8").lower()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -154,8 +154,8 @@
     def test_a_bad_configuration_is_one_line_that_names_the_key(self) -> None:
         for changes, name in (({"listen": "nowhere"}, "listen"), ({"settings": {}}, "settings"),
                               ({"limits": {"sockets": "x"}}, "limits.sockets"), ({"seed": "xyz"}, "seed"),
-                              ({"edge": "[faktory]\nlisten = '10.0.0.1:1'"}, "faktory.listen"),
-                              ({"edge": "[factory]"}, "factory")):
+                              ({"edge": 'faktory {\n listen "10.0.0.1:1"\n}'}, "faktory > listen"),
+                              ({"edge": "factory"}, "factory")):
             node = self.node(wait=False, **changes)
             self.assertEqual(node.process.wait(LONG), 2)
             (line,) = node.close().splitlines()
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -46,7 +46,7 @@
 
     def test_faktory_commands_come_byte_by_byte(self) -> None:
         port = free_port()
-        node = self.node(self.worker("s1"), edge=f'[faktory]\nlisten = "127.0.0.1:{port}"')
+        node = self.node(self.worker("s1"), edge=f'faktory {{\n listen "127.0.0.1:{port}"\n}}\n')
         with socket.create_connection(("127.0.0.1", port), timeout=LONG) as sock:
             replies = sock.makefile("rb")
             self.assertTrue(replies.readline().startswith(b"+HI"))
