Judge traffic by the expectations that the check plays, and put 33 faults in to see who notices

`check` could not be believed without real traffic beside it, nor without faults that it must find.

- Operators' calls, probes' reports and what is served while there was room are part of a history now: a maintenance that a list undoes shows, which it did not before.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -419,8 +419,8 @@
             planned = len(worker.tokens) / max(self._size(worker)[0], 1.0) / 4
             return self._cost(worker, table) + planned, self.random.random()
 
-        ranked = sorted(workers, key=price)
-        return ranked[0] if ranked else None
+        seen = list(workers)
+        return min(seen, key=price) if seen else None
 
     def _grant(self, table: Table) -> bool:
         holder = self._cheapest(table, self._sample(table, SAMPLE))
@@ -573,13 +573,13 @@
 
     def _draw(self, request: Request, tried: list[Worker]) -> Token | None:
         """A token of the class: one that a home of the request's key holds, else any, by chance."""
-        tokens = request.within() if request.reach else request.table.tokens
         for home in self._homes_of(request)[:HOMES]:
             if home not in tried and self._home_will_do(home) and self.allowed(request, home):
                 token = next((t for t in home.tokens if t.table is request.table), None)
                 if token is not None:
                     return token
-        return self.random.choice(tokens) if tokens else None
+        drawn = (self.random.choice(request.table.tokens) for _ in range(SAMPLE if request.reach else 1))
+        return next((t for t in drawn if request.reaches(t.holder)), None) if request.table.tokens else None
 
     def _homes_of(self, request: Request) -> list[Worker]:
         """The workers that every dispatcher names for this key, in one order.
--- a/arrowfold/expectations/check.py
+++ b/arrowfold/expectations/check.py
@@ -28,11 +28,13 @@
 from arrowfold.routes.table import holds, read_network
 
 LAGS = (0, 400, 1200, 3000)  # ms
+TOLD_LATE = ("drain", "gone", "vanish", "restart")  # events that the list brings
 GAPS = (150, 30)  # ms between arrivals: a trickle, and a burst
 MOMENTS = (0, 60, 330)  # ms: before the first arrival, in the middle of its dispatch, between two
 STEP = 50  # ms: how exactly the border of a lag is found
 DENSE_GAP = 20  # ms between arrivals while it is looked for
-ARRIVALS = {150: 12, 30: 24}
+ARRIVALS = {150: 12, 30: 20}
+COLD_ARRIVALS = {150: 12, 30: 48}  # a cold server's budget shows over a second and a half
 EXHAUSTIVE = 1500  # worlds; where all combinations are no more, all are played
 NO_REGION: list[str | None] = [None]
 FEW = 40  # worlds that stand for all when a setting's part in a verdict is looked for
@@ -109,8 +111,8 @@
         self.regions = plan.routes.regions
         self.played = 0
 
-    def run(self) -> list[Report]:
-        """A report for each expectation, in their order."""
+    def run(self, explain: bool = True) -> list[Report]:
+        """A report for each expectation, in their order; with `explain`, why one does not hold."""
         worlds = self.worlds()
         reports = [Report(e.name, e.path, "vacuous") for e in self.expectations]
         first_bad: list[list[World]] = [[] for _ in self.expectations]
@@ -126,11 +128,12 @@
             expectation, bad = self.expectations[number], first_bad[number]
             if not report.worlds:
                 report.verdict = "vacuous"
-                self._explain_vacuous(expectation, report, worlds)
+                if explain:
+                    self._explain_vacuous(expectation, report, worlds)
                 continue
             report.share = report.good / (report.good + report.bad)
             report.verdict = "holds" if report.share >= share_owed(expectation.claim) else "fails"
-            if report.verdict == "fails" and bad:
+            if report.verdict == "fails" and bad and explain:
                 self._explain(expectation, report, bad)
         return reports
 
@@ -169,23 +172,27 @@
         rng = random.Random(self.seed)
         worlds = []
         for subject, load, ending, event, target, lag, at, servers, gap in rows:
-            told_late = event in ("drain", "gone", "vanish", "restart")
+            told_late = event in TOLD_LATE
+            arrivals = COLD_ARRIVALS if event in ("restart", "back") else ARRIVALS
             worlds.append(World(
                 subject.request_class, subject.region, subject.key, subject.tenant, subject.client,
                 subject.resent, servers=servers, load=load, ending=ending, event=event,
                 target=target if event != "none" else "one", at=at if event != "none" else 300,
-                lag=lag if told_late else 0, arrivals=ARRIVALS[gap], gap=gap, seed=rng.randrange(1, 10_000)))
+                lag=lag if told_late else 0, arrivals=arrivals[gap], gap=gap, seed=rng.randrange(1, 10_000)))
         return list(dict.fromkeys(worlds))
 
     def _triples(self, jobs: Sequence[Subject]) -> Iterator[tuple[Any, ...]]:
-        """Triples of job, event and lag, and of job, event and ending; the rest in turn."""
+        """Triples of job, event and moment, with every lag; of class, ending and load; the rest in turn."""
         turn = 0
-        for subject, event in product(jobs, EVENTS):
-            for lag in LAGS if event in ("drain", "gone", "vanish", "restart") else (0,):
+        for subject, event in product(jobs, EVENTS[1:]):
+            for at, lag in product(MOMENTS, LAGS) if event in TOLD_LATE else product(MOMENTS, (0,)):
                 turn += 1
-                yield (subject, LOADS[turn % 2], "served", event, TARGETS[turn % 3], lag,
-                       MOMENTS[turn // 2 % 3], 1 + turn % 2, GAPS[turn // 3 % 2])
-        for subject, ending, load in product(jobs, ENDINGS, LOADS):
+                if event in TOLD_LATE and (turn + at) % 2:  # half of these; pairs of lag and moment remain
+                    continue
+                yield (subject, LOADS[turn % 2], "served", event, TARGETS[turn // 2 % 3], lag, at,
+                       1 + turn // 3 % 2, GAPS[turn // 5 % 2])
+        plain = {subject.request_class: subject for subject in reversed(jobs)}.values()
+        for subject, ending, load in product(plain, ENDINGS, LOADS):
             yield subject, load, ending, "none", "one", 0, 0, 1, GAPS[0]
 
     def subjects(self) -> list[Subject]:
@@ -194,8 +201,8 @@
         found = {Subject(name): None for name in classes}
         matches = [rule.match for rule in self.plan.routes.rules]
         matches += [expectation.when.match for expectation in self.expectations]
-        for match in matches:
-            found.update(dict.fromkeys(_subjects_of(match, classes)))
+        for number, match in enumerate(matches):
+            found.update(dict.fromkeys(_subjects_of(match, classes, number)))
         return list(found)
 
     def _tallies(
@@ -221,6 +228,7 @@
             report.routed_by = _path_of(found[0])
         if not quiet:
             self._find_border(expectation, report)
+            world = report.world
         settings = [s for s in self.settings() if s.path != expectation.path]
         plan, left = self.plan, settings
         for setting in settings:  # without whatever it breaks without as well
@@ -233,7 +241,7 @@
 
     def _smallest(self, expectation: Expectation, world: World) -> World:
         """Simpler one step at a time, as long as it still breaks."""
-        steps: list[dict[str, Any]] = [{"arrivals": n} for n in (1, 2, 3, 4, 6, 8, 10, 12, 16, 20)]
+        steps: list[dict[str, Any]] = [{"arrivals": n} for n in (1, 2, 3, 4, 6, 8, 10, 12, 16, 20, 30)]
         steps += [{"event": "none", "lag": 0, "target": "one"}, {"ending": "served"}, {"load": "idle"},
                   {"lag": 0}, {"servers": 1}, {"target": "one"}, {"at": 0}, {"tenant": None}, {"key": None},
                   {"client": None}, {"region": None}, {"resent": False}, {"seed": 1}]
@@ -250,25 +258,31 @@
 
     def _find_border(self, expectation: Expectation, report: Report) -> None:
         """The least lag that breaks it, to STEP; arrivals come close together, so that none slips by."""
-        world = report.world
-        assert world is not None
-        span = world.lag + 1500
-        dense = replace(world, gap=DENSE_GAP, arrivals=min(1000, span // DENSE_GAP))
-        if self._breaks(expectation, dense, self.plan) is None:
-            return
-        low, high = 0, dense.lag  # holds at low, breaks at high
-        if self._breaks(expectation, replace(dense, lag=0), self.plan) is not None:
-            return
+        assert report.world is not None
+        span = report.world.lag + 1500
+        base = replace(report.world, gap=DENSE_GAP, arrivals=min(1000, span // DENSE_GAP))
+        plain = replace(base, load="idle", ending="served")
+        # Befalls it all, each job shows it at once; but then what it takes to break it may be missing.
+        for dense in dict.fromkeys((base, *(replace(plain, target=target) for target in TARGETS))):
+            if self._breaks(expectation, dense, self.plan) is None \
+                    or self._breaks(expectation, replace(dense, lag=0), self.plan) is not None:
+                continue
+            border = self._least_lag(expectation, dense)
+            if report.border_ms is None or border < report.border_ms:
+                report.border_ms, report.world = border, replace(dense, lag=border)
+        finding = self._breaks(expectation, report.world, self.plan)
+        report.broke = finding.text if finding is not None else report.broke
+
+    def _least_lag(self, expectation: Expectation, world: World) -> int:
+        """It holds with no lag and breaks with the world's: the border between, in milliseconds."""
+        low, high = 0, world.lag
         while high - low > STEP:
-            middle = (low + high) // 2 // STEP * STEP
-            middle = middle if middle > low else low + STEP
-            if self._breaks(expectation, replace(dense, lag=middle), self.plan) is not None:
+            middle = max((low + high) // 2 // STEP * STEP, low + STEP)
+            if self._breaks(expectation, replace(world, lag=middle), self.plan) is not None:
                 high = middle
             else:
                 low = middle
-        report.border_ms, report.world = high, replace(dense, lag=high)
-        finding = self._breaks(expectation, report.world, self.plan)
-        report.broke = finding.text if finding is not None else report.broke
+        return high
 
     def _explain_vacuous(self, expectation: Expectation, report: Report, worlds: Sequence[World]) -> None:
         """The settings without which it would apply."""
@@ -353,14 +367,17 @@
 # --- parts of a plan -----------------------------------------------------------------------------------
 
 
-def _subjects_of(match: Match, classes: Sequence[str]) -> Iterator[Subject]:
-    """A job of each class that a match lets through, with the first of each thing that it names."""
+def _subjects_of(match: Match, classes: Sequence[str], number: int) -> Iterator[Subject]:
+    """Jobs that a match lets through: of each class that it names, else of one, in turn.
+
+    They have the first of each other thing that it names, and each region.
+    """
     key = min(match.keys, default=None) or min(match.key_prefixes, default=None)
     client = None
     if match.networks:
         network = read_network(min(match.networks))
         client = str(network.ip + (1 if network.size > 2 else 0))
-    for name in sorted(match.classes & set(classes)) if match.classes else classes:
+    for name in sorted(match.classes & set(classes)) if match.classes else [classes[number % len(classes)]]:
         for region in sorted(match.regions) or NO_REGION:
             yield Subject(name, region, key, min(match.tenants, default=None), client, bool(match.retry))
 
--- a/arrowfold/expectations/claims.py
+++ b/arrowfold/expectations/claims.py
@@ -162,25 +162,38 @@
 
 @dataclass(frozen=True, slots=True)
 class Repeated:
-    """A session whose first attempt was not served is dispatched again, if there is time and room."""
+    """A session whose first attempt was not served, or is silent, is sent again, given time and room."""
 
     within: timedelta
+    of_silence: bool = False  # counted from an attempt that has not even been told to have started
 
     def judge(
             self, view: View, regions: Regions, life: Life, attempts: Sequence[Attempt]) -> Iterator[Finding]:
-        if not attempts or attempts[0].number or attempts[0].ended is None:
+        if not attempts or attempts[0].number or life.verdict == "left":
             return
-        first, until = attempts[0], attempts[0].ended + self.within
-        if first.status is None or first.status.name in ("OK", "CANCELLED") or until > life.deadline:
+        first = attempts[0]
+        since = self._since(first)
+        if since is None or since + self.within > life.deadline:
             return
-        if life.verdict == "left":
-            return
-        if not (view.any_room(first.ended) and view.any_room(until)):  # type: ignore[arg-type]
+        until = since + self.within
+        if not (view.any_room(since) and view.any_room(until)):
             return  # nowhere to go, or not for long
         again = any(a.sent <= until for a in life.attempts[1:])
+        status = first.status.name.lower() if first.status is not None else "out"
+        how = "was silent" if self.of_silence else f"ended {status}"
         yield Finding(again, until, "" if again else
-                      f"{life.id}: attempt 0 at {first.server} ended as {first.status.name.lower()} at "
-                      f"{seconds(first.ended)} and no other followed within {seconds(self.within)}")  # type: ignore[arg-type]
+                      f"{life.id}: attempt 0 at {first.server} {how} at {seconds(since)}, and no other "
+                      f"followed within {seconds(self.within)}")
+
+    def _since(self, first: Attempt) -> timedelta | None:
+        """When it was clear that another is needed; None if it never was."""
+        if self.of_silence:
+            given_up = first.status is not None and first.status.name in ("CANCELLED", "TIMEOUT")
+            words = [t for t in (first.started, None if given_up else first.ended) if t is not None]
+            return first.sent if all(t > first.sent + self.within for t in words) else None
+        if first.status is None or first.status.name in ("OK", "CANCELLED"):
+            return None
+        return first.ended
 
 
 @dataclass(frozen=True, slots=True)
@@ -255,6 +268,28 @@
                      if a.ended is not None and a.status is not None and a.status.name == "OK"), None)
 
 
+@dataclass(frozen=True, slots=True)
+class Served:
+    """The session is served, if from its arrival to its answer some server, of a region where one is named,
+    had room, and no attempt of it failed."""
+
+    region: str | None = None
+
+    def judge(
+            self, view: View, regions: Regions, life: Life, attempts: Sequence[Attempt]) -> Iterator[Finding]:
+        if life.answered is None or life.verdict == "left" or any(
+                a.status is not None and a.status.name not in ("OK", "FULL") for a in life.attempts):
+            return
+        zones = regions[self.region] if self.region is not None else None
+        steps = [life.arrived + (life.answered - life.arrived) * part / 4 for part in range(5)]
+        if not all(view.any_room(at, zones) for at in steps):
+            return
+        ok = life.verdict == "served"
+        yield Finding(ok, life.answered, "" if ok else
+                      f"{life.id} was answered {life.verdict} after {seconds(life.answered - life.arrived)}, "
+                      f"while {self.region or 'some server'} had room")
+
+
 @dataclass(frozen=True, slots=True)
 class AtMostAt:
     """In any time so long, one server in that state is reached at most so often, by all sessions together."""
--- a/arrowfold/expectations/history.py
+++ b/arrowfold/expectations/history.py
@@ -47,7 +47,7 @@
     server: str
     zone: str
     kind: str
-    state: State  # in service, draining, gone, or in maintenance
+    state: State  # in service, draining or gone
     launched: timedelta | None = None  # None: long ago
 
 
@@ -60,6 +60,15 @@
     state: State
 
 
+@dataclass(frozen=True, slots=True)
+class Call:
+    """An operator's call: a server is out for maintenance from now on, or back."""
+
+    at: timedelta
+    server: str
+    out: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Report:
     """What a server answered to a probe: its free slots."""
@@ -108,6 +117,7 @@
     cold: timedelta = ZERO  # how long a server is cold after its start
     sights: list[Sight] = field(default_factory=list)
     own: list[Own] = field(default_factory=list)
+    calls: list[Call] = field(default_factory=list)
     reports: list[Report] = field(default_factory=list)  # those of probes
     lives: list[Life] = field(default_factory=list)
     kinds: dict[str, str | None] = field(default_factory=dict)  # the one kind that runs a class, if any
@@ -164,11 +174,14 @@
         """
         if own:
             return _run(self._own.get(server, []), state, at)
+        if state is State.MAINTENANCE:
+            return self._out_since(server, at)
         if state is State.COLD:
             sight = self.sight(server, at)
             if sight is None or sight.launched is None or at >= sight.launched + self.history.cold:
                 return None
-            return max(sight.launched, self._sights[server][0].at)
+            # The node can know of a start only once it was told.
+            return next(s.at for s in self._sights[server] if s.launched == sight.launched)
         if state is State.SILENT:
             return self._silent_since(server, at)
         if state is State.FULL:
@@ -188,6 +201,14 @@
                      if s.state is own.state and s.at >= own.at), None)
         return (told.at if told is not None else self.history.until) - own.at
 
+    def _out_since(self, server: str, at: timedelta) -> timedelta | None:
+        """Since when an operator has had it out; called out twice, it is out since the first time."""
+        since = None
+        for call in self.history.calls:
+            if call.server == server and call.at <= at:
+                since = (since if since is not None else call.at) if call.out else None
+        return since
+
     def _last_word(self, server: str, at: timedelta, of_room: bool = False) -> Report | None:
         words = self._words.get(server, [])
         number = bisect_right(words, at, key=_at)
@@ -216,8 +237,11 @@
         """Whether any server is in a state at a moment."""
         return any(self.since(server, state, at, own) is not None for server in self._sights)
 
-    def any_room(self, at: timedelta) -> bool:
-        return any(self.has_room(server, at) for server in self._sights)
+    def any_room(self, at: timedelta, zones: Collection[str] | None = None) -> bool:
+        """Whether some server, of these zones where they are named, surely has room."""
+        if zones is None:
+            return any(self.has_room(server, at) for server in self._sights)
+        return not self.region_is(zones, State.FULL, at)
 
     def has_room(self, server: str, at: timedelta) -> bool:
         """Whether a server would surely do, as the node could know: in service, warm, not silent, not full.
@@ -270,16 +294,14 @@
 _NO_WORD = frozenset({None, api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT})
 
 
-def sights_of(
-        at: timedelta, update: api.RosterUpdate, out: Collection[str], known: dict[str, Sight],
-) -> Iterable[Sight]:
+def sights_of(at: timedelta, update: api.RosterUpdate, known: dict[str, Sight]) -> Iterable[Sight]:
     """What one update of the list says, as sights; `known` holds the last of each server and is kept."""
     if update.mode is api.RosterMode.ERROR:
         return
     listed = set()
     for entry in update.entries:
         listed.add(entry.worker)
-        state = State.MAINTENANCE if entry.worker in out else LISTED[entry.lifecycle]
+        state = LISTED[entry.lifecycle]
         launched = timedelta(microseconds=entry.launched_us) if entry.launched_us else None
         known[entry.worker] = Sight(at, entry.worker, entry.zone, entry.kind, state, launched)
         yield known[entry.worker]
--- a/arrowfold/expectations/worlds.py
+++ b/arrowfold/expectations/worlds.py
@@ -19,6 +19,7 @@
 from arrowfold.expectations.history import (
     ZERO,
     Attempt,
+    Call,
     History,
     Life,
     Own,
@@ -175,8 +176,11 @@
         self.history.cold = timedelta(microseconds=settings.cold_us)
         self.history.kinds = {cls.name: cls.kind for cls in settings.classes}
 
-    def listed(self, update: api.RosterUpdate, out: Collection[str]) -> None:
-        self.history.sights += sights_of(self.now(), update, out, self.known)
+    def listed(self, update: api.RosterUpdate) -> None:
+        self.history.sights += sights_of(self.now(), update, self.known)
+
+    def called(self, server: str, out: bool) -> None:
+        self.history.calls.append(Call(self.now(), server, out))
 
     def taken(self, session: Session) -> None:
         job = session.job
--- a/arrowfold/program/edge.py
+++ b/arrowfold/program/edge.py
@@ -24,7 +24,7 @@
 STATES = tuple(state.value for state in State)
 OWN_STATES = ("in-service", "draining", "gone")
 CLAIMS = ("never-reaches", "only-reaches", "prefers", "goes-over", "at-most-attempts", "not-repeated",
-          "repeated", "one-copy", "denied", "answered", "at-most-at")
+          "repeated", "one-copy", "denied", "answered", "served", "at-most-at")
 EVENTS = ("arrival", "deadline", "start", "end")
 VERDICTS = ("served", "denied", "failed")
 MOST_TRACE = 100  # MiB
@@ -288,10 +288,10 @@
 
 
 def _repeated(place: Place, regions: Mapping[str, frozenset[str]]) -> Claim:
-    place.check(props=("within",))
+    place.check(props=("within", "of"))
     within = place.prop_span("within", timedelta(seconds=1))
     assert within is not None
-    return claims.Repeated(within)
+    return claims.Repeated(within, place.prop_choice("of", ("end", "silence"), "end") == "silence")
 
 
 def _one_copy(place: Place, regions: Mapping[str, frozenset[str]]) -> Claim:
@@ -314,6 +314,12 @@
     return claims.Answered(within, place.prop_choice("of", EVENTS, "arrival"), verdict)
 
 
+def _served(place: Place, regions: Mapping[str, frozenset[str]]) -> Claim:
+    place.check(props=("region",))
+    region = place.prop_text("region")
+    return claims.Served(_region(place, region, regions) if region is not None else None)
+
+
 def _at_most_at(place: Place, regions: Mapping[str, frozenset[str]]) -> Claim:
     place.check(props=("state", "region", "kind", "after", "from", "per"), args=1)
     per = place.prop_span("per")
@@ -323,9 +329,10 @@
 
 
 _READERS: dict[str, Callable[[Place, Mapping[str, frozenset[str]]], Claim]] = {
-    "never-reaches": _reaches, "only-reaches": _reaches, "prefers": _prefers, "goes-over": _goes_over,
-    "at-most-attempts": _attempts, "not-repeated": _not_repeated, "repeated": _repeated,
-    "one-copy": _one_copy, "denied": _denied, "answered": _answered, "at-most-at": _at_most_at}
+    "never-reaches": _reaches, "only-reaches": _reaches, "prefers": _prefers,
+    "goes-over": _goes_over, "at-most-attempts": _attempts, "not-repeated": _not_repeated,
+    "repeated": _repeated, "one-copy": _one_copy, "denied": _denied, "answered": _answered, "served": _served,
+    "at-most-at": _at_most_at}
 
 
 def _check(place: Place | None) -> CheckConfig:
--- a/arrowfold/program/judging.py
+++ b/arrowfold/program/judging.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from arrowfold import interface as api
-from arrowfold.expectations.history import ZERO, Attempt, History, Life, Own, Report, Sight, State
+from arrowfold.expectations.history import ZERO, Attempt, Call, History, Life, Own, Report, Sight, State
 from arrowfold.routes.rules import Subject
 
 EPOCH = datetime(1970, 1, 1)
@@ -44,6 +44,8 @@
                     history.sights.append(Sight(
                         begin, attributes["server"], attributes["zone"], attributes["kind"],
                         State(attributes["state"]), launched if launched else None))
+                case "call":
+                    history.calls.append(Call(begin, attributes["server"], attributes["out"]))
                 case "report":
                     history.reports.append(Report(begin, attributes["server"], attributes["free_slots"]))
                 case "session":
--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -165,6 +165,9 @@
         assert self.inherited is not None
         state = self.inherited.state
         self.core.table.out.update(state.get("maintenance") or {})
+        if self.trace is not None:
+            for name in self.core.table.out:
+                self.trace.called(name, True)
         self.core.table.back.update({n: tuple(pair) for n, pair in (state.get("back") or {}).items()})
         if state.get("standby"):
             self._apply("standby", "")
--- a/arrowfold/program/trace.py
+++ b/arrowfold/program/trace.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -53,8 +53,11 @@
             "cold_us": settings.cold_us, "classes": [cls.name for cls in settings.classes],
             "kinds": [cls.kind or "" for cls in settings.classes]})
 
-    def listed(self, update: api.RosterUpdate, out: Collection[str]) -> None:
-        for sight in sights_of(self.loop.now(), update, out, self._known):
+    def called(self, server: str, out: bool) -> None:
+        self._moment("call", {"server": server, "out": out})
+
+    def listed(self, update: api.RosterUpdate) -> None:
+        for sight in sights_of(self.loop.now(), update, self._known):
             self._moment("server", {
                 "server": sight.server, "zone": sight.zone, "kind": sight.kind, "state": sight.state.value,
                 "launched_us": to_us(sight.launched) if sight.launched is not None else 0})
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -86,18 +86,22 @@
     def take_out(self, name: str) -> None:
         """Maintenance: nothing more goes to this server until it is brought back."""
         server = self.table.find(name)
+        if self.observer is not None:
+            self.observer.called(name, True)
         self._tell_list(self.table.take_out(name))
         if server is not None:
             server.rest()
         self._drain()
 
     def bring_back(self, name: str) -> None:
+        if self.observer is not None:
+            self.observer.called(name, False)
         self._tell_list(self.table.bring_back(name, to_us(self.clock.now())))
         self._drain()
 
     def _tell_list(self, update: api.RosterUpdate) -> None:
         if self.observer is not None:
-            self.observer.listed(update, self.table.out)
+            self.observer.listed(update)
         self._consult(update)
 
     def ready(self) -> bool:
--- a/arrowfold/routing/session.py
+++ b/arrowfold/routing/session.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Generator
+from collections.abc import Callable, Generator
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -164,8 +164,11 @@
     def settled(self, settings: api.Settings) -> None:
         """These settings hold from now on."""
 
-    def listed(self, update: api.RosterUpdate, out: Collection[str]) -> None:
-        """The module was told this of the server table; `out` are the servers in maintenance."""
+    def listed(self, update: api.RosterUpdate) -> None:
+        """The module was told this of the server table."""
+
+    def called(self, server: str, out: bool) -> None:
+        """An operator has called a server out for maintenance, or back."""
 
     def taken(self, session: Session) -> None:
         """A session has begun."""
--- a/arrowfold/standins/servers.py
+++ b/arrowfold/standins/servers.py
@@ -65,7 +65,7 @@
 
 
 class Worker(Server):
-    """A stand-in search worker. `behave` says per job how it ends: a state, a status, or "reset"."""
+    """A stand-in search worker. `behave` says per job how it ends: a state, a status, "reset" or "mute"."""
 
     def __init__(
             self, uid: str, behave: Callable[[str, int], str | int] = lambda job, nth: "done",
@@ -94,7 +94,10 @@
                 job = self.headers["X-Trace-Id"]
                 outer.jobs.append((job, self.path, {k.lower(): v for k, v in self.headers.items()}, body))
                 how = behave(job, sum(row[0] == job for row in outer.jobs))
-                if how == 503:
+                if how == "mute":  # takes it and says nothing
+                    outer.release.wait(LONG)
+                    self.close_connection = True
+                elif how == 503:
                     self.plain(503, X_Never_Ran="1")
                 elif isinstance(how, int):
                     self.plain(how)
--- a/arrowfold/state.py
+++ b/arrowfold/state.py
@@ -81,10 +81,6 @@
         """Whether the route leaves this worker, up to the tier that is looked at."""
         return self.reach is None or self.reach.holds(worker.zone, worker.kind, self.tier)
 
-    def within(self) -> list[Token]:
-        """The class's tokens that lie within reach."""
-        return [token for token in self.table.tokens if self.reaches(token.holder)]
-
     def out(self) -> int:
         """How many attempts have no outcome yet."""
         return sum(not a.ended for a in self.attempts)
--- /dev/null
+++ b/benchmarks/faults.py
@@ -0,0 +1,362 @@
+"""Single faults, put into the decisions, the core or the routes at run time; for each, who is to notice.
+
+`python -m benchmarks.faults` plays the whole document against each fault, over all cores, and prints the
+table of docs/mutations.md.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import tempfile
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+from unittest.mock import patch
+
+from arrowfold import interface as api
+from arrowfold.choice import Dispatcher
+from arrowfold.expectations.check import Check
+from arrowfold.program.commands import _plan
+from arrowfold.program.edge import EdgeDocument, read_edge
+from arrowfold.routes.rules import Action
+from arrowfold.routes.table import RouteTable, _KeyPart, _NetworkPart, _Part
+from arrowfold.routing.core import Core
+from arrowfold.routing.session import Answer
+from arrowfold.routing.table import ServerTable
+from arrowfold.state import Request
+
+ROOT = Path(__file__).parent.parent
+MORE = """
+    expect "a payment that may have run is never run again" {
+        when {
+            class "payment"
+        }
+        not-repeated
+    }
+    expect "payments stay in the east" {
+        when {
+            class "payment"
+            key "k"
+        }
+        only-reaches region="east"
+    }
+"""
+EAST = """
+    rule "payments in the east" {
+        class "payment"
+        key "k"
+        only "east"
+    }
+"""
+
+
+def document(folder: Path) -> tuple[EdgeDocument, Check]:
+    """The shipped document, with a class that is not safe to repeat."""
+    conf: Any = json.loads((ROOT / "deploy/settings.json").read_text())
+    payment = {**conf["settings"]["classes"][0], "name": "payment", "idempotency": "unsafe"}
+    conf["settings"]["classes"].append(payment)
+    (folder / "settings.json").write_text(json.dumps(conf))
+    text = (ROOT / "deploy/edge.kdl").read_text()
+    text = text.replace("expectations {", "expectations {" + MORE).replace("routes {", "routes {" + EAST)
+    (folder / "edge.kdl").write_text(text)
+    read = read_edge(folder / "edge.kdl")
+    return read, Check(_plan(read, None), read.expectations)
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One fault: what is patched, and the expectation that notices (None: none does, and why)."""
+
+    name: str
+    patches: tuple[tuple[type, str, Any], ...]
+    noticed: str | None
+    why: str = ""
+
+    @contextmanager
+    def put_in(self) -> Iterator[None]:
+        with ExitStack() as stack:
+            for owner, name, value in self.patches:
+                stack.enter_context(patch.object(owner, name, value))
+            yield
+
+
+_enter, _on_ended, _consult = Dispatcher._enter, Dispatcher._on_ended, Core._consult
+_seek, _crowded, _answer, _find = Dispatcher._seek, Dispatcher._crowded, Core._answer, RouteTable.find
+_core_init, _change, _reach = Core.__init__, ServerTable.change, Action.reach
+_on_roster, _judge, _dispatch = Dispatcher._on_roster, Dispatcher._judge, Core._dispatch
+
+
+def _serving_whatever(state: api.Lifecycle) -> Callable[..., None]:
+    def enter(self: Dispatcher, entry: api.RosterEntry) -> None:
+        if entry.lifecycle is state:
+            entry = replace(entry, lifecycle=api.Lifecycle.IN_SERVICE)
+        _enter(self, entry)
+
+    return enter
+
+
+def _partial_only(self: Dispatcher, event: api.RosterUpdate) -> None:
+    if event.mode is api.RosterMode.COMPLETE and self.workers:
+        event = replace(event, mode=api.RosterMode.PARTIAL)
+    _on_roster(self, event)
+
+
+def _forgetful(self: ServerTable, source: str, rows: Any) -> api.RosterUpdate:
+    self.out.clear()
+    return _change(self, source, rows)
+
+
+def _more_attempts(self: Core, settings: api.Settings, *rest: Any, **named: Any) -> None:
+    _core_init(self, replace(settings, attempt_cap=9), *rest, **named)
+
+
+def _without_arrival_reach(self: Core, event: api.Event) -> None:
+    _consult(self, replace(event, reach=None) if isinstance(event, api.Arrival) else event)
+
+
+def _reversed(self: Action, regions: Any) -> api.Reach | None:
+    reach = _reach(self, regions)
+    return reach and replace(reach, zones=reach.zones[::-1])
+
+
+def _others_too(self: Action, regions: Any) -> api.Reach | None:
+    reach = _reach(self, regions)
+    return reach and replace(reach, others=True)
+
+
+def _any_kind(self: Action, regions: Any) -> api.Reach | None:
+    reach = _reach(self, regions)
+    return reach and replace(reach, kinds=frozenset())
+
+
+def _last_match(self: RouteTable, subject: Any) -> Any:
+    found = None
+    for number, rule in enumerate(self.routes.rules):
+        one = RouteTable(replace(self.routes, rules=(rule,)))
+        if _find(one, subject) is not None:
+            found = rule, self.reaches[number]
+    return found
+
+
+def _never_denied(self: RouteTable, subject: Any) -> Any:
+    found = _find(self, subject)
+    return None if found is not None and found[0].action.deny else found
+
+
+def _with_retry_after(span: timedelta | None) -> Callable[..., Any]:
+    def find(self: RouteTable, subject: Any) -> Any:
+        found = _find(self, subject)
+        if found is not None and found[0].action.deny:
+            rule = replace(found[0], action=replace(found[0].action, retry_after=span))
+            return rule, None
+        return found
+
+    return find
+
+
+def _resent_wrong(self: RouteTable, subject: Any) -> Any:
+    return _find(self, replace(subject, resent=not subject.resent))
+
+
+def _no_part(self: Any, value: str | None) -> int:
+    return int(self.any)
+
+
+def _every_rule(self: _Part, value: str | None) -> int:
+    every = self.any
+    for mask in self.by_value.values():
+        every |= mask
+    return every
+
+
+def _only_v4(self: _NetworkPart, client: str | None) -> int:
+    return self.any if client is None or ":" in client else int(self.trees[4].get(client, self.any))
+
+
+def _ends_on(*statuses: api.Status) -> tuple[Callable[..., None], Callable[..., None]]:
+    def seek(self: Dispatcher, request: Request, tier: int = 0) -> None:
+        if request.attempts and self.last_status in statuses:  # type: ignore[attr-defined]
+            self._end(request)
+        else:
+            _seek(self, request, tier)
+
+    def judge(self: Dispatcher, worker: Any, event: api.AttemptEnded) -> None:
+        self.last_status = event.status  # type: ignore[attr-defined]
+        _judge(self, worker, event)
+
+    return seek, judge
+
+
+def _no_repeat(name: str, noticed: str, *statuses: api.Status) -> Fault:
+    seek, judge = _ends_on(*statuses)
+    return Fault(name, ((Dispatcher, "_seek", seek), (Dispatcher, "_judge", judge)), noticed)
+
+
+def _first_tier_only(self: Dispatcher, request: Request, fit: Any) -> None:
+    if request.reach and request.tier < request.reach.last:
+        self._hold(request)
+    else:
+        _crowded(self, request, fit)
+
+
+def _last_tier_first(self: Dispatcher, request: Request, tier: int = 0) -> None:
+    _seek(self, request, request.reach.last if request.reach else tier)
+
+
+def _answer_later(self: Core, session: Any, answer: Answer) -> None:
+    if session.answered:
+        return
+    self.clock.call_at(self.clock.now() + timedelta(milliseconds=40), lambda: _answer(self, session, answer))
+
+
+def _nothing(*_: object) -> None:
+    pass
+
+
+def _yes(*_: object) -> bool:
+    return True
+
+
+def _warm(*_: object) -> float:
+    return 1.0
+
+
+def _unsafe_goes_on(self: Dispatcher, event: api.AttemptEnded) -> None:
+    request = self.requests.get(event.request)
+    if request is not None and request.cls.idempotency is api.Idempotency.UNSAFE:
+        request.cls = replace(request.cls, idempotency=api.Idempotency.SAFE)
+    _on_ended(self, event)
+
+
+def _refused_at_once(self: Dispatcher, request: Request) -> None:
+    self._end(request)
+
+
+def _leaves_open(self: Core, session: Any) -> None:
+    pass
+
+
+DRAIN = "nothing goes to a worker a second after it is told to drain"
+FAULTS = (
+    Fault("drains ignored", ((Dispatcher, "_enter", _serving_whatever(api.Lifecycle.TERMINATING)),), DRAIN),
+    Fault("the end of a server ignored", (
+        (Dispatcher, "_enter", _serving_whatever(api.Lifecycle.TERMINATED)),
+        (ServerTable, "find", lambda self, name: _any_server(self, name))),
+        "a search never goes to a worker that is gone"),
+    Fault("who is not in a whole list stays", (
+        (Dispatcher, "_on_roster", _partial_only),
+        (ServerTable, "find", lambda self, name: _any_server(self, name))),
+        "a search never goes to a worker that is gone"),
+    Fault("maintenance forgotten after a list", ((ServerTable, "change", _forgetful),),
+          "maintenance holds, whatever the list says"),
+    Fault("maintenance not told to the module, nor guarded", (
+        (ServerTable, "_seen", lambda self, entry: entry), (Core, "_dispatch", None)),
+        "maintenance holds, whatever the list says"),
+    Fault("attempt cap off", ((Core, "__init__", _more_attempts),), "no job is tried more than four times"),
+    Fault("regions in reverse", ((Action, "reach", _reversed),),
+          "cardiff's searches stay in cardiff while it has room"),
+    Fault("only taken for prefer", ((Action, "reach", _others_too),), "archives are read in bridgend alone"),
+    Fault("kinds ignored", ((Action, "reach", _any_kind),), "the enterprise searches on gen-a"),
+    Fault("what a route leaves not told to the module", ((Core, "_consult", _without_arrival_reach),),
+          "archives are read in bridgend alone"),
+    Fault("denials ignored", ((RouteTable, "find", _never_denied),),
+          "the documentation networks are denied, and told when to come back"),
+    Fault("no advice with a denial", ((RouteTable, "find", _with_retry_after(None)),),
+          "the documentation networks are denied, and told when to come back"),
+    Fault("advice of a moment", ((RouteTable, "find", _with_retry_after(timedelta(milliseconds=10))),),
+          "the documentation networks are denied, and told when to come back"),
+    Fault("the last match wins", ((RouteTable, "find", _last_match),),
+          "cardiff's retried lookups stay cardiff's"),
+    Fault("retries taken for first tries", ((RouteTable, "find", _resent_wrong),),
+          "retried lookups prefer the east"),
+    Fault("regions and tenants never match", ((_Part, "of", _no_part),), "the enterprise searches on gen-a"),
+    Fault("every region, class and tenant matches", ((_Part, "of", _every_rule),),
+          "trial tenants' lookups are served"),
+    Fault("keys never match", ((_KeyPart, "of", _no_part),), "archives are read in bridgend alone"),
+    Fault("networks never match", ((_NetworkPart, "of", _no_part),),
+          "the documentation networks are denied, and told when to come back"),
+    Fault("IPv6 never matches", ((_NetworkPart, "of", _only_v4),),
+          "IPv6 documentation networks are denied too"),
+    Fault("no way on from the preferred region", ((Dispatcher, "_crowded", _first_tier_only),),
+          "cardiff's searches are served elsewhere when cardiff has no room"),
+    Fault("all regions at once", ((Dispatcher, "_seek", _last_tier_first),),
+          "cardiff's searches stay in cardiff while it has room"),
+    Fault("cold budget off", ((Dispatcher, "_cold_turn", _yes),), "a cold worker is not pushed over"),
+    Fault("starts forgotten", ((Dispatcher, "_warmth", _warm),), "a cold worker is not pushed over"),
+    Fault("silence overlooked", ((Dispatcher, "_overdue", _nothing),),
+          "a lookup that hears nothing is sent elsewhere"),
+    _no_repeat("no repeat when turned away", "a search that was turned away is tried again", api.Status.FULL),
+    _no_repeat("no repeat when refused", "a commit-record that could not be handed over is tried again",
+               api.Status.CONNECT_FAILED),
+    _no_repeat("no repeat after an error", "a search that was turned away is tried again", api.Status.ERROR),
+    Fault("unsafe jobs repeated", ((Dispatcher, "_on_ended", _unsafe_goes_on),),
+          "a payment that may have run is never run again"),
+    Fault("answers held back for 40 ms", ((Core, "_answer", _answer_later),),
+          "a result is passed on at once"),
+    Fault("deadlines lost", ((Dispatcher, "_end", _nothing), (Core, "_expire", _leaves_open)),
+          "every search is answered by its deadline"),
+    Fault("nobody waits here", ((Dispatcher, "_hold", _refused_at_once),),
+          None, "who would have waited is denied at once, which no expectation of the document forbids"),
+    Fault("slots that come free pull nobody", ((Dispatcher, "_pull", _nothing),),
+          None, "who waits is looked at again soon after: later, but in time"),
+)
+
+
+def _any_server(table: ServerTable, name: str) -> Any:
+    """A server, though its row has left the table."""
+    kept = table.__dict__.setdefault("kept", {})
+    for rows in table._sources.values():
+        kept.update({uid: row[1] for uid, row in rows.items()})
+    return kept.get(name)
+
+
+def _unguarded(self: Core, session: Any, order: api.Send) -> None:
+    out, self.table.out = self.table.out, {}
+    try:
+        _dispatch(self, session, order)
+    finally:
+        self.table.out = out
+
+
+FAULTS = tuple(replace(fault, patches=tuple(
+    (owner, name, _unguarded if value is None else value) for owner, name, value in fault.patches))
+    for fault in FAULTS)
+
+
+def caught(fault: Fault, only: str | None = None) -> list[str]:
+    """The expectations that no longer hold with the fault in; of all, or whether this one does."""
+    with tempfile.TemporaryDirectory() as folder:
+        read, check = document(Path(folder))
+    expectations = [e for e in read.expectations if only in (None, e.name)]
+    with fault.put_in():
+        reports = Check(check.plan, expectations).run(explain=False)
+    return [report.name for report in reports if report.verdict != "holds"]
+
+
+def _row(number: int) -> tuple[str, list[str]]:
+    return FAULTS[number].name, caught(FAULTS[number])
+
+
+def main() -> int:
+    """Print the table; 0 if 23 or more are caught."""
+    none = Fault("none", (), None)
+    if left := caught(none):
+        print(f"without a fault these do not hold: {left}", file=sys.stderr)
+        return 1
+    with ProcessPoolExecutor() as pool:
+        rows = list(pool.map(_row, range(len(FAULTS))))
+    found = sum(bool(names) for _, names in rows)
+    print(f"{found} of {len(rows)} faults are caught.\n\n| fault | caught by | others |\n| --- | --- | --- |")
+    for (name, names), fault in zip(rows, FAULTS, strict=True):
+        first = fault.noticed if fault.noticed in names else names[0] if names else f"nobody: {fault.why}"
+        print(f"| {name} | {first} | {max(0, len(names) - 1)} |")
+    return 0 if found >= 23 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
