--- a/arrowfold/program/commands.py
+++ b/arrowfold/program/commands.py
@@ -128,6 +128,39 @@
     _print(reports, as_json, {"sessions": len(history.lives), "spans_dropped": dropped})
 
 
+@cli.command()
+@click.argument("edge_file", type=_FILE)
+@click.option("--settings", type=_FILE, metavar="JSON",
+              help="The platform's configuration or its settings; else what the document's check names.")
+@click.option("--replay", type=_FILE, metavar="JSONL",
+              help="Timed arrivals: lines with at (seconds), tenant, class, and run (seconds), slots, key.")
+def quotas(edge_file: Path, settings: Path | None, replay: Path | None) -> None:
+    """Show EDGE_FILE's quotas as a node of several has them, and what in them can't be kept.
+
+    With --replay, arrivals in virtual time: who is let in, denied and until when. Exit code 1 if the quotas
+    contradict each other.
+    """
+    from arrowfold.program.quota_commands import contradicting, replayed, shown
+
+    document = _read(edge_file)
+    if document.quotas is None:
+        raise Fault(f"configuration: {edge_file}: quotas is missing")
+    conf = _plan(document, settings).settings
+    if replay is not None:
+        try:
+            for line in replayed(document.quotas, conf, replay):
+                click.echo(line)
+        except ValueError as error:
+            raise Fault(str(error)) from error
+        return
+    for line in shown(document.quotas, conf):
+        click.echo(line)
+    faults = list(contradicting(document.quotas, conf))
+    for line in faults:
+        click.echo(f"contradiction: {line}")
+    raise click.exceptions.Exit(BROKEN if faults else 0)
+
+
 @cli.command(name="try")
 @click.option("--jobs", default=12, show_default=True, type=click.IntRange(1, 500),
               help="How many jobs to hand in.")
--- a/arrowfold/program/document.py
+++ b/arrowfold/program/document.py
@@ -150,6 +150,12 @@
             raise self.fault(f"{name} is to be a number above 0 and at most 1, not {_show(value)}")
         return float(value)
 
+    def number(self, least: float, most: float) -> float:
+        value = self.one()
+        if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most:
+            raise self.fault(f"its value is to be a number from {least:g} to {most:g}, not {_show(value)}")
+        return float(value)
+
     def prop_flag(self, name: str) -> bool | None:
         value = self.node.props.get(name)
         if value is not None and not isinstance(value, bool):
@@ -176,7 +182,7 @@
         return float(value.value) * UNITS[value.tag]
 
 
-NAMED = ("region", "rule", "expect")  # nodes whose first value is their name
+NAMED = ("region", "rule", "expect", "organisation", "team")  # nodes whose first value is their name
 
 
 def _count(number: int) -> str:
--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -25,6 +25,7 @@
 from arrowfold.protocol.worker import SearchWorker
 from arrowfold.routes.rules import Router
 from arrowfold.routing.core import Core
+from arrowfold.routing.session import to_us
 from arrowfold.transport.budget import Budget
 from arrowfold.transport.loop import Loop, Steps
 from arrowfold.transport.pool import Pools
@@ -33,6 +34,7 @@
 if TYPE_CHECKING:
     from arrowfold.program.edge import TraceConfig
     from arrowfold.program.trace import TraceFile
+    from arrowfold.quotas.gate import Gate
 
 RESERVED = 48  # descriptors for the program itself, discovery and connections about to be closed
 IDLE_SHARE = 8  # one descriptor in this many may be a client's idle connection
@@ -69,6 +71,7 @@
         self.core = Core(
             settings, config.seed, self.loop, self.counters, self._ask_list, self.log, config.most_sessions)
         self.core.routes = compile_routes(config)
+        self.core.quotas = open_gate(config, self.loop.now())
         if config.edge is not None and config.edge.trace is not None:
             self._open_trace(config.edge.trace)
         self.core.held_elsewhere, self.core.on_session = self.succession.holds, self.succession.note_session
@@ -114,6 +117,8 @@
                 raise Refused(f"not ready: {why}")
             out = sorted(self.core.table.out)
             return f"ready; in maintenance: {', '.join(out) or 'none'}"
+        if call.name.startswith("quota"):
+            return self._quota(call)
         if call.name.startswith("maint-") and not self.core.table.known(call.argument):
             raise Refused(f"no backend server {call.argument[:80]!r} is known")
         self._apply(call.name, call.argument)
@@ -121,6 +126,22 @@
             raise Refused("done here, but the other process of this node did not confirm it")
         return f"{call}"
 
+    def _quota(self, call: Call) -> str:
+        """A level's balances in a line, or their end. The other process of the node, if any, has its own."""
+        if self.core.quotas is None:
+            raise Refused("no quotas are set")
+        if (fault := self.core.quotas.check(call.argument)) is not None:
+            raise Refused(fault)
+        path, ledger = tuple(call.argument.split("/")), self.core.quotas.ledger
+        if call.name == "quota-reset":
+            if not ledger.reset(path):
+                raise Refused(f"{call.argument[:80]!r} has used nothing here")
+            return f"{call}"
+        said = ledger.describe(path, to_us(self.loop.now()))
+        if not said:
+            raise Refused(f"{call.argument[:80]!r} has used nothing here, or has no limits")
+        return f"{call}: " + "; ".join(said)
+
     def _apply(self, name: str, argument: str) -> None:
         if name == "maint-on":
             self.core.take_out(argument)
@@ -158,6 +179,7 @@
             "maintenance": table.out, "back": table.back, "standby": self.front.standby,
             "discovery": self.discovery.address, "known": self.discovery.known(),
             "sessions": list(self.core.sessions),
+            "quotas": self.core.quotas.ledger.state() if self.core.quotas is not None else None,
         }, tuple(sock.fileno() for sock in listeners if sock.fileno() >= 0)
 
     def _follow(self) -> None:
@@ -171,6 +193,8 @@
         self.core.table.back.update({n: tuple(pair) for n, pair in (state.get("back") or {}).items()})
         if state.get("standby"):
             self._apply("standby", "")
+        if self.core.quotas is not None and state.get("quotas"):
+            self.core.quotas.ledger.restore(state["quotas"], to_us(self.loop.now()))
         known = state["known"]
         if list(self.discovery.address or ()) != list(state.get("discovery") or ()):
             known["rev"] = None  # versions count at one address
@@ -286,6 +310,7 @@
             self.counters["reloads_routes"] += 1
             self.core.routes = routes
             self.log(f"reload: routes: {len(fresh.edge.routes.rules)} rules; open sessions keep theirs")
+        self._change_quotas(fresh)
         self.running, self.idle = fresh, _idle_span(fresh.settings)
         self.classes.clear()
         self.classes.update({c.name: c for c in fresh.settings.classes})
@@ -295,6 +320,14 @@
             self.log(f"reload: discovery is now {fresh.discovery[0]}:{fresh.discovery[1]}")
             self.discovery.move(fresh.discovery)
 
+    def _change_quotas(self, fresh: Config) -> None:
+        """Another tree of quotas: balances stay by path."""
+        tree = fresh.edge.quotas if fresh.edge is not None else None
+        if tree is None or self.core.quotas is None:
+            self.core.quotas = open_gate(fresh, self.loop.now())
+        else:
+            self.core.quotas.ledger.change(tree, fresh.settings.fleet_size)
+
     def _leave(self) -> None:
         """From here on clients move away, and Faktory workers are told to be quiet when they beat."""
         self.left_at = self.loop.now()
@@ -337,6 +370,16 @@
     return RouteTable(config.edge.routes)
 
 
+def open_gate(config: Config, now: timedelta) -> Gate | None:
+    """The quotas of a configuration; None, and nothing loaded, where it has none."""
+    if config.edge is None or config.edge.quotas is None:
+        return None
+    from arrowfold.quotas.gate import Gate
+
+    means = {c.name: timedelta(microseconds=c.aim_us) for c in config.settings.classes}
+    return Gate(config.edge.quotas, config.settings.fleet_size, means, now)
+
+
 def _idle_span(settings: api.Settings) -> timedelta:
     """A connection is closed here well before the far side would close it under a request."""
     return timedelta(microseconds=settings.connection_idle_us or 30_000_000) * 0.8
--- a/arrowfold/protocol/admin.py
+++ b/arrowfold/protocol/admin.py
@@ -15,7 +15,8 @@
 LINE_LIMIT = timedelta(seconds=3)  # from accept to the line's end
 ANSWER_LIMIT = timedelta(seconds=1)
 LINGER = timedelta(milliseconds=300)
-ARGUMENTS = {"status": 0, "maint-on": 1, "maint-off": 1, "standby": 0, "active": 0}
+ARGUMENTS = {"status": 0, "maint-on": 1, "maint-off": 1, "standby": 0, "active": 0,
+             "quota": 1, "quota-reset": 1}
 
 
 class Refused(Exception):
@@ -34,6 +35,7 @@
             raise Refused(f"unknown call {self.name[:40]!r}; known are {', '.join(ARGUMENTS)}")
         if len(given) != ARGUMENTS[self.name]:
             wants = "the id of a backend server" if ARGUMENTS[self.name] else "no argument"
+            wants = "the path of a tenant" if self.name.startswith("quota") else wants
             raise Refused(f"{self.name} takes {wants}")
         self.argument = given[0] if given else ""
 
--- a/arrowfold/protocol/faktory.py
+++ b/arrowfold/protocol/faktory.py
@@ -228,7 +228,8 @@
         if answer.verdict is Verdict.FAILED:
             return error_reply(f"failed: job {job.id} may have run")
         after = f"; retry after {answer.retry_after.total_seconds():.3f} s" if answer.retry_after else ""
-        return error_reply(f"denied: job {job.id} may be pushed again{after}")
+        why = f"; {answer.reason}" if answer.reason else ""
+        return error_reply(f"denied: job {job.id} may be pushed again{after}{why}")
 
     def _read_job(self, fields: dict[str, Any], client: str | None) -> Job:
         """The job that a PUSH hands in, or what is wrong with it."""
@@ -256,11 +257,14 @@
                            ("idempotency_key", effect_key)):
             if text is not None and not (isinstance(text, str) and text.isascii() and text.isprintable()):
                 raise CommandError(f"PUSH: custom.{name} is no plain text")
+        fault = self.core.quotas.check(custom.get("tenant")) if self.core.quotas is not None else None
+        if fault is not None:
+            raise CommandError(f"PUSH: custom.tenant: {fault}")
         return Job(
             jid, cls.name, self.loop.now() + min(span, LONGEST_WAIT), json.dumps(fields["args"]).encode(),
             custom.get("key"), effect_key, custom.get("tenant"), None,
             _number(custom, "slots", 1.0), _number(custom, "memory", 0.0), False,
-            custom.get("region"), client, PushedJob(fields))
+            custom.get("region"), client, custom.get("tenant"), PushedJob(fields))
 
     # --- workers -----------------------------------------------------------------------------------------
 
--- a/arrowfold/protocol/front.py
+++ b/arrowfold/protocol/front.py
@@ -33,6 +33,7 @@
 LINGER_QUIET = timedelta(milliseconds=700)  # for one that sends nothing more
 MOST_ID = 200
 LONGEST_WAIT = timedelta(hours=1)
+OVER_QUOTA = 429
 _STATUS = {Verdict.SERVED: 200, Verdict.DENIED: 503, Verdict.FAILED: 502}
 PAGES = ("/health/ready", "/health/live", "/counters")
 _UNITS = {"m": timedelta(milliseconds=1), "u": timedelta(microseconds=1)}
@@ -296,8 +297,11 @@
         headers = []
         if answer.retry_after is not None:
             headers.append(("Retry-After", f"{answer.retry_after.total_seconds():.3f}"))
-        body = answer.body if answer.verdict is Verdict.SERVED else answer.verdict.value.encode() + b"\n"
-        return (yield from self._reply(side, _STATUS[answer.verdict], body, headers))
+        body = answer.body
+        if answer.verdict is not Verdict.SERVED:
+            body = f"{answer.verdict.value}{answer.reason and ': '}{answer.reason}\n".encode()
+        status = OVER_QUOTA if answer.over_quota else _STATUS[answer.verdict]
+        return (yield from self._reply(side, status, body, headers))
 
     def why_not_ready(self) -> str | None:
         """What keeps the node from serving; None if nothing does."""
@@ -348,13 +352,16 @@
             said = headers["x-expires-in"][:40]
             raise BadRequest(
                 400, f"header X-Expires-In: {said!r} is no number above 0 with a unit, m or u") from None
+        account = headers.get("x-tenant")
+        if self.core.quotas is not None and (fault := self.core.quotas.check(account)) is not None:
+            raise BadRequest(400, f"header X-Tenant: {fault}")
         props = self._props(headers.get("x-props", ""))
         keys = parse_qs(parts.query).get("key")
         job = Job(
             headers["x-trace-id"], name, ZERO, b"", keys[0] if keys else None,
             headers.get("idempotency-key"), headers.get("x-customer"), None,
             props.get("slots", 1.0), props.get("memory", 0.0), headers.get("x-second-try") == "1",
-            headers.get("x-region"), None, request)
+            headers.get("x-region"), None, account, request)
         return job, wait
 
     def _not_open(self, job_id: str) -> None:
--- a/arrowfold/protocol/http.py
+++ b/arrowfold/protocol/http.py
@@ -15,7 +15,7 @@
 MOST_BODY = 64 * 1024
 MOST_HEAD = 16 * 1024
 _FOLD = re.compile(rb"\r?\n(?:[ \t]|(\r?\n))")  # a folded line, or the blank one that ends the head
-_ONCE = ("host", "x-trace-id", "x-qos", "x-expires-in", "x-props", "x-customer", "x-region",
+_ONCE = ("host", "x-trace-id", "x-qos", "x-expires-in", "x-props", "x-customer", "x-region", "x-tenant",
          "idempotency-key")
 
 
--- /dev/null
+++ b/arrowfold/quotas/ledger.py
@@ -0,0 +1,366 @@
+"""The ledger: balances of all levels, and whether a job may come in.
+
+A job is let in if every level above it has room in every window, in one step. A level whose own window is
+full may borrow what siblings leave, if the window around has room for it and for all that active siblings are
+still owed of their own. What is borrowed is a debt, paid out of the borrower's own share.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from itertools import islice
+from typing import Any, ClassVar, Literal
+
+from arrowfold.quotas.tree import MOST_AMOUNT, UNIT, Level, Limit, Resource, Tree
+from arrowfold.quotas.window import Slot, Window
+
+MICROSECOND = timedelta(microseconds=1)
+MOST_PROMISED = 10_000  # come-backs told and not yet due, of one level
+Path = tuple[str, ...]
+Costs = Mapping[Resource, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a job does not come in, and when it would."""
+
+    refused: ClassVar[Literal[True]] = True
+    path: Path
+    limit: Limit
+    after: timedelta | None  # None: it never fits, for it costs more than a whole window holds
+
+    def words(self) -> str:
+        level = "/".join(self.path) or "jobs without a tenant"
+        if self.after is None:
+            return f"quota of {level}: one job costs more than {self.limit.words()}"
+        return f"quota of {level}: {self.limit.words()}"
+
+
+class Account:
+    """One level's balances."""
+
+    __slots__ = ("borrowed", "children", "debt", "debt_us", "level", "open", "path", "promised", "seen_us",
+                 "promised_all", "windows")
+
+    def __init__(self, path: Path, level: Level, windows: list[Window]) -> None:
+        self.path, self.level, self.windows = path, level, windows
+        self.debt = [0] * len(windows)
+        self.borrowed: list[Window] = [Window(w.limit, w.span_us) for w in windows] if level.borrow else []
+        self.debt_us = 0  # when the debts were last reduced
+        self.seen_us = -1  # when it last asked
+        self.open = 0  # tickets that are not settled
+        self.promised: deque[tuple[int, int]] = deque()  # to those refused: when to come back, and how much
+        self.promised_all = 0
+        self.children: OrderedDict[Path, Account] = OrderedDict()  # those that asked lately, the latest last
+
+    def idle(self, now_us: int) -> bool:
+        """Whether forgetting it changes no decision."""
+        for window in (*self.windows, *self.borrowed):
+            window.advance(now_us)
+        return not (self.open or any(self.debt) or self.children
+                    or any(w.total for w in (*self.windows, *self.borrowed)))
+
+
+@dataclass(slots=True)
+class Ticket:
+    """What was charged for a job that was let in; settled once."""
+
+    refused: ClassVar[Literal[False]] = False
+    path: Path
+    costs: dict[Resource, int]
+    charges: list[tuple[Account, Window, Slot, Resource, int]] = field(default_factory=list)
+    settled: bool = False
+
+
+class Ledger:
+    """All balances of one node. Time comes from outside, in microseconds; one that goes back stands still."""
+
+    def __init__(self, tree: Tree, nodes: int = 1, now_us: int = 0) -> None:
+        self.tree, self.nodes, self.now_us = tree, max(1, nodes), now_us
+        self.accounts: OrderedDict[Path, Account] = OrderedDict()  # the latest used last
+        self.forgotten = 0
+
+    # --- asked at arrival --------------------------------------------------------------------------------
+
+    def admit(self, path: Path, request_class: str, costs: Costs, now_us: int) -> Ticket | Refusal:
+        """Charge every level for a job, or say which one has no room; then nothing is charged anywhere."""
+        now_us = self._tick(now_us)
+        chain = [account for account in self._chain(path) if _counts(account.level, request_class)]
+        for parent, account in zip([None, *chain], chain, strict=False):
+            account.seen_us = now_us
+            if parent is not None:
+                parent.children[account.path] = account
+                parent.children.move_to_end(account.path)
+        borrowing: list[tuple[Account, int, int]] = []
+        worst: Refusal | None = None
+        for depth, account in enumerate(chain):
+            self._pay(account, now_us)
+            parent = chain[depth - 1] if depth else None
+            for number, (limit, window) in enumerate(zip(account.level.limits, account.windows, strict=True)):
+                cost = costs.get(limit.resource, 0)
+                if cost <= 0:
+                    continue
+                over = cost - (window.room(now_us) - self._withheld(account, number))
+                if over <= 0:
+                    continue
+                if parent is not None and self._may_borrow(account, number, cost, parent, now_us):
+                    borrowing.append((account, number, min(cost, over)))
+                    continue
+                refusal = self._refuse(account, number, limit, cost, now_us)
+                if refusal.after is None:
+                    return refusal
+                if worst is None or (worst.after is not None and refusal.after > worst.after):
+                    worst = refusal
+        if worst is not None:
+            return worst
+        ticket = Ticket(path, dict(costs))
+        for account in chain:
+            account.open += 1
+            for limit, window in zip(account.level.limits, account.windows, strict=True):
+                cost = costs.get(limit.resource, 0)
+                ticket.charges.append((account, window, window.charge(cost, now_us), limit.resource, cost))
+        for account, number, amount in borrowing:
+            account.debt[number] += amount
+            account.borrowed[number].charge(amount, now_us)
+        return ticket
+
+    def settle(self, ticket: Ticket, used: Costs, now_us: int) -> None:
+        """What a job really used: the rest of what was reserved goes back, what is more is charged now."""
+        if ticket.settled:
+            return
+        ticket.settled = True
+        now_us = self._tick(now_us)
+        for account in dict.fromkeys(account for account, *_ in ticket.charges):
+            account.open -= 1
+        for _, window, slot, resource, reserved in ticket.charges:
+            difference = min(max(used.get(resource, 0), 0), MOST_AMOUNT) - reserved
+            if difference < 0:
+                window.refund(slot, -difference)
+            elif difference > 0:
+                window.charge(difference, now_us)
+
+    # --- borrowing ---------------------------------------------------------------------------------------
+
+    def _may_borrow(self, account: Account, number: int, cost: int, parent: Account, now_us: int) -> bool:
+        """Whether siblings leave so much: the window around has room for it and for what they are owed."""
+        if not account.level.borrow:
+            return False
+        limit = account.level.limits[number]
+        around = next((n for n, wide in enumerate(parent.level.limits)
+                       if wide.resource is limit.resource and wide.per == limit.per), None)
+        if around is None:
+            return False
+        window, span_us = parent.windows[around], account.windows[number].span_us
+        owed, wanting, shares = 0, 0.0, 0
+        for path, sibling in list(parent.children.items()):
+            if now_us - sibling.seen_us > span_us:
+                if sibling is not account and sibling.seen_us + 60 * span_us < now_us:
+                    del parent.children[path]  # it left long ago
+                continue
+            own = next((n for n, own in enumerate(sibling.level.limits)
+                        if own.resource is limit.resource and own.per == limit.per), None)
+            if own is None:
+                continue
+            shares += sibling.windows[own].limit
+            if sibling is not account:
+                owed += max(0, sibling.windows[own].room(now_us) - self._withheld(sibling, own))
+            if sibling.borrowed and (sibling is account or sibling.borrowed[own].room(now_us) <
+                                     sibling.borrowed[own].limit):
+                wanting += self._pull(sibling, own)
+        if window.room(now_us) - owed < cost:
+            return False
+        pool = max(0, window.limit - shares)
+        lent = account.borrowed[number].limit - account.borrowed[number].room(now_us)
+        return lent + cost <= pool * self._pull(account, number) / max(wanting, 1e-9)
+
+    @staticmethod
+    def _pull(account: Account, number: int) -> float:
+        """Who borrows first: by weight, and less the more it owes."""
+        return account.level.weight / (1 + account.debt[number] / max(1, account.windows[number].limit))
+
+    def _withheld(self, account: Account, number: int) -> int:
+        """The part of a debtor's own share that pays its debt now."""
+        debt = account.debt[number]
+        return min(debt, int(self.tree.payback * account.windows[number].limit)) if debt else 0
+
+    def _pay(self, account: Account, now_us: int) -> None:
+        """Debts shrink by what was withheld since."""
+        elapsed, account.debt_us = now_us - account.debt_us, now_us
+        if elapsed <= 0 or not any(account.debt):
+            return
+        for number, debt in enumerate(account.debt):
+            window = account.windows[number]
+            paid = math.ceil(self.tree.payback * window.limit * min(elapsed, 10**12) / window.span_us)
+            account.debt[number] = max(0, debt - paid)
+
+    # --- refusals ----------------------------------------------------------------------------------------
+
+    def _refuse(self, account: Account, number: int, limit: Limit, cost: int, now_us: int) -> Refusal:
+        """When there is room for this one and all who were told to come back before it."""
+        window = account.windows[number]
+        if cost > window.limit:
+            return Refusal(account.path, limit, None)
+        while account.promised and account.promised[0][0] <= now_us:
+            account.promised_all -= account.promised.popleft()[1]
+        need = account.promised_all + cost + self._withheld(account, number)
+        rounds, rest = divmod(max(0, need - 1), max(1, window.limit))
+        at = window.free_at(min(rest + 1, window.limit), now_us)
+        at_us = at if at is not None else now_us + window.span_us
+        at_us += rounds * (window.span_us + window.slot_us)
+        withheld = self._withheld(account, number)
+        if cost + withheld > window.limit:  # its debt has to be paid first
+            rate = max(1, int(self.tree.payback * window.limit))
+            at_us = max(at_us, now_us + account.debt[number] * window.span_us // rate + window.span_us)
+        at_us = max(at_us, now_us + 1)
+        if len(account.promised) < MOST_PROMISED:  # guards the memory; a crowd beyond it is spread no further
+            account.promised.append((at_us, cost))
+            account.promised_all += cost
+        return Refusal(account.path, limit, timedelta(microseconds=at_us - now_us))
+
+    # --- accounts ----------------------------------------------------------------------------------------
+
+    def part(self, limit: Limit) -> int:
+        """This node's part of a limit. All nodes' parts together are at most `stretch` times the limit."""
+        part = limit.amount * min(1.0, self.tree.stretch / self.nodes) if self.nodes > 1 else limit.amount
+        return max(1, min(int(part), MOST_AMOUNT)) if limit.amount > 0 else 0
+
+    def _chain(self, path: Path) -> Iterable[Account]:
+        found = []
+        for at, level in self.tree.chain(path):
+            account = self.accounts.get(at)
+            if account is None:
+                account = self.accounts[at] = self._begin(at, level)
+            self.accounts.move_to_end(at)
+            found.append(account)
+        if len(self.accounts) > self.tree.most_levels:
+            self._forget()
+        return found
+
+    def _begin(self, at: Path, level: Level) -> Account:
+        windows = []
+        for limit in level.limits:
+            window = Window(self.part(limit), max(1, limit.per // MICROSECOND))
+            if self.tree.cautious < 1:  # a start from nothing: as if the rest had been used just now
+                window.charge(int(window.limit * (1 - self.tree.cautious)), self.now_us)
+            windows.append(window)
+        return Account(at, level, windows)
+
+    def _forget(self) -> None:
+        """Guards the memory against ever new names: those that were idle longest and owe nothing go."""
+        for path in list(islice(self.accounts, 64)):
+            account = self.accounts[path]
+            if len(self.accounts) > self.tree.most_levels and account.idle(self.now_us):
+                del self.accounts[path]
+                parent = self.accounts.get(path[:-1])
+                if parent is not None:
+                    parent.children.pop(path, None)
+                self.forgotten += 1
+            else:
+                self.accounts.move_to_end(path)
+
+    def _tick(self, now_us: int) -> int:
+        self.now_us = max(self.now_us, now_us)
+        return self.now_us
+
+    # --- another tree, and the next process --------------------------------------------------------------
+
+    def change(self, tree: Tree, nodes: int) -> None:
+        """Another tree from now on; balances stay by path, resource and length of window."""
+        last, self.accounts = self.accounts, OrderedDict()
+        self.tree, self.nodes = tree, max(1, nodes)
+        for path, account in last.items():
+            level = next((lv for at, lv in tree.chain(path if path != ("",) else ()) if at == path), None)
+            if level is None:
+                continue  # it has vanished; its open tickets still refund into windows that nobody asks
+            held = {(li.resource, li.per): (w, d) for li, w, d in zip(
+                account.level.limits, account.windows, account.debt, strict=True)}
+            # The account itself stays, for open tickets know it.
+            account.level, account.windows, account.debt = level, [], []
+            account.promised.clear()
+            account.promised_all = 0
+            for limit in level.limits:
+                window, debt = held.get((limit.resource, limit.per), (None, 0))
+                if window is None:
+                    window = Window(0, max(1, limit.per // MICROSECOND))
+                window.limit = self.part(limit)
+                account.windows.append(window)
+                account.debt.append(debt)
+            account.borrowed = [Window(w.limit, w.span_us) for w in account.windows] if level.borrow else []
+            account.children.clear()
+            self.accounts[path] = account
+
+    def state(self) -> list[Any]:
+        """Balances and debts, for the process that follows; plain values."""
+        return [[list(path), account.debt, [[w.span_us, [[s.number, s.amount] for s in w.slots]]
+                                            for w in account.windows]]
+                for path, account in self.accounts.items() if not account.idle(self.now_us)]
+
+    def restore(self, state: list[Any], now_us: int) -> None:
+        """Take over what `state` said. ValueError where it is none."""
+        self._tick(now_us)
+        try:
+            for parts, debts, windows in state:
+                path = tuple(str(part) for part in parts)
+                chain = list(self._chain(() if path == ("",) else path))
+                if not chain or chain[-1].path != path:
+                    continue
+                account = chain[-1]
+                by_span: dict[int, list[list[list[int]]]] = {}
+                for span_us, slots in windows:
+                    by_span.setdefault(span_us, []).append(slots)
+                for number, window in enumerate(account.windows):
+                    rows = by_span.get(window.span_us) or [[]]
+                    window.slots.clear()
+                    window.total = 0
+                    for slot_number, amount in rows.pop(0) if len(rows) > 1 else rows[0]:
+                        slot = Slot(int(slot_number))
+                        slot.amount = int(amount)
+                        window.slots.append(slot)
+                        window.total += slot.amount
+                    if number < len(debts):
+                        account.debt[number] = int(debts[number])
+        except (TypeError, ValueError, KeyError) as error:
+            raise ValueError(f"no state of quotas: {error}") from error
+
+    def describe(self, path: Path, now_us: int) -> list[str]:
+        """Balances of one level, a phrase for each limit."""
+        now_us = self._tick(now_us)
+        account = self.accounts.get(path or ("",))
+        if account is None:
+            return []
+        self._pay(account, now_us)
+        said = []
+        for number, (limit, window) in enumerate(zip(account.level.limits, account.windows, strict=True)):
+            lent = account.borrowed[number] if account.borrowed else None
+            borrowed = lent.limit - lent.room(now_us) if lent is not None else 0
+            said.append(f"{limit.words()}: used {(window.limit - window.room(now_us)) / _unit(limit):g} of "
+                        f"{window.limit / _unit(limit):g}, borrowed {borrowed / _unit(limit):g}, "
+                        f"owes {account.debt[number] / _unit(limit):g}")
+        return said
+
+    def reset(self, path: Path) -> bool:
+        """Forget what a level has used and owes; whether it was known. Open tickets can't refund into it."""
+        account = self.accounts.get(path or ("",))
+        if account is None:
+            return False
+        for window in (*account.windows, *account.borrowed):
+            for slot in window.slots:
+                slot.live = False
+            window.slots.clear()
+            window.total = 0
+        account.debt = [0] * len(account.windows)
+        account.promised.clear()
+        account.promised_all = 0
+        return True
+
+
+def _counts(level: Level, request_class: str) -> bool:
+    return not level.classes or request_class in level.classes
+
+
+def _unit(limit: Limit) -> int:
+    return UNIT[limit.resource]
--- /dev/null
+++ b/arrowfold/quotas/window.py
@@ -0,0 +1,75 @@
+"""One sliding window: what was charged lately, in slots; at most its limit in any time of its length.
+
+A slot counts until its last moment is a whole window old, so no window, whenever it begins, holds more than
+the limit; what a slot's first moments could have given back sooner is under-used, at most one part in SLOTS.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+SLOTS = 40
+
+
+class Slot:
+    """What was charged within one slot's time. `live` while it counts."""
+
+    __slots__ = ("amount", "live", "number")
+
+    def __init__(self, number: int) -> None:
+        self.number, self.amount, self.live = number, 0, True
+
+
+class Window:
+    """Charges against one limit. Times are whole microseconds, which may stand still but not go back."""
+
+    __slots__ = ("limit", "slot_us", "slots", "span_us", "total")
+
+    def __init__(self, limit: int, span_us: int) -> None:
+        self.limit, self.span_us = limit, span_us
+        self.slot_us = max(1, span_us // SLOTS)
+        self.slots: deque[Slot] = deque()
+        self.total = 0
+
+    def advance(self, now_us: int) -> None:
+        """Forget what is a whole window old."""
+        slots = self.slots
+        while slots and now_us >= (slots[0].number + 1) * self.slot_us + self.span_us:
+            slot = slots.popleft()
+            slot.live = False
+            self.total -= slot.amount
+
+    def room(self, now_us: int) -> int:
+        """What may still be charged now; below zero where more was used than reserved."""
+        self.advance(now_us)
+        return self.limit - self.total
+
+    def charge(self, amount: int, now_us: int) -> Slot:
+        """Charge it, whether or not there is room; the slot is what a refund needs."""
+        self.advance(now_us)
+        number = now_us // self.slot_us
+        if not self.slots or self.slots[-1].number < number:
+            self.slots.append(Slot(number))
+        slot = self.slots[-1]
+        slot.amount += amount
+        self.total += amount
+        return slot
+
+    def refund(self, slot: Slot, amount: int) -> None:
+        """Give back a part of what was charged in a slot; what has left the window is given back already."""
+        if slot.live:
+            slot.amount -= amount
+            self.total -= amount
+
+    def free_at(self, amount: int, now_us: int) -> int | None:
+        """When there will be room for so much, if nothing else comes; None if never."""
+        if amount > self.limit:
+            return None
+        missing = amount - self.room(now_us)
+        if missing <= 0:
+            return now_us
+        for slot in self.slots:
+            missing -= slot.amount
+            if missing <= 0:
+                return (slot.number + 1) * self.slot_us + self.span_us
+        return None
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -9,6 +9,7 @@
 from collections import Counter, deque
 from collections.abc import Callable, Generator, Iterable
 from datetime import timedelta
+from typing import TYPE_CHECKING
 
 from arrowfold import interface as api
 from arrowfold.choice import Dispatcher
@@ -32,6 +33,9 @@
 )
 from arrowfold.routing.table import Row, ServerTable
 
+if TYPE_CHECKING:
+    from arrowfold.quotas.gate import Gate
+
 PROBE_LIMIT = timedelta(milliseconds=300)  # an unanswered probe counts as timed out after this
 
 
@@ -52,6 +56,7 @@
         self._inbox: deque[tuple[Session, object]] = deque()
         self._draining = False
         self.routes: Router | None = None  # None: every job may go anywhere
+        self.quotas: Gate | None = None  # None: nothing is limited
         self.observer: Observer | None = None
         # Where another process serves this node too: what it has open, and what it is told of.
         self.held_elsewhere: Callable[[str], bool] = lambda job_id: False
@@ -145,6 +150,7 @@
         """One session from its arrival to its last outcome."""
         job = session.job
         may_go, reach = self._route(session)
+        may_go = may_go and self._charge(session)
         # The module chooses: to send, to let the session wait, or to deny it.
         if may_go:
             self._consult(api.Arrival(
@@ -156,6 +162,8 @@
                 case api.Send():
                     self._dispatch(session, happening)
                 case Progress(dispatch, share) if not dispatch.over:
+                    if share is None:
+                        dispatch.begun = self.clock.now()
                     if self.observer is not None:
                         self.observer.progressed(dispatch, share)
                     self._consult(api.AttemptProgress(job.id, dispatch.number, share))
@@ -183,6 +191,8 @@
                     self._expire(session)
         if session.timer is not None:
             session.timer.cancel()
+        if self.quotas is not None and session.ticket is not None:
+            self.quotas.settle(session.ticket, session.worker_time, session.fetches, self.clock.now())
         del self.sessions[job.id]
         self.on_session(job.id, False)
 
@@ -207,6 +217,22 @@
         self._answer(session, Answer(Verdict.DENIED, retry_after=retry_after))
         return False, None
 
+    def _charge(self, session: Session) -> bool:
+        """The one place where quotas are asked, before the module hears of the job."""
+        if self.quotas is None:
+            return True
+        job = session.job
+        found = self.quotas.admit(job.account, job.request_class, job.slots, job.key, self.clock.now())
+        if not found.refused:
+            session.ticket = found
+            self.counters["quotas_let_in"] += 1
+            return True
+        self.counters["quotas_denied"] += 1
+        retry_after = found.after if self.settings.retry_after else None
+        self._answer(session, Answer(
+            Verdict.DENIED, retry_after=retry_after, reason=found.words(), over_quota=True))
+        return False
+
     def _dispatch(self, session: Session, order: api.Send) -> None:
         now, number = self.clock.now(), len(session.dispatches)
         server = self.table.find(order.worker)
@@ -227,6 +253,8 @@
             dispatch.timer = self.clock.call_at(until, lambda: self._time_out(dispatch))
         if self.observer is not None:
             self.observer.dispatched(dispatch)
+        if self.quotas is not None:
+            session.fetches += self.quotas.fetches(order.worker, session.job.key)
         server.send(dispatch)
 
     def _time_out(self, dispatch: Dispatch) -> None:
@@ -251,6 +279,11 @@
             self.observer.ended(dispatch, status, load)
         elapsed = to_us(self.clock.now() - dispatch.sent)
         session = dispatch.session
+        if self.quotas is not None and not status.never_ran:
+            span = self.clock.now() - dispatch.begun
+            session.worker_time += span * session.job.slots
+            if status is api.Status.OK:
+                self.quotas.ran(session.job.request_class, span)
         self._consult(api.AttemptEnded(
             session.job.id, dispatch.number, dispatch.server_name, status, elapsed, session.answered, load))
 
--- a/arrowfold/routing/session.py
+++ b/arrowfold/routing/session.py
@@ -37,6 +37,8 @@
     verdict: Verdict
     body: bytes = b""
     retry_after: timedelta | None = None
+    reason: str = ""  # why it was denied, where there is something to say
+    over_quota: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +58,7 @@
     resent: bool = False
     region: str | None = None  # the region tag that its client gave it
     client: str | None = None  # the address that its client called from
+    account: str | None = None  # whose quotas it counts against: organisation and team
     origin: Any = None
 
 
@@ -86,7 +89,8 @@
     """One attempt of a session at a backend server."""
 
     __slots__ = (
-        "_report", "errand", "number", "over", "sent", "server", "server_name", "session", "span", "timer")
+        "_report", "begun", "errand", "number", "over", "sent", "server", "server_name", "session", "span",
+        "timer")
 
     def __init__(
             self, session: Session, number: int, server_name: str, server: BackendServer, sent: timedelta,
@@ -94,6 +98,7 @@
     ) -> None:
         self.session, self.number, self.server_name, self.server = session, number, server_name, server
         self.sent, self.over, self._report = sent, False, report
+        self.begun = sent  # its told start, once it was told
         self.timer: Cancellable | None = None
         self.errand: Any = None  # what the wire keeps of it
         self.span: Any = None  # what an observer keeps of it
@@ -192,13 +197,17 @@
 class Session:
     """A job that was taken: it is owed exactly one final answer."""
 
-    __slots__ = ("answered", "client", "dispatches", "job", "life", "rule", "span", "timer")
+    __slots__ = (
+        "answered", "client", "dispatches", "fetches", "job", "life", "rule", "span", "ticket", "timer",
+        "worker_time")
 
     def __init__(self, job: Job, client: Client) -> None:
         self.job, self.client = job, client
         self.answered = False
         self.rule: str | None = None  # the route's rule that held for it
         self.span: Any = None  # what an observer keeps of it
+        self.ticket: Any = None  # what quotas charged for it
+        self.worker_time, self.fetches = timedelta(0), 0  # what its attempts have used
         self.dispatches: list[Dispatch] = []
         self.life: Generator[None, object, None] | None = None
         self.timer: Cancellable | None = None
--- a/arrowfold/standins/servers.py
+++ b/arrowfold/standins/servers.py
@@ -18,6 +18,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
+SLOW = 0.5  # seconds that a slow job runs
 LONG = 20.0  # seconds that a stand-in waits for what must come; nothing is judged by it
 LOAD = {"inflight": 1, "x0": 5}
 
@@ -65,7 +66,10 @@
 
 
 class Worker(Server):
-    """A stand-in search worker. `behave` says per job how it ends: a state, a status, "reset" or "mute"."""
+    """A stand-in search worker.
+
+    `behave` says per job how it ends: a state, a status, "reset", "mute" (not a word) or "slow".
+    """
 
     def __init__(
             self, uid: str, behave: Callable[[str, int], str | int] = lambda job, nth: "done",
@@ -106,6 +110,9 @@
                     self.send_header("Transfer-Encoding", "chunked")
                     self.end_headers()
                     self.chunk({"id": job, "state": "started"})
+                    if how == "slow":
+                        time.sleep(SLOW)
+                        how = "done"
                     if how == "hold":
                         outer.release.wait(LONG)
                         how = "done"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,14 +13,15 @@
 MAY_USE = {
     "transport": {"transport"},
     "routes": {"routes", "interface"},
-    "routing": {"routing", "routes", *MODULE},
+    "quotas": {"quotas"},
+    "routing": {"routing", "routes", "quotas", *MODULE},
     "expectations": {"expectations", "routing", "routes", "interface"},
     "protocol": {"protocol", "routing", "transport", "interface"},
     "standins": {"standins"},
-    "program": {"program", "protocol", "expectations", "routing", "routes", "transport", "standins",
-                "simhost", *MODULE},
+    "program": {"program", "protocol", "expectations", "routing", "routes", "quotas", "transport",
+                "standins", "simhost", *MODULE},
 }
-NO_IO = ("routes", "expectations")
+NO_IO = ("routes", "quotas", "expectations")
 IO = {"socket", "os", "io", "pathlib", "select", "time", "subprocess", "threading", "asyncio", "logging",
       "sys"}
 NODE_NEEDS = {"h11"}  # of what is installed, all that a node of the platform's may load
--- /dev/null
+++ b/tests/test_quotas.py
@@ -0,0 +1,360 @@
+"""Quotas in virtual time: limits in every window, nesting, borrowing, refunds, advice, and another tree."""
+
+from __future__ import annotations
+
+import json
+import random
+import unittest
+from datetime import timedelta
+from typing import Any
+
+from hypothesis import given
+from hypothesis import settings as budget
+from hypothesis import strategies as st
+
+from arrowfold.quotas.ledger import Ledger, Refusal, Ticket
+from arrowfold.quotas.tree import Level, Limit, PathError, Resource, Tree, read_path
+from arrowfold.quotas.window import SLOTS, Window
+
+SECOND = 1_000_000
+ONE = {Resource.REQUESTS: 1}
+R, T = Resource.REQUESTS, Resource.WORKER_TIME
+
+
+def limit(amount: int, seconds: float = 1, resource: Resource = R) -> Limit:
+    return Limit(resource, amount, timedelta(seconds=seconds))
+
+
+def org(*limits: Limit, **children: Level) -> Tree:
+    return Tree(Level("", children={"o": Level("o", limits, children=children)}))
+
+
+def let_in(ledger: Ledger, path: str, now: int, costs: Any = None) -> bool:
+    return isinstance(ledger.admit(read_path(path), "c", costs or ONE, now), Ticket)
+
+
+def refused(ledger: Ledger, path: str, now: int, costs: Any = None) -> Refusal:
+    found = ledger.admit(read_path(path), "c", costs or ONE, now)
+    assert isinstance(found, Refusal), found
+    return found
+
+
+@budget(max_examples=200, deadline=None, derandomize=True)
+@given(steps=st.lists(st.tuples(st.integers(0, 400_000), st.integers(1, 9)), max_size=120),
+       limit_=st.integers(1, 40), span=st.sampled_from([50_000, SECOND, 7 * SECOND]))
+def test_no_window_whenever_it_begins_holds_more_than_its_limit(
+        steps: list[tuple[int, int]], limit_: int, span: int) -> None:
+    window, now, charged = Window(limit_, span), 0, []
+    for gap, amount in steps:
+        now += gap
+        if window.room(now) >= amount:
+            window.charge(amount, now)
+            charged.append((now, amount))
+        elif amount <= limit_:
+            at = window.free_at(amount, now)
+            assert at is not None and at > now  # and there is room then, and was none a slot before
+            again = Window(limit_, span)
+            for when, what in charged:
+                again.charge(what, when)
+            assert again.room(at - 1) < amount <= again.room(at)
+        else:
+            assert window.free_at(amount, now) is None
+    for begin, _ in charged:
+        assert sum(amount for at, amount in charged if begin <= at <= begin + span) <= limit_
+
+
+def test_demand_without_end_gets_all_but_one_part_in_forty() -> None:
+    window, got = Window(100, SECOND), 0
+    for now in range(0, 60 * SECOND, 1000):
+        if window.room(now) >= 1:
+            window.charge(1, now)
+            got += 1
+    assert 60 * 100 * SLOTS / (SLOTS + 1) - 100 <= got <= 60 * 100 + 100
+
+
+TREE = Tree(Level("", children={"o": Level("o", (
+    limit(20), limit(60, 10), limit(5 * SECOND, 10, T)), children={
+    "a": Level("a", (limit(8), limit(2 * SECOND, 10, T)), borrow=True),
+    "b": Level("b", (limit(8), limit(2 * SECOND, 10, T)), borrow=True, weight=2.0),
+    "c": Level("c", (limit(4),), classes=frozenset({"other"}))},
+    default=Level("*", (limit(2),)))}), nobody=Level("nobody", (limit(3),)))
+PATHS = ("o/a", "o/b", "o/c", "o/d", "o/e", "o", "", "x", "o/a/deeper")
+
+
+@budget(max_examples=150, deadline=None, derandomize=True)
+@given(steps=st.lists(max_size=120, elements=st.tuples(
+    st.sampled_from(["ask", "ask", "ask", "end", "change", "hand over"]), st.integers(0, 10_000))))
+def test_no_sequence_mints_or_loses_any(steps: list[tuple[str, int]]) -> None:
+    """Each window holds just what its live charges add up to; a refusal charges nothing anywhere."""
+    ledger, now, tickets = Ledger(TREE), 0, list[Ticket]()
+    for what, dice in steps:
+        now += dice * 37 - 20_000  # clocks may go back
+        before = totals(ledger)
+        if what == "ask":
+            costs = {R: 1, T: dice * 100}
+            found = ledger.admit(read_path(PATHS[dice % len(PATHS)]), ("c", "other")[dice % 2], costs, now)
+            if isinstance(found, Ticket):
+                tickets.append(found)
+            else:
+                assert all(after <= before.get(key, 0) for key, after in totals(ledger).items())
+        elif what == "end" and tickets:
+            ticket = tickets.pop(dice % len(tickets))
+            ledger.settle(ticket, {R: 1, T: dice * 77}, now)
+            once = totals(ledger)
+            ledger.settle(ticket, {R: 0, T: 0}, now)
+            assert totals(ledger) == once
+        elif what == "change":
+            ledger.change(TREE, 1 + dice % 3)
+        elif what == "hand over" and not tickets:
+            state = json.loads(json.dumps(ledger.state()))
+            fresh = Ledger(TREE, ledger.nodes)
+            fresh.restore(state, ledger.now_us)
+            live = {key: value for key, value in totals(ledger).items() if value}
+            assert {key: value for key, value in totals(fresh).items() if value} == live
+            ledger = fresh
+        for account in ledger.accounts.values():
+            assert all(debt >= 0 for debt in account.debt)
+            for window in account.windows:
+                assert window.total == sum(slot.amount for slot in window.slots) >= 0
+    for ticket in tickets:
+        ledger.settle(ticket, {}, now)
+    ledger.now_us += 11 * SECOND
+    for account in ledger.accounts.values():
+        assert account.open == 0
+        assert all(window.room(ledger.now_us) == window.limit for window in account.windows)
+
+
+def totals(ledger: Ledger) -> dict[Any, int]:
+    return {(path, n): w.total for path, a in ledger.accounts.items() for n, w in enumerate(a.windows)}
+
+
+class Nesting(unittest.TestCase):
+    def test_nothing_is_taken_above_when_a_level_below_says_no(self) -> None:
+        ledger = Ledger(org(limit(10), a=Level("a", (limit(2),)), b=Level("b")))
+        self.assertEqual([let_in(ledger, "o/a", 0) for _ in range(5)], [True, True, False, False, False])
+        self.assertEqual([let_in(ledger, "o/b", 0) for _ in range(9)], [True] * 8 + [False])
+        found = refused(ledger, "o/b", 0)
+        self.assertEqual((found.path, found.words()), (("o",), "quota of o: requests 10 per 1 s"))
+
+    def test_every_window_counts_and_the_longest_wait_is_told(self) -> None:
+        ledger = Ledger(org(limit(2), limit(3, 60)))
+        self.assertEqual([let_in(ledger, "o", n * SECOND // 2) for n in range(6)],
+                         [True, True, False, True, False, False])
+        found = refused(ledger, "o", 3 * SECOND)
+        self.assertEqual(found.limit.per, timedelta(seconds=60))
+        self.assertGreater(found.after, timedelta(seconds=55))
+
+    def test_classes_that_do_not_count_names_not_given_and_no_name(self) -> None:
+        ledger = Ledger(TREE)
+        self.assertTrue(all(let_in(ledger, "o/c", 0) for _ in range(10)))  # only "other" counts there
+        self.assertEqual([let_in(ledger, "o/zzz", 0) for _ in range(3)], [True, True, False])
+        self.assertEqual([let_in(ledger, "", 0) for _ in range(4)], [True] * 3 + [False])
+        self.assertTrue(all(let_in(ledger, "unknown", 0) for _ in range(50)))
+
+    def test_what_never_fits_is_not_told_to_come_back(self) -> None:
+        ledger = Ledger(org(limit(SECOND, 10, T)))
+        found = refused(ledger, "o", 0, {T: SECOND + 1})
+        self.assertIsNone(found.after)
+        self.assertIn("one job costs more", found.words())
+        self.assertTrue(let_in(ledger, "o", 0, {T: SECOND}))
+        none = Ledger(org(limit(0)))
+        self.assertIsNone(refused(none, "o", 0).after)
+        huge = Ledger(org(limit(2**62)))
+        self.assertTrue(let_in(huge, "o", 0, {R: 2**61}))
+
+    def test_paths(self) -> None:
+        self.assertEqual([read_path(t) for t in (None, "", "o", "o/t")], [(), (), ("o",), ("o", "t")])
+        for text in ("/", "o/", "/t", "o//t", "a b\n", " o", "x" * 101, "/".join("a" * 9)):
+            with self.assertRaises(PathError):
+                read_path(text)
+
+
+class Settling(unittest.TestCase):
+    def test_what_was_not_used_goes_back_once_and_more_is_charged(self) -> None:
+        ledger = Ledger(org(limit(10 * SECOND, 10, T)))
+        ticket = ledger.admit(("o",), "c", {T: 8 * SECOND}, 0)
+        assert isinstance(ticket, Ticket)
+        self.assertFalse(let_in(ledger, "o", 0, {T: 3 * SECOND}))
+        ledger.settle(ticket, {T: 2 * SECOND}, SECOND)
+        ledger.settle(ticket, {T: 0}, SECOND)
+        self.assertTrue(let_in(ledger, "o", SECOND, {T: 8 * SECOND}))
+        self.assertFalse(let_in(ledger, "o", SECOND, {T: 1}))
+        more = Ledger(org(limit(10 * SECOND, 10, T)))
+        ticket = more.admit(("o",), "c", {T: SECOND}, 0)
+        assert isinstance(ticket, Ticket)
+        more.settle(ticket, {T: 12 * SECOND}, 5 * SECOND)
+        self.assertFalse(let_in(more, "o", 5 * SECOND, {T: 1}))
+        self.assertGreater(refused(more, "o", 5 * SECOND, {T: SECOND}).after, timedelta(seconds=9))
+
+    def test_a_refund_that_comes_after_its_window_gives_nothing_twice(self) -> None:
+        ledger = Ledger(org(limit(5)))
+        ticket = ledger.admit(("o",), "c", ONE, 0)
+        assert isinstance(ticket, Ticket)
+        ledger.settle(ticket, {R: 0}, 5 * SECOND)
+        self.assertEqual([let_in(ledger, "o", 5 * SECOND) for _ in range(6)], [True] * 5 + [False])
+
+
+class Borrowing(unittest.TestCase):
+    def tree(self) -> Tree:
+        a, b = (Level(name, (limit(50),), borrow=True) for name in "ab")
+        return org(limit(100), a=a, b=b)
+
+    def test_an_idle_teams_share_is_lent_and_is_a_debt(self) -> None:
+        ledger = Ledger(self.tree())
+        self.assertEqual(sum(let_in(ledger, "o/a", 0) for _ in range(150)), 100)
+        self.assertEqual(ledger.accounts["o", "a"].debt, [50])
+        # In the next second a part of its own share pays: it may still borrow, but owes less for that.
+        let_in(ledger, "o/a", 1_100_000)
+        self.assertLess(ledger.accounts["o", "a"].debt[0], 50)
+
+    def test_a_lender_that_returns_has_its_share_within_one_window(self) -> None:
+        for gap in (1_000, 7_000, 20_000):
+            ledger, now, first, got = Ledger(self.tree()), 0, None, 0
+            while now < 5 * SECOND:  # a takes all that there is
+                let_in(ledger, "o/a", now)
+                now += gap
+            back = now
+            while now < back + 3 * SECOND:
+                let_in(ledger, "o/a", now)
+                if let_in(ledger, "o/b", now):
+                    first = first if first is not None else now
+                    got += now >= back + SECOND + 2 * SECOND // SLOTS
+                now += gap
+            self.assertIsNotNone(first)
+            assert first is not None
+            self.assertLessEqual(first - back, SECOND + SECOND // SLOTS)
+            want = min(50, SECOND // gap) * (2 - 2 / SLOTS)
+            self.assertGreaterEqual(got, 0.93 * want, gap)
+
+    def test_a_lender_that_flickers_neither_starves_nor_mints(self) -> None:
+        ledger, charged, mine, asked = Ledger(self.tree()), [], 0, 0
+        for now in range(0, 40 * SECOND, 5_000):
+            if let_in(ledger, "o/a", now):
+                charged.append(now)
+            if now // SECOND % 2:  # every other second
+                asked += 1
+                if let_in(ledger, "o/b", now):
+                    charged.append(now)
+                    mine += 1
+        self.assertGreater(mine, 0.35 * 20 * 50)
+        for begin in charged[::50]:
+            self.assertLessEqual(sum(begin <= at <= begin + SECOND for at in charged), 100)
+
+    def test_who_has_more_weight_borrows_more(self) -> None:
+        tree = Tree(Level("", children={"o": Level("o", (limit(100),), children={
+            "a": Level("a", (limit(10),), borrow=True),
+            "b": Level("b", (limit(10),), borrow=True, weight=3.0),
+            "idle": Level("idle", (limit(80),))})}), payback=0.0001)
+        ledger, got = Ledger(tree), {"a": 0, "b": 0}
+        for now in range(0, 20 * SECOND, 2_000):
+            for name in got:
+                got[name] += let_in(ledger, f"o/{name}", now)
+        self.assertGreater(got["b"], 1.3 * got["a"])
+
+    def test_without_leave_nothing_is_borrowed(self) -> None:
+        ledger = Ledger(org(limit(100), a=Level("a", (limit(10),)), b=Level("b", (limit(90),))))
+        self.assertEqual(sum(let_in(ledger, "o/a", 0) for _ in range(50)), 10)
+
+
+class Advice(unittest.TestCase):
+    def test_who_comes_back_then_gets_in_and_a_crowd_is_spread(self) -> None:
+        rng = random.Random(3)
+        ledger = Ledger(org(limit(20), limit(300, 60), a=Level("a", (limit(10),))))
+        due: list[tuple[int, int]] = []
+        let, kept, told = 0, 0, 0
+        for now in range(0, 30 * SECOND, 10_000):
+            arrivals = [now] * (30 if now == 0 else rng.random() < 0.02)
+            back = [row for row in due if row[0] <= now]
+            due = [row for row in due if row[0] > now]
+            for _ in back:
+                told += 1
+                found = ledger.admit(("o", "a"), "c", ONE, now)
+                if isinstance(found, Ticket):
+                    kept += 1
+                elif found.after is not None:
+                    due.append((now + found.after // timedelta(microseconds=1), now))
+            for _ in arrivals:
+                found = ledger.admit(("o", "a"), "c", ONE, now)
+                let += isinstance(found, Ticket)
+                if isinstance(found, Refusal) and found.after is not None:
+                    due.append((now + found.after // timedelta(microseconds=1), now))
+        self.assertGreater(told, 20)
+        self.assertGreaterEqual(kept / told, 0.95)
+
+    def test_a_thousand_turned_away_at_once_are_not_sent_back_at_once(self) -> None:
+        ledger = Ledger(org(limit(10)))
+        times = [found.after for _ in range(1010)
+                 if isinstance(found := ledger.admit(("o",), "c", ONE, 0), Refusal)]
+        self.assertEqual(len(times), 1000)
+        for second in range(1, 90):
+            due = sum(timedelta(seconds=second) <= t < timedelta(seconds=second + 1) for t in times if t)
+            self.assertLessEqual(due, 20)
+
+
+class Nodes(unittest.TestCase):
+    def test_all_nodes_parts_together_keep_the_bound_wherever_traffic_goes(self) -> None:
+        for nodes, stretch in ((1, 1.0), (2, 1.0), (4, 1.0), (4, 2.0), (16, 1.0), (16, 4.0)):
+            tree = Tree(Level("", children={"o": Level("o", (limit(160),))}), stretch=stretch)
+            ledgers = [Ledger(tree, nodes) for _ in range(nodes)]
+            charged = []
+            for now in range(0, 8 * SECOND, 1_000):  # all on one node, jumping each window
+                if let_in(ledgers[now // SECOND % nodes], "o", now):
+                    charged.append(now)
+                for ledger in ledgers:  # and everywhere at once now and then
+                    if now % (3 * SECOND) < 200_000 and let_in(ledger, "o", now):
+                        charged.append(now)
+            most = max(sum(begin <= at <= begin + SECOND for at in charged) for begin in charged[::20])
+            self.assertLessEqual(most, 160 * min(stretch, nodes), (nodes, stretch))
+
+    def test_a_cautious_start_gives_a_part_first(self) -> None:
+        tree = Tree(Level("", children={"o": Level("o", (limit(100),))}), cautious=0.25)
+        ledger = Ledger(tree, now_us=10 * SECOND)
+        self.assertEqual(sum(let_in(ledger, "o", 10 * SECOND) for _ in range(200)), 25)
+        self.assertEqual(sum(let_in(ledger, "o", 12 * SECOND) for _ in range(200)), 100)
+
+
+class Memory(unittest.TestCase):
+    def test_levels_seen_once_are_forgotten_only_when_it_changes_nothing(self) -> None:
+        team = Level("*", (limit(5), limit(50, 10)))
+        tree = Tree(Level("", default=Level("*", default=team)), most_levels=2000)
+        ledger = Ledger(tree)
+        for n in range(20_000):
+            ticket = ledger.admit((f"o{n % 7}", f"t{n}"), "c", ONE, n * 10_000)
+            assert isinstance(ticket, Ticket)
+            ledger.settle(ticket, ONE, n * 10_000)
+        self.assertLess(len(ledger.accounts), 3200)
+        self.assertGreater(ledger.forgotten, 16_000)
+        busy = Ledger(tree)
+        for _ in range(5):
+            let_in(busy, "o/t", 0)
+        for n in range(5000):
+            let_in(busy, f"o/x{n}", 100)
+        self.assertFalse(let_in(busy, "o/t", 200))  # it has used its share, and is not forgotten for a crowd
+
+    def test_another_tree_keeps_balances_by_path(self) -> None:
+        ledger = Ledger(org(limit(10), a=Level("a", (limit(6),))))
+        tickets = [ledger.admit(("o", "a"), "c", ONE, 0) for _ in range(6)]
+        ledger.change(org(limit(10), a=Level("a", (limit(8),))), 1)
+        self.assertEqual([let_in(ledger, "o/a", 0) for _ in range(3)], [True, True, False])
+        ledger.change(org(limit(9), b=Level("b")), 1)
+        self.assertEqual([let_in(ledger, "o/b", 0) for _ in range(2)], [True, False])
+        for ticket in tickets:
+            assert isinstance(ticket, Ticket)
+            ledger.settle(ticket, {R: 0}, 0)
+        self.assertEqual(sum(let_in(ledger, "o/b", 0) for _ in range(9)), 6)
+
+    def test_balances_go_over_and_are_said(self) -> None:
+        ledger = Ledger(org(limit(10), limit(10 * SECOND, 60, T)))
+        for _ in range(7):
+            ledger.admit(("o",), "c", {R: 1, T: SECOND}, 0)
+        fresh = Ledger(ledger.tree)
+        fresh.restore(json.loads(json.dumps(ledger.state())), 100)
+        self.assertEqual(sum(let_in(fresh, "o", 100) for _ in range(9)), 3)
+        self.assertIn("requests 10 per 1 s: used 10 of 10", fresh.describe(("o",), 100)[0])
+        self.assertIn("worker-time 10 s per 60 s: used 7 of 10", fresh.describe(("o",), 100)[1])
+        self.assertTrue(fresh.reset(("o",)))
+        self.assertFalse(fresh.reset(("x",)))
+        self.assertEqual(sum(let_in(fresh, "o", 100) for _ in range(20)), 10)
+        for bad in ([1], [["o", 1, 2]], [[["o"], [], [[1]]]], {"a": 1}):
+            with self.assertRaises(ValueError):
+                fresh.restore(bad, 0)  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/test_quotas_node.py
@@ -0,0 +1,132 @@
+"""Quotas at a running node: both wires, answers that say why, other limits at SIGHUP, another process."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from arrowfold.standins.producers import Client
+from tests.edge import EdgeCase, Node, eventually, free_port
+
+DOCUMENT = """
+faktory {
+    listen "127.0.0.1:PORT"
+}
+quotas {
+    organisation "acme" {
+        requests limit=6 per=(min)10
+        team "web" {
+            requests limit=4 per=(min)10
+        }
+        team "ops" {
+            requests limit=2 per=(min)10
+            borrow true
+        }
+    }
+    organisation "slow" {
+        worker-time limit=(ms)900 per=(min)10
+    }
+    organisation "short" {
+        requests limit=1 per=(ms)800
+    }
+    nobody {
+        requests limit=50 per=(min)10
+    }
+}
+"""
+
+
+class Limited(EdgeCase):
+    def start(self, **options: Any) -> Node:
+        self.port = free_port()
+        self.worker_ = self.worker("s1", self.behave)
+        return self.node(self.worker_, edge=DOCUMENT.replace("PORT", str(self.port)), **options)
+
+    def behave(self, job: str, nth: int) -> str:
+        return "slow" if job.startswith("long") else "done"
+
+    def statuses(self, node: Node, start: str, count: int, tenant: str) -> list[int]:
+        return [node.post(f"{start}-{n}", X_Tenant=tenant)[0] for n in range(count)]
+
+    def test_a_team_and_its_organisation_over_both_wires(self) -> None:
+        node = self.start()
+        self.assertEqual(self.statuses(node, "web", 5, "acme/web"), [200] * 4 + [429])
+        status, body, headers = node.post("more", X_Tenant="acme/web")
+        self.assertEqual((status, body), (429, b"denied: quota of acme/web: requests 4 per 600 s\n"))
+        self.assertGreater(float(headers["retry-after"]), 500)
+        client = Client(self.port)
+        self.addCleanup(client.close)
+        replies = [client.push(f"ops-{n}", custom={"tenant": "acme/ops"}) for n in range(4)]
+        self.assertEqual(replies[:2], ["+OK", "+OK"])
+        for reply in replies[2:]:
+            self.assertRegex(reply, r"^-ERR denied: .*retry after \d+\.\d+ s; quota of acme")
+        self.assertEqual(self.statuses(node, "free", 3, "unknown"), [200] * 3)
+        self.assertEqual(node.post("nobody")[0], 200)
+        counted = node.counters()
+        self.assertEqual(counted["quotas_denied"], 4)
+        self.assertEqual(len(self.worker_.jobs), counted["quotas_let_in"])
+
+    def test_a_path_that_is_none_is_refused(self) -> None:
+        node = self.start()
+        for path in ("acme//web", "/", "a/b/c/d/e/f/g/h/i"):
+            status, body, _ = node.post("t", X_Tenant=path)
+            self.assertEqual((status, b"X-Tenant" in body), (400, True))
+        client = Client(self.port)
+        self.addCleanup(client.close)
+        self.assertRegex(client.push("j", custom={"tenant": "a//b"}), "^-ERR PUSH: custom.tenant")
+
+    def test_worker_time_counts_what_was_used(self) -> None:
+        """Each run takes half a second, whatever was reserved for it."""
+        settings = {"classes": [{**row, "onTimeUs": 100_000} for row in self.settings()["classes"]]}
+        node = self.start(settings={**self.settings(), **settings})
+        self.assertEqual(self.statuses(node, "long", 4, "slow"), [200, 200, 429, 429])
+        said = node.call("quota slow")
+        self.assertRegex(said, r"^ok quota slow: worker-time 0.9 s per 600 s: used (1|1\.\d+) of 0.9")
+        self.assertEqual(node.call("quota-reset slow"), "ok quota-reset slow\n")
+        self.assertEqual(node.post("long-again", X_Tenant="slow")[0], 200)
+        for line in ("quota nowhere", "quota a//b", "quota", "quota-reset nowhere"):
+            self.assertTrue(node.call(line).startswith("fail "))
+
+    @staticmethod
+    def settings() -> dict[str, Any]:
+        from tests.edge import SETTINGS
+        return SETTINGS
+
+    def test_who_comes_back_when_told_gets_in(self) -> None:
+        node = self.start()
+        self.assertEqual(node.post("one", X_Tenant="short")[0], 200)
+        status, _, headers = node.post("two", X_Tenant="short")
+        self.assertEqual(status, 429)
+        time.sleep(float(headers["retry-after"]) + 0.002)
+        self.assertEqual(node.post("three", X_Tenant="short")[0], 200)
+
+    def test_other_limits_while_running_keep_what_was_used(self) -> None:
+        node = self.start()
+        self.statuses(node, "web", 4, "acme/web")
+        text = node.edge_file.read_text()
+        node.edge_file.write_text(text.replace("limit=4", "limit=5"))
+        node.reload()
+        eventually(lambda: node.counters().get("reloads", 0) == 1)
+        eventually(lambda: "of 5" in node.call("quota acme/web"))
+        self.assertEqual(self.statuses(node, "raised", 2, "acme/web"), [200, 429])
+        node.edge_file.write_text(text.replace("per=(min)10", "per=10", 1))
+        node.reload()
+        eventually(lambda: node.counters().get("reloads_refused", 0) == 1)
+        self.assertEqual(self.statuses(node, "same", 1, "acme/web"), [429])
+        self.assertIn('quotas > organisation "acme" > requests: per is to be a time', node.close())
+
+    def test_balances_go_over_to_the_next_process(self) -> None:
+        node = self.start()
+        self.assertEqual(self.statuses(node, "web", 3, "acme/web"), [200] * 3)
+        following = self.node(self.worker_, edge=node.edge_file.read_text(), port=node.port, wait=False)
+        eventually(lambda: following.call("status").startswith("ok ") if self.up(following) else False)
+        self.assertEqual(node.terminate(), 0)
+        self.assertEqual(self.statuses(following, "after", 2, "acme/web"), [200, 429])
+
+    @staticmethod
+    def up(node: Node) -> bool:
+        try:
+            node.call("status")
+        except OSError:
+            return False
+        return True
