--- a/benchmarks/quotas_hour.py
+++ b/benchmarks/quotas_hour.py
@@ -3,8 +3,8 @@
     python -m benchmarks.quotas_hour [--plot FILE.png]
 
 20 organisations of 10 teams on one node and on 2, 4 and 16; loads from nothing to ten times the limit,
-bursts, lognormal and Pareto run times; streams of chance that depend on the tenant alone. Every window is looked
-at over all starts.
+bursts, lognormal and Pareto run times; streams of chance that depend on the tenant alone. Every window is
+looked at over all starts.
 """
 
 from __future__ import annotations
