--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	arrowfold check $(EDGE)
 
 benchmark:
+	$(VENV)/bin/pip install -q --disable-pip-version-check -c constraints.txt -e '.[dev,benchmarks]'
 	python -m pytest benchmarks -q --benchmark-only
 
 .PHONY: build lint test run try check benchmark
--- a/arrowfold/program/edge.py
+++ b/arrowfold/program/edge.py
@@ -14,6 +14,7 @@
 from arrowfold.expectations.claims import Claim, Expectation, Target, When
 from arrowfold.expectations.history import ZERO, State
 from arrowfold.program.document import DocumentError, Place, read_document
+from arrowfold.program.log import FORMS
 from arrowfold.protocol.http import parse_address
 from arrowfold.quotas.tree import MOST_AMOUNT, UNIT, Level, Limit, PathError, Resource, Tree, read_path
 from arrowfold.routes.rules import Action, Match, Routes, Rule
@@ -66,6 +67,7 @@
     trace: TraceConfig | None = None
     routes: Routes = field(default_factory=lambda: Routes({}))
     quotas: Tree | None = None
+    log: str = FORMS[0]
     expectations: tuple[Expectation, ...] = ()
     check: CheckConfig = field(default_factory=CheckConfig)
 
@@ -75,7 +77,8 @@
     if path.suffix == ".toml":
         raise DocumentError(f"{path}: the deployment's file is a KDL document now, such as deploy/edge.kdl")
     root = read_document(path)
-    root.check(("faktory", "descriptions", "trace", "routes", "quotas", "expectations", "check"),
+    root.check(("faktory", "descriptions", "trace", "routes", "quotas", "expectations", "check",
+                "log"),
                repeated=("region",))
     descriptions = root.child("descriptions")
     regions = _regions(root)
@@ -84,7 +87,7 @@
         openapi=_file(descriptions, "openapi"), asyncapi=_file(descriptions, "asyncapi"),
         trace=_trace(root.child("trace")),
         routes=Routes(regions, _rules(root.child("routes"), regions)),
-        quotas=_quotas(root.child("quotas")),
+        quotas=_quotas(root.child("quotas")), log=_log(root.child("log")),
         expectations=_expectations(root.child("expectations"), regions),
         check=_check(root.child("check")))
 
@@ -126,6 +129,13 @@
         waiting.whole(16) if waiting is not None else 4096)
 
 
+def _log(place: Place | None) -> str:
+    if place is None:
+        return FORMS[0]
+    place.check(props=("format",))
+    return place.prop_choice("format", FORMS)
+
+
 def _regions(root: Place) -> dict[str, frozenset[str]]:
     regions: dict[str, frozenset[str]] = {}
     for place in root.children("region"):
--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import json
 import os
 import signal
 import socket
@@ -54,7 +53,7 @@
     """One running node."""
 
     def __init__(self, config: Config, signals: Signals) -> None:
-        self.config, self.signals, self.log = config, signals, Log(config.name)
+        self.config, self.signals, self.log = config, signals, _open_log(config)
         self.running = config  # what SIGHUP last brought
         self.counters: Counter[str] = Counter()
         self.loop = Loop(self._fault)
@@ -157,7 +156,7 @@
         place, trace = "", error.__traceback__
         while trace is not None:
             place, trace = f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}", trace.tb_next
-        self.log(f"fault in {where}: {type(error).__name__}: {error} at {place}")
+        self.log("fault", where=where, error=f"{type(error).__name__}: {error}", at=place)
 
     def _make_server(self, address: Address) -> SearchWorker:
         return SearchWorker(
@@ -222,12 +221,12 @@
         if self.faktory is not None:
             self.faktory.start()
         self.succession.publish()
-        self.log(f"listens on {self.config.listen[0]}:{self.config.listen[1]}")
+        self.log("listens", address=f"{self.config.listen[0]}:{self.config.listen[1]}")
 
     def _retire(self) -> None:
         """The newcomer serves: stop accepting, serve what is here, and go as soon as nothing is owed."""
         if not self.front.retired:
-            self.log("the newcomer has the listening sockets: serving what is here")
+            self.log("retires")
             self.front.retire()
             if self.faktory is not None:
                 self.faktory.retire()
@@ -239,7 +238,7 @@
             try:
                 self._follow()
             except (ValueError, KeyError, TypeError, AttributeError) as error:
-                self.log(f"succession: {type(error).__name__}: {error}; starting without its state")
+                self.log("succession_bad_state", error=f"{type(error).__name__}: {error}")
             self.succession.meet(self.inherited)
             self.inherited.close_rest()
             # The predecessor's module has subscribed to the list: this goes on with it, without a gap.
@@ -260,7 +259,7 @@
         try:
             self.discovery.take(known, api.RosterMode.PERSISTED)
         except ValueError as error:
-            self.log(f"known: {error}; starting without it")
+            self.log("known_refused", error=str(error))
             self.core.list_servers(SOURCE, (), api.RosterMode.PERSISTED)
 
     # --- signals and the end -----------------------------------------------------------------------------
@@ -276,7 +275,7 @@
                 self._print_counters()
             elif number != signal.SIGHUP and self.stop_at is None:
                 kill = self.loop.now() + min(self.running.longest_deadline, LONGEST_DRAIN) + SIGKILL_AFTER
-                self.log("asked to end: serving on until nothing is owed")
+                self.log("asked_to_end", owed=self.core.owed)
                 self.stop_at = kill - LAST_CALL
                 self.front.drain()
                 if self.succession.succeeded:
@@ -295,21 +294,21 @@
             routes = compile_routes(fresh)
         except Exception as error:  # whatever a file may hold, the node goes on
             self.counters["reloads_refused"] += 1
-            self.log(f"reload: configuration: {error}; going on with the old one")
+            self.log("reload_refused", error=str(error))
             return
         fixed = [key for key in self.config.changed(fresh) if key not in ("discovery", "settings", "known")]
         if fixed:
-            self.log(f"reload: not changed while running: {', '.join(fixed)}")
+            self.log("reload_waits_for_restart", keys=", ".join(fixed))
         if fresh.settings != self.running.settings:
             self.counters["reloads_settings"] += 1
-            self.log(f"reload: settings: classes {', '.join(c.name for c in fresh.settings.classes)}; "
-                     f"{fresh.settings.attempt_cap} attempts")
+            self.log("reload_settings", classes=", ".join(c.name for c in fresh.settings.classes),
+                     attempts=fresh.settings.attempt_cap)
             self.core.change_settings(fresh.settings, fresh.most_sessions)
         if fresh.edge is not None and self.running.edge is not None \
                 and fresh.edge.routes != self.running.edge.routes:
             self.counters["reloads_routes"] += 1
             self.core.routes = routes
-            self.log(f"reload: routes: {len(fresh.edge.routes.rules)} rules; open sessions keep theirs")
+            self.log("reload_routes", rules=len(fresh.edge.routes.rules))
         self._change_quotas(fresh)
         self.running, self.idle = fresh, _idle_span(fresh.settings)
         self.classes.clear()
@@ -317,7 +316,7 @@
         self.loads.learn(fresh.meanings)
         self.discovery.limit(self.idle, fresh.connect_limit)
         if fresh.discovery is not None and fresh.discovery != self.discovery.address:
-            self.log(f"reload: discovery is now {fresh.discovery[0]}:{fresh.discovery[1]}")
+            self.log("reload_discovery", address=f"{fresh.discovery[0]}:{fresh.discovery[1]}")
             self.discovery.move(fresh.discovery)
 
     def _change_quotas(self, fresh: Config) -> None:
@@ -358,7 +357,7 @@
         self.loop.stopping = True
 
     def _print_counters(self) -> None:
-        self.log("counters " + json.dumps(dict(sorted(self.counters.items()))))
+        self.log("counters", **dict(sorted(self.counters.items())))
 
 
 def compile_routes(config: Config) -> Router | None:
@@ -380,6 +379,10 @@
     return Gate(config.edge.quotas, config.settings.fleet_size, means, now)
 
 
+def _open_log(config: Config) -> Log:
+    return Log(config.name, config.edge.log if config.edge is not None else None)
+
+
 def _idle_span(settings: api.Settings) -> timedelta:
     """A connection is closed here well before the far side would close it under a request."""
     return timedelta(microseconds=settings.connection_idle_us or 30_000_000) * 0.8
--- a/arrowfold/program/succession.py
+++ b/arrowfold/program/succession.py
@@ -20,6 +20,7 @@
 from pathlib import Path
 from typing import Any
 
+from arrowfold.routing.session import Logging
 from arrowfold.transport.loop import Loop, Steps, Task
 from arrowfold.transport.stream import Address, Broken, Stream
 
@@ -186,7 +187,7 @@
 
     def __init__(
             self, loop: Loop, place: Path, describe: Callable[[], tuple[Message, tuple[int, ...]]],
-            obey: Callable[[str, str], None], on_change: Callable[[], None], log: Callable[[str], None],
+            obey: Callable[[str, str], None], on_change: Callable[[], None], log: Logging,
     ) -> None:
         self.loop, self.place, self.describe, self.obey = loop, place, describe, obey
         self.on_change, self.log = on_change, log
@@ -235,7 +236,7 @@
             temporary.replace(self.place)  # at once: there is no moment without a place
         except OSError as error:
             sock.close()
-            self.log(f"succession: {error}; the next process will listen beside this one")
+            self.log("succession_no_place", error=str(error))
         else:
             self.sock, self.mark = sock, (status.st_dev, status.st_ino)
             self.loop.watch(sock.fileno(), self, urgent=True)
@@ -310,11 +311,11 @@
             state, fds = self.describe()
             link.send(state, fds)
             link.told = True
-            self.log(f"succession: process {message['successor']} is to follow")
+            self.log("succession_to_follow", process=message["successor"])
             self.on_change()
         elif "ready" in message:
             link.ready = True
-            self.log("succession: the newcomer serves")
+            self.log("succession_newcomer_serves")
             self.on_change()
         elif "call" in message:
             self.obey(str(message["call"]), str(message.get("argument") or ""))
@@ -334,5 +335,5 @@
     def _ended(self, link: Link) -> None:
         if link in self.links:
             self.links.remove(link)
-            self.log(f"succession: the {'newcomer' if link.is_successor else 'predecessor'} has gone")
+            self.log("succession_gone", who="newcomer" if link.is_successor else "predecessor")
             self.on_change()
--- a/arrowfold/program/trace.py
+++ b/arrowfold/program/trace.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -20,7 +19,7 @@
 from arrowfold import interface as api
 from arrowfold.expectations.history import Sight, sights_of
 from arrowfold.program.edge import TraceConfig
-from arrowfold.routing.session import Answer, Dispatch, Session, to_us
+from arrowfold.routing.session import Answer, Dispatch, Logging, Session, to_us
 from arrowfold.transport.loop import ZERO, Loop
 
 BATCH = 16  # spans written in one turn of the loop: under a millisecond
@@ -32,7 +31,7 @@
 
     def __init__(
             self, loop: Loop, config: TraceConfig, name: str, counters: Counter[str],
-            log: Callable[[str], None],
+            log: Logging,
     ) -> None:
         self.loop, self.config, self.counters, self.log = loop, config, counters, log
         self._file = open(config.file, "ab", buffering=0)  # noqa: SIM115 (closed with the node)
@@ -134,7 +133,7 @@
         data = "".join(f"{line}\n" for line in lines).encode()
         if self._size + len(data) > self.config.most_bytes:
             if not self._full:
-                self.log(f"trace: {self.config.file} has reached its bound; nothing more is written")
+                self.log("trace_full", file=str(self.config.file))
             self._full = True
             self.counters["trace_dropped"] += len(lines)
             return
@@ -143,7 +142,7 @@
         except OSError as error:  # a full disk is no reason to end, nor to hold a job
             self.counters["trace_dropped"] += len(lines)
             self.counters["trace_errors"] += 1
-            self.log(f"trace: {error}")
+            self.log("trace_failed", error=str(error))
         else:
             self.counters["trace_spans"] += len(lines)
 
--- a/arrowfold/protocol/admin.py
+++ b/arrowfold/protocol/admin.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from arrowfold.routing.session import Logging
 from arrowfold.transport.budget import Reserve
 from arrowfold.transport.loop import Loop, Steps, Task
 from arrowfold.transport.stream import Address, Broken, Late, Listener, Stream
@@ -48,7 +49,7 @@
 
     def __init__(
             self, loop: Loop, address: Address, obey: Callable[[Call], Steps[str]], counters: Counter[str],
-            log: Callable[[str], None],
+            log: Logging,
     ) -> None:
         self.loop, self.obey, self.counters, self.log = loop, obey, counters, log
         self.callers: dict[Stream, Task] = {}  # who has not said a whole line yet, longest here first
@@ -89,7 +90,7 @@
             except Refused as error:
                 self.counters["admin_refused"] += 1
                 answer = f"fail {error}"
-            self.log(f"admin: {line.decode('utf-8', 'replace')[:80]!r}: {answer}")
+            self.log("admin", call=line.decode("utf-8", "replace")[:80], answer=answer)
             until = self.loop.now() + ANSWER_LIMIT
             yield from stream.write(f"{' '.join(answer.split())}\n".encode(), until)
             yield from stream.linger(self.loop.now() + LINGER, LINGER)
--- a/arrowfold/protocol/discovery.py
+++ b/arrowfold/protocol/discovery.py
@@ -12,6 +12,7 @@
 from arrowfold.protocol.http import ClientSide, parse_address
 from arrowfold.protocol.worker import SearchWorker
 from arrowfold.routing.core import Core
+from arrowfold.routing.session import Logging
 from arrowfold.routing.table import Row
 from arrowfold.transport.loop import Loop, Steps, Task
 from arrowfold.transport.stream import Address, Broken, Late, connect
@@ -36,7 +37,7 @@
     def __init__(
             self, loop: Loop, address: Address | None, core: Core,
             make_server: Callable[[Address], SearchWorker], counters: Counter[str],
-            log: Callable[[str], None],
+            log: Logging,
     ) -> None:
         self.loop, self.address, self.core = loop, address, core
         self.make_server, self.counters, self.log = make_server, counters, log
@@ -119,7 +120,7 @@
                 float(target.get("capacity_hint") or 1.0))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             self.counters["discovery_bad_entries"] += 1
-            self.log(f"discovery: an entry is left out: {type(error).__name__}: {error}")
+            self.log("discovery_bad_entry", error=f"{type(error).__name__}: {error}")
             return None
         known = self.servers.get(uid)
         if known is None or known[:2] != (address, launched_us):
@@ -144,7 +145,7 @@
         else:
             if not follow:
                 return
-        self.log(f"discovery: {'watch' if follow else 'call'} failed: {error}")
+        self.log("discovery_failed", what="watch" if follow else "call", error=error)
         self.counters["discovery_failures"] += 1
         if task is self.successor:
             self.successor = None
@@ -163,7 +164,7 @@
             self.successor, self.moving = None, False
             if old is not None:
                 old.stop()
-            self.log("discovery: the new address has told its whole list")
+            self.log("discovery_moved")
 
     def _read(self, follow: bool) -> Steps[None]:
         target, address = "/registry/instances", self.address
--- a/arrowfold/quotas/ledger.py
+++ b/arrowfold/quotas/ledger.py
@@ -40,11 +40,21 @@
         return f"quota of {level}: {self.limit.words()}"
 
 
+class Promises:
+    """What one window has told others to come back for, and when: the next is told a later time."""
+
+    __slots__ = ("ahead", "told")
+
+    def __init__(self) -> None:
+        self.told: deque[tuple[int, int]] = deque()  # when, and how much
+        self.ahead = 0
+
+
 class Account:
     """One level's balances."""
 
     __slots__ = ("borrowed", "children", "debt", "debt_us", "level", "open", "path", "promised", "seen_us",
-                 "promised_all", "windows")
+                 "windows")
 
     def __init__(self, path: Path, level: Level, windows: list[Window]) -> None:
         self.path, self.level, self.windows = path, level, windows
@@ -53,9 +63,8 @@
         self.debt_us = 0  # when the debts were last reduced
         self.seen_us = -1  # when it last asked
         self.open = 0  # tickets that are not settled
-        self.promised: deque[tuple[int, int]] = deque()  # to those refused: when to come back, and how much
-        self.promised_all = 0
-        self.children: OrderedDict[Path, Account] = OrderedDict()  # those that asked lately, the latest last
+        self.promised: list[Promises] | None = None  # of each window, once it has refused somebody
+        self.children: dict[Path, Account] = {}  # those that asked lately, the latest last
 
     def idle(self, now_us: int) -> bool:
         """Whether forgetting it changes no decision."""
@@ -93,8 +102,8 @@
         for parent, account in zip([None, *chain], chain, strict=False):
             account.seen_us = now_us
             if parent is not None:
+                parent.children.pop(account.path, None)
                 parent.children[account.path] = account
-                parent.children.move_to_end(account.path)
         borrowing: list[tuple[Account, int, int]] = []
         worst: Refusal | None = None
         for depth, account in enumerate(chain):
@@ -204,9 +213,12 @@
         window = account.windows[number]
         if cost > window.limit:
             return Refusal(account.path, limit, None)
-        while account.promised and account.promised[0][0] <= now_us:
-            account.promised_all -= account.promised.popleft()[1]
-        need = account.promised_all + cost + self._withheld(account, number)
+        if account.promised is None:
+            account.promised = [Promises() for _ in account.windows]
+        promises = account.promised[number]
+        while promises.told and promises.told[0][0] <= now_us:
+            promises.ahead -= promises.told.popleft()[1]
+        need = promises.ahead + cost + self._withheld(account, number)
         rounds, rest = divmod(max(0, need - 1), max(1, window.limit))
         at = window.free_at(min(rest + 1, window.limit), now_us)
         at_us = at if at is not None else now_us + window.span_us
@@ -216,9 +228,9 @@
             rate = max(1, int(self.tree.payback * window.limit))
             at_us = max(at_us, now_us + account.debt[number] * window.span_us // rate + window.span_us)
         at_us = max(at_us, now_us + 1)
-        if len(account.promised) < MOST_PROMISED:  # guards the memory; a crowd beyond it is spread no further
-            account.promised.append((at_us, cost))
-            account.promised_all += cost
+        if len(promises.told) < MOST_PROMISED:  # guards the memory; a crowd beyond it is spread no further
+            promises.told.append((at_us, cost))
+            promises.ahead += cost
         return Refusal(account.path, limit, timedelta(microseconds=at_us - now_us))
 
     # --- accounts ----------------------------------------------------------------------------------------
@@ -280,8 +292,7 @@
                 account.level.limits, account.windows, account.debt, strict=True)}
             # The account itself stays, for open tickets know it.
             account.level, account.windows, account.debt = level, [], []
-            account.promised.clear()
-            account.promised_all = 0
+            account.promised = None
             for limit in level.limits:
                 window, debt = held.get((limit.resource, limit.per), (None, 0))
                 if window is None:
@@ -353,8 +364,7 @@
             window.slots.clear()
             window.total = 0
         account.debt = [0] * len(account.windows)
-        account.promised.clear()
-        account.promised_all = 0
+        account.promised = None
         return True
 
 
--- a/arrowfold/quotas/window.py
+++ b/arrowfold/quotas/window.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 SLOTS = 40
 
 
@@ -28,14 +26,14 @@
     def __init__(self, limit: int, span_us: int) -> None:
         self.limit, self.span_us = limit, span_us
         self.slot_us = max(1, span_us // SLOTS)
-        self.slots: deque[Slot] = deque()
+        self.slots: list[Slot] = []  # at most SLOTS and two; a deque would take six times the room
         self.total = 0
 
     def advance(self, now_us: int) -> None:
         """Forget what is a whole window old."""
         slots = self.slots
         while slots and now_us >= (slots[0].number + 1) * self.slot_us + self.span_us:
-            slot = slots.popleft()
+            slot = slots.pop(0)
             slot.live = False
             self.total -= slot.amount
 
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -23,6 +23,7 @@
     Expired,
     Job,
     Left,
+    Logging,
     Observer,
     Probe,
     Progress,
@@ -44,7 +45,7 @@
 
     def __init__(
             self, settings: api.Settings, seed: int, clock: Clock, counters: Counter[str],
-            ask_list: Callable[[bool], None], log: Callable[[str], None], most_sessions: int = 30_000,
+            ask_list: Callable[[bool], None], log: Logging, most_sessions: int = 30_000,
     ) -> None:
         self.settings, self.clock, self.counters, self.log = settings, clock, counters, log
         self.ask_list = ask_list  # called with whether to follow the list's changes
@@ -318,7 +319,7 @@
         except Exception as error:
             # Guards rule 1 against a fault of the module: the session still ends at its deadline.
             self.counters["module_faults"] += 1
-            self.log(f"module: {type(error).__name__}: {error} on {type(event).__name__}")
+            self.log("module_fault", error=f"{type(error).__name__}: {error}", on=type(event).__name__)
             return
         for action in actions:
             match action:
@@ -331,7 +332,7 @@
                 case api.FetchRoster():
                     self.ask_list(False)
                 case api.Log(text):
-                    self.log(text)
+                    self.log("module", said=text)
                 case _ if action.request in self.sessions:
                     self._inbox.append((self.sessions[action.request], action))
 
--- a/arrowfold/routing/session.py
+++ b/arrowfold/routing/session.py
@@ -216,6 +216,12 @@
         return [dispatch for dispatch in self.dispatches if not dispatch.over]
 
 
+class Logging(Protocol):
+    """Says what happened, as an event with fields."""
+
+    def __call__(self, event: str, **fields: object) -> None: ...
+
+
 class Cancellable(Protocol):
     """A timer that can be taken back."""
 
