Hold two nodes that share nothing to the bound of quotas, over HTTP and Faktory

What nodes let in together was shown in virtual time only.

A loopback test: two nodes of a fleet of two, HTTP and Faktory clients at both, one stand-in worker that counts its runs. At stretch 1 they let in 20 of a limit of 20, at 1.5 30; worker time within one run a node of its limit; one answer a job.

--- a/tests/test_quotas_node.py
+++ b/tests/test_quotas_node.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from arrowfold.standins.producers import Client
-from tests.edge import EdgeCase, Node, eventually, free_port
+from tests.edge import SETTINGS, EdgeCase, Node, eventually, free_port
 
 DOCUMENT = """
 faktory {
@@ -77,8 +77,8 @@
 
     def test_worker_time_counts_what_was_used(self) -> None:
         """Each run takes half a second, whatever was reserved for it."""
-        settings = {"classes": [{**row, "onTimeUs": 100_000} for row in self.settings()["classes"]]}
-        node = self.start(settings={**self.settings(), **settings})
+        settings = {"classes": [{**row, "onTimeUs": 100_000} for row in SETTINGS["classes"]]}
+        node = self.start(settings={**SETTINGS, **settings})
         self.assertEqual(self.statuses(node, "long", 4, "slow"), [200, 200, 429, 429])
         said = node.call("quota slow")
         self.assertRegex(said, r"^ok quota slow: worker-time 0.9 s per 600 s: used (1|1\.\d+) of 0.9")
@@ -87,11 +87,6 @@
         for line in ("quota nowhere", "quota a//b", "quota", "quota-reset nowhere"):
             self.assertTrue(node.call(line).startswith("fail "))
 
-    @staticmethod
-    def settings() -> dict[str, Any]:
-        from tests.edge import SETTINGS
-        return SETTINGS
-
     def test_who_comes_back_when_told_gets_in(self) -> None:
         node = self.start()
         self.assertEqual(node.post("one", X_Tenant="short")[0], 200)
@@ -130,3 +125,67 @@
         except OSError:
             return False
         return True
+
+
+SHARED = """
+faktory {
+    listen "127.0.0.1:PORT"
+}
+quotas {
+    stretch STRETCH
+    organisation "acme" {
+        requests limit=20 per=(min)10
+    }
+    organisation "busy" {
+        worker-time limit=(s)6 per=(min)10
+    }
+}
+"""
+
+
+class TwoNodes(EdgeCase):
+    """Nodes that share nothing keep the bound together, over both wires, by what the worker counted."""
+
+    def behave(self, job: str, nth: int) -> str:
+        return "slow" if job.startswith("busy") else "done"
+
+    def pair(self, stretch: str) -> list[tuple[Node, Client]]:
+        self.worker_ = self.worker("s1", self.behave)
+        found = []
+        for _ in range(2):
+            port = free_port()
+            edge = SHARED.replace("PORT", str(port)).replace("STRETCH", stretch)
+            folder = self.folder / str(port)
+            folder.mkdir()
+            node = Node(folder, [self.worker_.row()], edge=edge, settings={
+                **SETTINGS, "fleetSize": 2,
+                "classes": [{**row, "onTimeUs": 500_000} for row in SETTINGS["classes"]]})
+            self.addCleanup(node.close)
+            client = Client(port)
+            self.addCleanup(client.close)
+            found.append((node, client))
+        return found
+
+    def test_requests_are_kept_and_every_job_has_one_answer(self) -> None:
+        for stretch, most in (("1", 20), ("1.5", 30)):
+            answers: list[str] = []
+            for number, (node, client) in enumerate(self.pair(stretch)):
+                for n in range(20):
+                    job = f"{stretch}-{number}-{n}"
+                    if n % 2:
+                        answers.append(client.push(job, custom={"tenant": "acme"})[:4])
+                    else:
+                        answers.append(str(node.post(job, X_Tenant="acme")[0]))
+            let_in = sum(answer in ("200", "+OK") for answer in answers)
+            self.assertEqual(len(answers), 40)
+            self.assertEqual((let_in, len(self.worker_.jobs)), (most, most))
+            self.assertEqual(set(answers), {"200", "+OK", "429", "-ERR"})
+
+    def test_worker_time_is_kept_as_the_worker_counts_it(self) -> None:
+        for number, (node, _) in enumerate(self.pair("1")):
+            answers = [node.post(f"busy-{number}-{n}", X_Tenant="busy")[0] for n in range(9)]
+            self.assertIn(429, answers)
+        # Half a second each: six seconds are twelve runs; one at each node may end beyond what was reserved.
+        spent = 0.5 * len(self.worker_.jobs)
+        self.assertLessEqual(spent, 6 + 2 * 0.5)
+        self.assertGreater(spent, 2)
