Play quotas in the check, and know a job's tenant by one name in routes, quotas and traces

An expectation could fail by a quota that the check did not know, and a route's tenant came from another header than a quota's, so the two could not be compared.

Worlds charge the document's quotas; the shrinking of settings names the organisation that takes part, so a route that keeps a tenant somewhere and a quota that lets none of its jobs in contradict each other by name. A job's tenant is X-Tenant, else X-Customer, for routes, quotas and traces; the module's own is untouched.

--- a/arrowfold/expectations/check.py
+++ b/arrowfold/expectations/check.py
@@ -309,6 +309,13 @@
     def settings(self) -> list[Setting]:
         """Everything set that may take part, each with the plan that lacks it."""
         found = [Setting(_path_of(rule), _without_rule(rule.name)) for rule in self.plan.routes.rules]
+        if self.plan.quotas is not None:
+            found += [Setting(f'quotas > organisation "{name}"', _without_organisation(name))
+                      for name in self.plan.quotas.root.children]
+            if self.plan.quotas.root.default is not None:
+                found.append(Setting("quotas > default", _without_quota_default))
+            if self.plan.quotas.nobody is not None:
+                found.append(Setting("quotas > nobody", _without_nobody))
         for number, cls in enumerate(self.plan.settings.classes):
             if cls.kind is not None:
                 found.append(Setting(f"settings > domain > classKind[{number}]", _without_kind(cls.name)))
@@ -404,6 +411,26 @@
     return without
 
 
+def _without_organisation(name: str) -> Callable[[Plan], Plan]:
+    def without(plan: Plan) -> Plan:
+        assert plan.quotas is not None
+        root = plan.quotas.root
+        rest = {other: level for other, level in root.children.items() if other != name}
+        return replace(plan, quotas=replace(plan.quotas, root=replace(root, children=rest)))
+
+    return without
+
+
+def _without_quota_default(plan: Plan) -> Plan:
+    assert plan.quotas is not None
+    return replace(plan, quotas=replace(plan.quotas, root=replace(plan.quotas.root, default=None)))
+
+
+def _without_nobody(plan: Plan) -> Plan:
+    assert plan.quotas is not None
+    return replace(plan, quotas=replace(plan.quotas, nobody=None))
+
+
 def _with(**changes: Any) -> Callable[[Plan], Plan]:
     return lambda plan: replace(plan, settings=replace(plan.settings, **changes))
 
--- a/arrowfold/expectations/worlds.py
+++ b/arrowfold/expectations/worlds.py
@@ -28,6 +28,8 @@
     State,
     sights_of,
 )
+from arrowfold.quotas.gate import Gate
+from arrowfold.quotas.tree import Tree
 from arrowfold.routes.rules import Routes, Subject
 from arrowfold.routes.table import RouteTable
 from arrowfold.routing.core import Core
@@ -125,6 +127,7 @@
     settings: api.Settings
     routes: Routes
     fleet: tuple[tuple[str, str], ...]  # zone and kind
+    quotas: Tree | None = None
     make_core: MakeCore = Core
     make_table: Callable[[Routes], RouteTable] = RouteTable
 
@@ -184,7 +187,7 @@
 
     def taken(self, session: Session) -> None:
         job = session.job
-        subject = Subject(job.request_class, job.region, job.key, job.tenant, job.client, job.resent)
+        subject = Subject(job.request_class, job.region, job.key, job.payer, job.client, job.resent)
         session.span = Life(job.id, subject, self.now(), job.deadline)
         self.history.lives.append(session.span)
 
@@ -308,6 +311,9 @@
             lambda event, **fields: None)
         self.core.routes = plan.make_table(plan.routes) if plan.routes.rules else None
         self.core.observer = recorder
+        if plan.quotas is not None:
+            means = {c.name: timedelta(microseconds=c.aim_us) for c in plan.settings.classes}
+            self.core.quotas = Gate(plan.quotas, plan.settings.fleet_size, means, START)
         # Names say nothing of zone or kind, as on the wire; a shuffle keeps their order from saying it.
         pairs = [pair for pair in plan.fleet for _ in range(world.servers)]
         names = [f"s{number}" for number in range(len(pairs))]
@@ -358,7 +364,7 @@
         name = f"job-{number}"
         session = self.core.take(Job(
             name, world.request_class, deadline, b"", world.key, f"key-{number}", world.tenant,
-            resent=world.resent, region=world.region, client=world.client), Silent())
+            resent=world.resent, region=world.region, client=world.client, account=world.tenant), Silent())
         if world.event == "clients-leave" and number % 2 == 0:
             self.clock.call_later(40 * MS, lambda: self.core.leave(session))
 
--- a/arrowfold/program/commands.py
+++ b/arrowfold/program/commands.py
@@ -215,7 +215,7 @@
     targets = [e.claim.target for e in document.expectations if isinstance(e.claim, Reaches | AtMostAt)]
     kinds = {target.kind: None for target in targets if target.kind is not None}
     fleet = fleet_of(values, document.routes, document.check.fleet or listed, kinds)
-    return Plan(values, document.routes, fleet)
+    return Plan(values, document.routes, fleet, document.quotas)
 
 
 def _print(reports: list[Report], as_json: bool, about: dict[str, Any]) -> None:
--- a/arrowfold/program/trace.py
+++ b/arrowfold/program/trace.py
@@ -63,7 +63,7 @@
 
     def taken(self, session: Session) -> None:
         job = session.job
-        said = {"region": job.region, "key": job.key, "tenant": job.tenant, "client": job.client}
+        said = {"region": job.region, "key": job.key, "tenant": job.payer, "client": job.client}
         session.span = self._tracer.start_span("session", Context(), start_time=self._now(), attributes={
             "session": job.id, "class": job.request_class, "resent": job.resent,
             "deadline_us": to_us(job.deadline),
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -203,7 +203,7 @@
             return True, None
         job = session.job
         found = self.routes.find(
-            Subject(job.request_class, job.region, job.key, job.tenant, job.client, job.resent))
+            Subject(job.request_class, job.region, job.key, job.payer, job.client, job.resent))
         if found is None:
             return True, None
         rule, reach = found
--- a/arrowfold/routing/session.py
+++ b/arrowfold/routing/session.py
@@ -61,6 +61,11 @@
     account: str | None = None  # whose quotas it counts against: organisation and team
     origin: Any = None
 
+    @property
+    def payer(self) -> str | None:
+        """The tenant as routes, quotas and traces know it; the module knows `tenant` alone."""
+        return self.account or self.tenant
+
 
 class Client(Protocol):
     """Who handed a job in."""
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -27,10 +27,11 @@
     settings: dict[str, Any] = field(default_factory=dict)  # of permissions
     kinds: tuple[int, int, int] = (-1, -1, -1)  # the kind that runs each class
     fleet: str = ""
+    quotas: str = ""
 
     def text(self) -> str:
-        said = [REGIONS, "routes {", self.rules, "}", "check {", ' settings "settings.json"', self.fleet, "}",
-                "expectations {"]
+        said = [REGIONS, self.quotas, "routes {", self.rules, "}", "check {", ' settings "settings.json"',
+                self.fleet, "}", "expectations {"]
         for name, (when, claim, _) in self.expectations.items():
             said += [f'expect "{name}" {{', f"when {{\n{when}\n}}" if when else "", claim, "}"]
         return "\n".join([*said, "}\n"])
@@ -39,6 +40,19 @@
 H, F, V = "holds", "fails", "vacuous"
 SEARCH, LOOKUP, RECORD = 'class "full-search"', 'class "symbol-lookup"', 'class "commit-record"'
 WEST = 'rule "west" {\n region "w"\n prefer "cardiff" "newport"\n}'
+QUOTAS = """
+quotas {
+    organisation "acme" {
+        requests limit=30 per=(s)10
+        team "web" {
+            requests limit=12 per=(s)10
+        }
+    }
+    organisation "none" {
+        requests limit=0 per=(s)10
+    }
+}
+"""
 INNER = 'rule "inner" {\n network "10.1.0.0/16"\n deny\n}\n'
 OUTER = 'rule "outer" {\n network "10.0.0.0/8"\n prefer "cardiff"\n}\n'
 ONLY = 'rule "west" {\n region "w"\n only "cardiff"\n}'
@@ -139,6 +153,14 @@
     Sample("retries on their own way", 'rule "again" {\n retry true\n only "newport"\n}', {
         "retry": ("retry true", 'only-reaches region="newport"', H),
         "first": ("retry false", 'only-reaches region="newport"', F)}),
+    Sample("quotas: what a tenant is let in for", "", {
+        "some are denied": ('tenant "acme/web"', 'answered within=(s)5 of="arrival" verdict="served"', F),
+        "others are not": ('tenant "zenith"', "at-most-attempts 4", H)},
+        named={"some are denied": ('quotas > organisation "acme"',)}, quotas=QUOTAS),
+    Sample("a route and a quota that contradict each other",
+           'rule "acme" {\n tenant "none/x"\n only "cardiff"\n}', {
+               "kept there": ('tenant "none/x"', 'only-reaches region="cardiff"', V)},
+           named={"kept there": ('quotas > organisation "none"',)}, quotas=QUOTAS),
     Sample("what nothing speaks of", WEST, {
         "nobody": ('tenant "x"\nserver-region "maintenance"', "at-most-attempts 1", V),
         "unknown": ('class "no-such-class"', 'never-reaches state="draining"', V)}),
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,7 +15,7 @@
     "routes": {"routes", "interface"},
     "quotas": {"quotas"},
     "routing": {"routing", "routes", "quotas", *MODULE},
-    "expectations": {"expectations", "routing", "routes", "interface"},
+    "expectations": {"expectations", "routing", "routes", "quotas", "interface"},
     "protocol": {"protocol", "routing", "transport", "interface"},
     "standins": {"standins"},
     "program": {"program", "protocol", "expectations", "routing", "routes", "quotas", "transport",
