Bound a key's home by what is reported where a node's part of a server is under a slot

The lines at fault: Dispatcher._home_will_do lets a home have one job of this node's own whatever else it holds, up to a load of 1.8; with 3 nodes that is 3 jobs, with 40 it is 40. Ruled out: old reports (78 % of sends went by figures under 250 ms old), connects (0 to 2 % of attempts), the processor (at most 0.3 of a second).

The bound on a home's load goes from 1.8 down to 1 as three times a node's part of a server (size / nodes) goes under one slot; up to a dozen nodes on servers of five slots nothing changes.

Tried and not taken here: drawing among as many homes as a key's measured rate, times the number of nodes, needs.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -3,9 +3,8 @@
 The types, events and actions it speaks are in arrowfold/interface.py, what it remembers of workers and
 requests in arrowfold/state.py; neither decides anything.
 
-Each class of requests has a table of tokens, each held by a worker; a request follows the holder of
-a token drawn at random. Workers trade tokens at the price C_j(w). Everything else here guards the
-rules, keeps the view of the workers' load, or is an exception whose conditions docs/design.md states.
+A request follows the holder of a token of its class; workers trade tokens at the price C_j(w). All else
+guards the rules, keeps the view of load, or is an exception whose conditions docs/design.md states.
 """
 
 from __future__ import annotations
@@ -28,7 +27,7 @@
 FINE = 24  # tokens a worker holds on average: enough that each has some of every class
 HOMES = 4  # homes of a key whose tokens are drawn first
 HOME_SHARE = 1.25  # a home holds at most this many times the mean of this dispatcher's jobs out, and one
-HOME_LOAD = 1.8  # and no more load than this, others' jobs and failures counted in
+HOME_LOAD = 1.8  # and no more load than this, others' jobs and failures counted in; 1 in a large fleet
 FULL_PART = 0.05  # a worker that turned a job away is no home for this part of a mean run time
 FULLS = 2  # turned away this often, a request waits here
 QUEUE = 0.65  # a queue is joined up to this part of a worker's size
@@ -199,8 +198,8 @@
         for worker in serving:
             for kind in (None, worker.kind):
                 self.pools.setdefault((kind, worker.local), []).append(worker)
-        marks = ((crc32(f"{i} {w.name}".encode()), w.name) for w in serving for i in range(HOME_MARKS))
-        self.homes = sorted(marks)
+        self.homes = sorted((crc32(f"{i} {w.name}".encode()), w.name) for w in serving
+                            for i in range(HOME_MARKS))
         for table in self.tables.values():
             for token in table.tokens:
                 holder = None if token.holder.serving else self._cheapest(table, self._sample(table, SAMPLE))
@@ -310,8 +309,7 @@
             free.append(report.free_memory or 0.0)
         if not worker.size:
             # One figure for a kind: a worker that was never seen idle once counted as a fraction of its size.
-            blank = [1.0] * len(free)
-            worker.size = self.kind_size.setdefault(worker.kind, blank) if worker.kind else blank
+            worker.size = self.kind_size.setdefault(worker.kind or worker.name, [1.0] * len(free))
         # With two slots free nobody waits there, so each that it holds has one at least.
         seen = [round(free[0]) + round(report.held or 0) if free[0] >= 1.5 else free[0], *free[1:]]
         for k, figure in enumerate(seen):
@@ -476,13 +474,11 @@
         state = {w.name: self._imbalance(w) for w in workers}
         by_load = sorted(workers, key=lambda w: state[w.name][0])
         for worker in by_load[::-1]:
-            if state[worker.name][0] <= edge:
-                break
-            self._hand_over(worker, by_load[0])
+            if state[worker.name][0] > edge:
+                self._hand_over(worker, by_load[0])
         for worker in by_load:
-            if state[worker.name][0] >= -edge:
-                break
-            self._hand_over(by_load[-1], worker)
+            if state[worker.name][0] < -edge:
+                self._hand_over(by_load[-1], worker)
         idle = [w for w in workers if abs(state[w.name][0]) <= edge < state[w.name][1]]
         pairs = [(a, b) for i, a in enumerate(idle) for b in idle[i + 1:]]
         if pairs:
@@ -568,8 +564,12 @@
 
         Guards a popular key's first home, and the others against fetches that its full queue would cause.
         """
+        # Guards against forty nodes with one job there each: where a node's part of a server is far less than
+        # a slot, its own jobs say nothing of a home's load, and only what is reported does.
+        part = min(1.0, 3 * self._size(home)[0] / self.settings.fleet_size)
         return home.out[0] <= 1 + HOME_SHARE * self.out / max(1, self.fleet) \
-            and self._load(home, 0) < HOME_LOAD and self.now - home.full_us >= FULL_PART * self.run_us
+            and self._load(home, 0) < 1 + (HOME_LOAD - 1) * part \
+            and self.now - home.full_us >= FULL_PART * self.run_us
 
     def _draw(self, request: Request, tried: list[Worker]) -> Token | None:
         """A token of the class: one that a home of the request's key holds, else any, by chance."""
