Let unstarted late jobs leave a server's queue, and use homes in the own zone, in a large fleet

With few nodes jobs wait in a node's own line, which gives up what is late (_poll_lines); with forty they wait in the servers' queues, from which _send never took one back: late work made what stood behind it late too.

An attempt that is unstarted when its job can only be late is called off, where giving it up is harmless (may_refuse); and of the first homes those in the node's zone come first.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -30,6 +30,7 @@
 HOME_LOAD = 1.8  # and no more load than this, others' jobs and failures counted in; 1 in a large fleet
 FULL_PART = 0.05  # a worker that turned a job away is no home for this part of a mean run time
 FULLS = 2  # turned away this often, a request waits here
+FEW = 12  # of up to so many dispatchers each knows enough of a server by its own jobs and its own line
 QUEUE = 0.65  # a queue is joined up to this part of a worker's size
 LINE = 5  # behind a line of this length who arrives waits too
 FORGET_US = 5 * SECOND  # what others had at a worker has faded half-way into their mean after this
@@ -47,11 +48,9 @@
 
 def may_refuse(request: Request) -> bool:
     """Rule 2: a refusal says that trying again is harmless, so it must be."""
-    cls = request.cls
-    if cls.idempotency is Idempotency.SAFE:
-        return True
-    reach_all = cls.idempotency is Idempotency.KEYED and cls.group == "all"
-    return reach_all or not any(a.may_have_run for a in request.attempts)
+    kind, group = request.cls.idempotency, request.cls.group
+    harmless = kind is Idempotency.SAFE or (kind is Idempotency.KEYED and group == "all")
+    return harmless or not any(a.may_have_run for a in request.attempts)
 
 
 def may_repeat_on(request: Request, worker: Worker, now: int) -> bool:
@@ -126,12 +125,12 @@
         if call:
             call(*args)
 
-    def _jitter(self, mean_us: float) -> int:
-        return int(mean_us * (0.5 + self.random.random()))
-
     def _ask_roster(self) -> None:
         self.actions.append(api.Subscribe())
 
+    def _jitter(self, mean_us: float) -> int:
+        return int(mean_us * (0.5 + self.random.random()))
+
     def _on_roster(self, event: api.RosterUpdate) -> None:
         if event.mode is RosterMode.ERROR:
             # Guards against a deaf dispatcher (rule 3 counts from when it would have been told) and,
@@ -283,11 +282,10 @@
 
         J_w^k is the class's mean need of slots and memory; its tokens' common rate share cancels out.
         """
-        price = self._load(worker, 0)
+        load = self._load(worker, 0)
         if len(self.mean) > 1 and table.memory > 0:
-            price = table.slots * price + table.memory * self._load(worker, 1)
-            price /= table.slots + table.memory
-        return price if worker.local else price + 0.02 + 5 * self.settings.prices.cross_zone
+            load = (table.slots * load + table.memory * self._load(worker, 1)) / (table.slots + table.memory)
+        return load if worker.local else load + 0.02 + 5 * self.settings.prices.cross_zone
 
     def _pick(self, workers: list[Worker], table: Table) -> Worker | None:
         """The lowest C_j(w), blurred by the spread so that dispatchers do not herd on one report."""
@@ -304,9 +302,7 @@
     def _take_report(self, worker: Worker, report: api.LoadReport | None) -> None:
         if report is None or report.free_slots is None:
             return
-        free = [report.free_slots - (report.waiting or 0.0)]
-        if len(self.mean) > 1:
-            free.append(report.free_memory or 0.0)
+        free = [report.free_slots - (report.waiting or 0.0), report.free_memory or 0.0][:len(self.mean)]
         if not worker.size:
             # One figure for a kind: a worker that was never seen idle once counted as a fraction of its size.
             worker.size = self.kind_size.setdefault(worker.kind or worker.name, [1.0] * len(free))
@@ -560,20 +556,20 @@
             self._widen(request, near=True)
 
     def _home_will_do(self, home: Worker) -> bool:
-        """Whether a home may take one more. Own jobs are known exactly, and every dispatcher's go by key.
-
-        Guards a popular key's first home, and the others against fetches that its full queue would cause.
-        """
-        # Guards against forty nodes with one job there each: where a node's part of a server is far less than
-        # a slot, its own jobs say nothing of a home's load, and only what is reported does.
-        part = min(1.0, 3 * self._size(home)[0] / self.settings.fleet_size)
+        """Guards a popular key's first home: one more only by own jobs, known exactly, and reported load."""
         return home.out[0] <= 1 + HOME_SHARE * self.out / max(1, self.fleet) \
-            and self._load(home, 0) < 1 + (HOME_LOAD - 1) * part \
+            and self._load(home, 0) < 1 + (HOME_LOAD - 1) * self._part() \
             and self.now - home.full_us >= FULL_PART * self.run_us
 
+    def _part(self) -> float:
+        """Under 1 where so many dispatchers share a server that their own jobs tell little of its load."""
+        return min(1.0, FEW / self.settings.fleet_size)
+
     def _draw(self, request: Request, tried: list[Worker]) -> Token | None:
         """A token of the class: one that a home of the request's key holds, else any, by chance."""
-        for home in self._homes_of(request)[:HOMES]:
+        # Of a large fleet, enough dispatchers are in each zone to share what a home there keeps.
+        large = self._part() < 1
+        for home in sorted(self._homes_of(request)[:HOMES], key=lambda w: large and not w.local):
             if home not in tried and self._home_will_do(home) and self.allowed(request, home):
                 token = next((t for t in home.tokens if t.table is request.table), None)
                 if token is not None:
@@ -584,8 +580,7 @@
     def _homes_of(self, request: Request) -> list[Worker]:
         """The workers that every dispatcher names for this key, in one order.
 
-        Guards against fetches: who looks for room, or has some, looks where the key may be kept. Only
-        where a fetch has a price do the first of them come before the drawn token's holder.
+        Guards against fetches: who looks for room, or has some, looks where the key may be kept.
         """
         if not request.key or not self.homes:
             return []
@@ -756,11 +751,18 @@
         if self._warmth(worker) < 1.0:
             self._cold_wait(worker, self._work_us(request) * request.slots)
         self.actions.append(api.Send(request.id, worker.name))
-        self._after(self._patience_us(request), self._overdue, request, len(request.attempts) - 1)
-
-    def _patience_us(self, request: Request) -> float:
-        """After this long without an outcome an attempt is suspect."""
-        return request.cls.aim_us + max(2.0, request.cls.stretch) * self._work_us(request)
+        number, work = len(request.attempts) - 1, self._work_us(request)
+        patience = request.cls.aim_us + max(2.0, request.cls.stretch) * work
+        self._after(patience, self._overdue, request, number)
+        if self.settings.tells_start and self._part() < 1:
+            self._after(self._late_at(request) + self.wait_us - self.now, self._unstarted, request, number)
+
+    def _unstarted(self, request: Request, number: int) -> None:
+        """Guards against late work that makes what waits behind it late too: it leaves a server's queue."""
+        attempt = request.attempts[number]
+        if request.open and attempt.begun_us == attempt.sent_us and not (attempt.ended or request.streaming) \
+                and self.settings.may_cancel and may_refuse(request):
+            self.actions.append(api.Cancel(request.id, number))
 
     def _overdue(self, request: Request, number: int) -> None:
         """Guards against a worker that has gone silent or crawls."""
@@ -771,9 +773,8 @@
         if self.settings.second_copies:
             if request.out() == 1 and request.cls.idempotency is not Idempotency.UNSAFE:
                 self._seek(request)
-        elif self.settings.may_cancel and request.cls.idempotency is Idempotency.SAFE \
-                and self._attempts_left(request) and attempt.begun_us == attempt.sent_us:
-            self.actions.append(api.Cancel(request.id, number))
+        elif self._attempts_left(request):
+            self._unstarted(request, number)
 
     def _on_ended(self, event: api.AttemptEnded) -> None:
         request = self.requests.get(event.request)
@@ -784,11 +785,10 @@
         attempt.ended, attempt.may_have_run = True, not event.status.never_ran
         self._count_out(attempt.worker, request, -1)
         self.out -= 1
-        if event.status is Status.OK:
-            self._measure(request, attempt)
         if event.final:
             self._close(request)
         if event.status is Status.OK:
+            self._measure(request, attempt)
             self._pull(attempt.worker)
         if request.out():
             return
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -61,5 +61,62 @@
         self.assertEqual(self.sent(3)[self.home], 3)
 
 
+class QueuesAtServers(unittest.TestCase):
+    """Where many nodes share a server, jobs wait in its queue, where none of them can order them."""
+
+    def run_for(self, nodes: int, name: str, start: bool) -> list[api.Action]:
+        """What a node does by itself from a send to the time when its job can only be late."""
+        node = fleet(nodes, 4, tells_start=True)[0]
+        hear(node, SECOND, {})
+        (send,) = sends(node.handle(SECOND, [api.Arrival("job", name, 6 * SECOND)]))
+        timers = [(SECOND + a.delay_us, a.handle) for a in node.actions if isinstance(a, api.SetTimer)]
+        if start:
+            node.handle(SECOND + 10 * MS, [api.AttemptProgress("job", 0, None)])
+        done: list[api.Action] = []
+        for at, handle in sorted(timers):
+            if at <= SECOND + 650 * MS:
+                done += node.handle(at, [api.TimerFired(handle)])
+        del send
+        return [a for a in done if isinstance(a, api.Cancel)]
+
+    def test_a_job_that_can_only_be_late_leaves_the_queue(self) -> None:
+        self.assertEqual(self.run_for(40, "safe", start=False), [api.Cancel("job", 0)])
+
+    def test_a_job_that_has_started_stays(self) -> None:
+        self.assertEqual(self.run_for(40, "safe", start=True), [])
+
+    def test_a_job_that_may_not_be_refused_stays(self) -> None:
+        self.assertEqual(self.run_for(40, "unsafe", start=False), [])
+
+    def test_in_a_small_fleet_the_line_orders_them(self) -> None:
+        self.assertEqual(self.run_for(3, "safe", start=False), [])
+
+
+class HomesInTheZone(unittest.TestCase):
+    def first_send(self, nodes: int, zone: str) -> api.RosterEntry:
+        conf = settings(zone=zone, fleet_size=nodes)
+        entries = roster(12, zones="abc")
+        node = Dispatcher(conf, 1)
+        node.handle(0, [api.RosterUpdate(api.RosterMode.COMPLETE, entries)])
+        table = node.tables["safe"]
+        for worker in node.workers.values():
+            table.tokens.append(Token(table, worker))
+            worker.tokens.append(table.tokens[-1])
+        hear(node, SECOND, {})
+        self.homes = [w.name for w in node._homes_of(_request(node))[:4]]
+        (send,) = sends(node.handle(SECOND, [api.Arrival("job", "safe", 6 * SECOND, key="popular")]))
+        return next(entry for entry in entries if entry.worker == send.worker)
+
+    def test_a_large_fleet_uses_the_home_in_its_own_zone_first(self) -> None:
+        chosen = {zone: self.first_send(40, zone) for zone in "abc"}
+        at_home = {zone for zone, entry in chosen.items() if entry.zone == zone}
+        zones = {entry.zone for entry in roster(12, zones="abc") if entry.worker in self.homes}
+        self.assertEqual(at_home, zones)  # in each zone that has a home of this key
+        self.assertGreater(len(zones), 1)
+
+    def test_a_small_fleet_shares_the_first_home(self) -> None:
+        self.assertEqual({self.first_send(3, zone).worker for zone in "abc"}, {self.homes[0]})
+
+
 def _request(node: Dispatcher) -> Request:
     return Request(api.Arrival("probe", "safe", SECOND, key="popular"), node.tables["safe"], 0)
