Take cold servers' turns where nobody has room, and doubt discovery's empty or older lists

And read in the code: Discovery.take believed an empty list and one of an older version at once, so a replica in trouble could empty the server table, or bring a draining server back.

In a large fleet who finds no room looks for an open turn before joining a queue or the line. Not in a small one: there the check found a world in which chance gave one server 13 light jobs in 1.5 s. An empty or older list is doubted, which counts as a failed call; the fourth in a row is believed; a server told to leave serves again only by a later version or a new start.

Each new test fails without its change, but those of shed calls, half lines and nonsense, which held.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -110,8 +110,7 @@
                 # Guards against every dispatcher of a fleet asking a roster of fixed capacity at once.
                 self._after(int(self.random.random() * self.settings.ask_within_us / 4), self._ask_roster)
         for event in events:
-            handler = self.handlers.get(type(event))
-            if handler:
+            if handler := self.handlers.get(type(event)):
                 handler(event)
         return self.actions
 
@@ -226,6 +225,13 @@
         if self._load(worker, 0) < 1:
             self._pull(worker)
 
+    def _to_cold(self, request: Request) -> bool:
+        """Guards a large fleet against idle cold servers: who finds no room takes a turn that has come."""
+        fit = [w for w in self.workers.values() if self._part() < 1 and self._warmth(w) < 1.0 and w.serving
+               and (w.free is None or self._load(w, 0) < 1) and self.allowed(request, w)]
+        self._send(request, self._pick(fit, request.table))
+        return bool(fit)
+
     def _cold_budget(self, worker: Worker) -> float:
         return self.settings.overload_factor * self._size(worker)[0] * self._warmth(worker)
 
@@ -289,9 +295,8 @@
 
     def _pick(self, workers: list[Worker], table: Table) -> Worker | None:
         """The lowest C_j(w), blurred by the spread so that dispatchers do not herd on one report."""
-        if not workers:
-            return None
-        return min(workers, key=lambda w: self._cost(w, table) + self.spread * self.random.random())
+        blur = {w: self._cost(w, table) + self.spread * self.random.random() for w in workers}
+        return min(blur, key=blur.__getitem__) if blur else None
 
     def _has_room(self, worker: Worker, request: Request) -> bool:
         if worker.free is None:
@@ -407,14 +412,13 @@
         """A few workers that may hold this class's tokens, near ones first, each once."""
         return list(dict.fromkeys(self._pool_pick(table, count - 1, True) + self._pool_pick(table, 1, False)))
 
-    def _cheapest(self, table: Table, workers: Iterable[Worker]) -> Worker | None:
+    def _cheapest(self, table: Table, workers: list[Worker]) -> Worker | None:
         """The lowest C_j(w), own tokens that no report shows yet counted in; ties by chance."""
         def price(worker: Worker) -> tuple[float, float]:
             planned = len(worker.tokens) / max(self._size(worker)[0], 1.0) / 4
             return self._cost(worker, table) + planned, self.random.random()
 
-        seen = list(workers)
-        return min(seen, key=price) if seen else None
+        return min(workers, key=price) if workers else None
 
     def _grant(self, table: Table) -> bool:
         holder = self._cheapest(table, self._sample(table, SAMPLE))
@@ -482,10 +486,8 @@
 
     def _hand_over(self, giver: Worker, taker: Worker) -> None:
         """The giver's token with the lowest C_j(w) at the taker moves there."""
-        if giver is taker or self._warmth(taker) < 1.0:
-            return
         fitting = [t for t in giver.tokens if t.table.cls.kind in (None, taker.kind)]
-        if fitting:
+        if fitting and giver is not taker and self._warmth(taker) >= 1.0:
             self._move(min(fitting, key=lambda t: self._cost(taker, t.table)), taker)
 
     def pair_gain(self, one: Worker, two: Worker) -> float:
@@ -533,10 +535,10 @@
         table.memory += 0.05 * (request.memory - table.memory)
         # Rule 1, whatever else fails: each open request owes this timer.
         self._after(event.deadline_us - self.now - self.settings.tick_us, self._end, request)
-        if len(self.lines[table.cls.kind]) >= LINE:
-            self._hold(request)  # many wait already: asking again for each would swamp the workers
-        else:
+        if len(self.lines[table.cls.kind]) < LINE:
             self._seek(request)
+        elif not self._to_cold(request):
+            self._hold(request)  # many wait already: asking again for each would swamp the workers
 
     def _seek(self, request: Request, tier: int = 0) -> None:
         """Draw a token and look at its holder first, among what the route leaves up to this tier."""
@@ -568,8 +570,7 @@
     def _draw(self, request: Request, tried: list[Worker]) -> Token | None:
         """A token of the class: one that a home of the request's key holds, else any, by chance."""
         # Of a large fleet, enough dispatchers are in each zone to share what a home there keeps.
-        large = self._part() < 1
-        for home in sorted(self._homes_of(request)[:HOMES], key=lambda w: large and not w.local):
+        for home in sorted(self._homes_of(request)[:HOMES], key=lambda w: self._part() < 1 and not w.local):
             if home not in tried and self._home_will_do(home) and self.allowed(request, home):
                 token = next((t for t in home.tokens if t.table is request.table), None)
                 if token is not None:
@@ -633,6 +634,8 @@
         if request.reach and request.tier < request.reach.last:
             self._seek(request, request.tier + 1)  # the preferred regions have no room: the next one's turn
             return
+        if self._to_cold(request):
+            return
         # The last attempt is kept for a worker with room: a full queue turns requests away.
         if fit and not self.out:
             # Guards against figures that say zero for ever: who has nothing out believes none of them.
@@ -728,9 +731,8 @@
 
     def _come_back_us(self) -> int:
         """What a refused client is told: come back once the slots have turned over, not all at once."""
-        if not self.settings.retry_after:
-            return 0
-        return min(self.settings.max_retry_after_us, self._jitter(self.run_us))
+        longest = self.settings.max_retry_after_us if self.settings.retry_after else 0
+        return min(longest, self._jitter(self.run_us))
 
     def _close(self, request: Request) -> None:
         request.open, request.candidates = False, []
@@ -752,8 +754,7 @@
             self._cold_wait(worker, self._work_us(request) * request.slots)
         self.actions.append(api.Send(request.id, worker.name))
         number, work = len(request.attempts) - 1, self._work_us(request)
-        patience = request.cls.aim_us + max(2.0, request.cls.stretch) * work
-        self._after(patience, self._overdue, request, number)
+        self._after(request.cls.aim_us + max(2.0, request.cls.stretch) * work, self._overdue, request, number)
         if self.settings.tells_start and self._part() < 1:
             self._after(self._late_at(request) + self.wait_us - self.now, self._unstarted, request, number)
 
--- a/arrowfold/program/succession.py
+++ b/arrowfold/program/succession.py
@@ -79,7 +79,10 @@
 
 def inherit(place: Path) -> Inheritance | None:
     """Ask a predecessor, if one runs and answers; what a dead one left behind refuses connections."""
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    except OSError:  # a platform that has no such sockets: nobody is there
+        return None
     got: list[int] = []
     try:
         until = time.monotonic() + ANSWER_LIMIT.total_seconds()
@@ -221,8 +224,9 @@
         """From now on the next process finds this one; told to predecessors, whose place this takes."""
         self.withdraw()
         temporary = self.place.with_name(f"{self.place.name}.{os.getpid()}")
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        sock: socket.socket | None = None
         try:
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
             with contextlib.suppress(FileNotFoundError):
                 temporary.unlink()
             before = os.umask(0o177)
@@ -235,7 +239,10 @@
             status = temporary.stat()
             temporary.replace(self.place)  # at once: there is no moment without a place
         except OSError as error:
-            sock.close()
+            # Guards the service against a platform without such sockets or without a folder for one: a node
+            # that can't be replaced while it runs serves all the same.
+            if sock is not None:
+                sock.close()
             self.log("succession_no_place", error=str(error))
         else:
             self.sock, self.mark = sock, (status.st_dev, status.st_ino)
--- a/arrowfold/protocol/discovery.py
+++ b/arrowfold/protocol/discovery.py
@@ -5,6 +5,7 @@
 import json
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
@@ -22,6 +23,8 @@
 CONNECT_LIMIT = timedelta(seconds=1)  # a connection that is up at all is up much sooner
 SILENCE_LIMIT = timedelta(seconds=5)  # a watch says something every 2 s
 MOST_LIST = 4 * 1024 * 1024
+MOST_LEAVING = 4096  # servers remembered as leaving
+DOUBTED = 3  # so many doubtful lists in a row are refused; the next one is how things are now
 _STATES = {
     "SERVING": api.Lifecycle.IN_SERVICE, "DRAINING": api.Lifecycle.TERMINATING,
     "DELETED": api.Lifecycle.TERMINATED,
@@ -44,6 +47,9 @@
         self.revision: int | None = None
         self.listed: dict[str, Any] = {}  # each server's entry as it was last told
         self.servers: dict[str, tuple[Address, int, SearchWorker]] = {}
+        # Servers told to drain or to be gone: when they had started, and the version that said so.
+        self.leaving: dict[str, tuple[int, int]] = {}
+        self.doubts = 0  # doubtful lists since the last sound message
         self.watch: Task | None = None
         self.moving = False  # the address is new, and has not told its whole list yet
         self.successor: Task | None = None  # the watch at the new address until then
@@ -77,8 +83,10 @@
         if not isinstance(message, dict) or not isinstance(message.get("targets"), list):
             raise ValueError("a message without targets")
         whole = bool(message.get("all"))
-        rows = [row for target in message["targets"] if (row := self._row(target)) is not None]
+        if mode is None:
+            self._doubt(message, whole)
         revision = message.get("rev")
+        rows = [row for target in message["targets"] if (row := self._row(target, revision)) is not None]
         if isinstance(revision, int):
             self.revision = revision
         if whole:
@@ -97,6 +105,28 @@
                 self._forget(entry.worker)
                 self.listed.pop(entry.worker, None)
 
+    def _doubt(self, message: dict[str, Any], whole: bool) -> None:
+        """Refuse what a discovery that is itself in trouble may say; raises ValueError.
+
+        Guards the server table against a replica that lies behind, and against a list that has been emptied
+        rather than is empty: the node serves on from what it last had, and asks again later each time. A
+        discovery that stays at its word is believed, since its versions may have begun anew.
+        """
+        revision, why = message.get("rev"), ""
+        if whole and self.servers and not any(isinstance(t, dict) and "uid" in t for t in message["targets"]):
+            why = "an empty list"
+        elif isinstance(revision, int) and self.revision is not None and revision < self.revision \
+                and not self.moving:
+            why = f"version {revision}, older than {self.revision}"
+        if not why:
+            self.doubts = 0
+            return
+        self.doubts += 1
+        if self.doubts <= DOUBTED:
+            self.counters["discovery_doubted"] += 1
+            raise ValueError(why)
+        self.doubts = 0
+
     def limit(self, idle: timedelta, connect_limit: timedelta) -> None:
         """Other time limits for every search worker."""
         for _, _, server in self.servers.values():
@@ -107,7 +137,7 @@
         return {"rev": None if self.moving else self.revision, "all": True,
                 "targets": list(self.listed.values())}
 
-    def _row(self, target: Any) -> Row | None:
+    def _row(self, target: Any, revision: object) -> Row | None:
         """A server's row. An entry that can't be read is left out, and the others still count."""
         try:
             uid, state = str(target["uid"]), _STATES[target["state"]]
@@ -128,7 +158,25 @@
             if known is not None:
                 known[2].close()
             known = self.servers[uid] = (address, launched_us, self.make_server(address))
-        return entry, known[2]
+        return self._kept_leaving(entry, revision), known[2]
+
+    def _kept_leaving(self, entry: api.RosterEntry, revision: object) -> api.RosterEntry:
+        """Guards rule 3 against a replica that lies behind: what was told of a drain is not forgotten.
+
+        A server serves again only by a later version than the one that said it leaves, or once started anew.
+        """
+        uid, version = entry.worker, revision if isinstance(revision, int) else None
+        if entry.lifecycle is not api.Lifecycle.IN_SERVICE:
+            self.leaving[uid] = (entry.launched_us, version if version is not None else self.revision or 0)
+            if len(self.leaving) > MOST_LEAVING:
+                del self.leaving[next(iter(self.leaving))]
+        elif uid in self.leaving:
+            launched_us, told = self.leaving[uid]
+            if entry.launched_us == launched_us and version is not None and version <= told \
+                    and not self.moving:
+                return replace(entry, lifecycle=api.Lifecycle.TERMINATING)
+            del self.leaving[uid]
+        return entry
 
     def _forget(self, uid: str) -> None:
         known = self.servers.pop(uid, None)
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,91 @@
+"""A discovery that is itself in trouble, against the real program: it sheds, lies behind, or is emptied."""
+
+from __future__ import annotations
+
+import itertools
+from typing import Any
+
+from arrowfold.standins.servers import Quiet, Server, Worker, eventually
+from tests.edge import EdgeCase
+
+
+class Scripted(Server):
+    """A discovery that answers each call by the next step; the last one is repeated.
+
+    A step is a status to shed with, bytes of one line, or a message.
+    """
+
+    def __init__(self, *steps: int | bytes | dict[str, Any]) -> None:
+        self.asked: list[str] = []
+        outer = self
+
+        class Handler(Quiet):
+            def do_GET(self) -> None:
+                step = steps[min(len(outer.asked), len(steps) - 1)]
+                outer.asked.append(self.path)
+                self.close_connection = True
+                if isinstance(step, int):
+                    self.send_response(step)
+                    self.send_header("Content-Length", "0")
+                    self.end_headers()
+                    return
+                self.send_response(200)
+                self.send_header("Transfer-Encoding", "chunked")
+                self.end_headers()
+                if isinstance(step, bytes):
+                    self.say(b"%x\r\n%s\r\n" % (len(step), step))
+                else:
+                    self.chunk(step)
+
+        super().__init__(Handler)
+
+
+def listing(revision: int, *rows: dict[str, Any], whole: bool = True) -> dict[str, Any]:
+    return {"rev": revision, "all": whole, "targets": list(rows)}
+
+
+class InTrouble(EdgeCase):
+    def follow(self, *steps: int | bytes | dict[str, Any]) -> Scripted:
+        discovery = Scripted(*steps)
+        self.addCleanup(discovery.close)
+        return discovery
+
+    def serves(self, worker: Worker, *steps: int | bytes | dict[str, Any]) -> None:
+        """The node goes on with what it last had until the discovery has come to itself."""
+        other = self.worker("s2")
+        discovery = self.follow(*steps, listing(9, worker.row(), other.row()))
+        node = self.node(worker, discovery=discovery.address)
+        for number in itertools.count():
+            self.assertEqual(node.post(f"t{number}")[0], 200)
+            if node.counters().get("discovery_messages", 0) > 1 and len(discovery.asked) > len(steps):
+                break
+        eventually(lambda: any(
+            node.post(f"u{n}", path=f"/search?key=k{n}")[1].startswith(b"s2") for n in range(12)))
+
+    def test_calls_that_are_shed(self) -> None:
+        self.serves(self.worker("s1"), 503, 503, 503)
+
+    def test_half_a_line(self) -> None:
+        self.serves(self.worker("s1"), b'{"rev":8,"all":true,"targ')
+
+    def test_nonsense(self) -> None:
+        self.serves(self.worker("s1"), b"once upon a time\n", b"[]\n", b'{"rev":8,"targets":7}\n')
+
+    def test_an_empty_list(self) -> None:
+        self.serves(self.worker("s1"), listing(8), listing(8), listing(8))
+
+    def test_an_older_list_brings_back_no_server_that_drains(self) -> None:
+        one, two = self.worker("s1"), self.worker("s2", lambda job, nth: 503)
+        discovery = self.follow(
+            listing(5, one.row("DRAINING"), two.row()), listing(3, one.row(), two.row()))
+        node = self.node(one, two, discovery=discovery.address)
+        eventually(lambda: len(discovery.asked) > 6)  # doubted, and then believed
+        for number in range(4):  # the other one is full, and would be the only choice
+            self.assertIn(node.post(f"t{number}", expires="400m")[0], (429, 503))
+        self.assertEqual(one.jobs, [])
+
+    def test_an_empty_list_that_stays_is_believed(self) -> None:
+        worker = self.worker("s1")
+        node = self.node(worker, discovery=self.follow(listing(8)).address)
+        eventually(lambda: node.answers_ready() == 503)
+        self.assertGreaterEqual(node.counters()["discovery_doubted"], 3)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -118,5 +118,52 @@
         self.assertEqual({self.first_send(3, zone).worker for zone in "abc"}, {self.homes[0]})
 
 
+class ColdFleet(unittest.TestCase):
+    def test_a_cold_server_is_used_where_nobody_else_has_room(self) -> None:
+        """Its turns come by chance; who arrives after one and finds the others full takes it."""
+        taken: Counter[str] = Counter()
+        second = 20 * SECOND
+        conf = settings(zone="a", fleet_size=40, cold_from=0.4, cold_us=9 * SECOND, overload_factor=3.0,
+                        overload_for_us=SECOND, attempt_cap=4)
+        for seed in range(40):
+            node = Dispatcher(conf, seed)
+            node.handle(second, [api.RosterUpdate(api.RosterMode.COMPLETE, (
+                *roster(20, zones="a"), api.RosterEntry("new", "a", "std", 0, second - 4 * SECOND)))])
+            table = node.tables["safe"]
+            for worker in node.workers.values():
+                if worker.name != "new":  # nobody's tokens show it yet
+                    table.tokens += [Token(table, worker)] * 4
+                    worker.tokens += table.tokens[-4:]
+            for step in range(6):
+                hear(node, second + step, {f"w{n}": 2 * SLOTS for n in range(20)})
+            node.workers["new"].cold_next_us = second  # its turn has come while nothing waited here
+            actions = node.handle(second + 10, [api.Arrival("job", "safe", second + 6 * SECOND)])
+            for at, handle in sorted((a.delay_us, a.handle) for a in actions if isinstance(a, api.SetTimer)):
+                if at < 200 * MS:
+                    actions += node.handle(second + 10 + at, [api.TimerFired(handle)])
+            taken.update(send.worker for send in sends(actions))
+        self.assertGreaterEqual(taken["new"], 36)
+
+
+class DiscoveryInTrouble(unittest.TestCase):
+    def test_nodes_ask_at_times_of_their_own_and_less_often_while_calls_fail(self) -> None:
+        waits: list[list[float]] = []
+        for node in fleet(40, 3, roster_on_request=True):
+            timers = [a for a in node.actions if isinstance(a, api.SetTimer)]
+            self.assertLessEqual(max(a.delay_us for a in timers), 10 * SECOND / 4)
+            row: list[float] = []
+            for _ in range(6):
+                (again,) = node.handle(SECOND, [api.RosterUpdate(api.RosterMode.ERROR)])
+                assert isinstance(again, api.SetTimer)
+                row.append(again.delay_us / SECOND)
+            waits.append(row)
+        means = [sum(row[nth] for row in waits) / len(waits) for nth in range(6)]
+        self.assertEqual(means, sorted(means))
+        self.assertGreater(means[-1], 3 * means[0])
+        self.assertLessEqual(max(max(row) for row in waits), 10)  # the contract's time
+        first = sorted(row[0] for row in waits)
+        self.assertGreater(first[30] - first[10], 0.2)  # not in step
+
+
 def _request(node: Dispatcher) -> Request:
     return Request(api.Arrival("probe", "safe", SECOND, key="popular"), node.tables["safe"], 0)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,60 @@
+"""What the platform asks of the deploy file and of a node that is refused what it could do without."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+from arrowfold.standins.process import ROOT
+from tests.edge import EdgeCase
+
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
+
+# Before the program: a kernel that knows no Unix sockets and starts no processes.
+REFUSE = """
+import errno, os, socket, sys
+real = socket.socket
+class Refusing(real):
+    def __init__(self, family=-1, *rest, **more):
+        if family == socket.AF_UNIX:
+            raise OSError(errno.EAFNOSUPPORT, "no such sockets here")
+        super().__init__(family, *rest, **more)
+socket.socket = Refusing
+def refuse(*_, **__):
+    raise OSError(errno.ENOSYS, "refused")
+os.fork = os.posix_spawn = refuse
+from arrowfold.__main__ import main
+sys.exit(main([]))
+"""
+
+
+class Deploy(EdgeCase):
+    def test_node_names_what_a_real_node_loads(self) -> None:
+        """Also with a document, whose parts are loaded only then."""
+        code = ("import sys\n"
+                "from arrowfold.program import config, edge, node, start, trace\n"
+                "from arrowfold.quotas import gate\n"
+                "from arrowfold.routes import table\n"
+                "print(*{m.__file__ for n, m in sys.modules.items() if n.startswith('arrowfold.')})")
+        loaded = subprocess.run(
+            [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
+        named = [ROOT / path for path in DEPLOY["node"] + DEPLOY["policy"]]
+        self.assertGreater(len(loaded), 25)
+        for path in map(Path, loaded):
+            self.assertTrue(any(path == name or name in path.parents for name in named), path)
+
+    def test_run_ends_in_one_process(self) -> None:
+        self.assertTrue(DEPLOY["run"].split(";")[-1].strip().startswith("exec "), DEPLOY["run"])
+        for key in ("build", "run", "sim", "policy", "node"):
+            self.assertTrue(DEPLOY[key], key)
+
+    def test_a_node_serves_without_unix_sockets_and_other_processes(self) -> None:
+        (self.folder / "refuse.py").write_text(REFUSE)
+        worker = self.worker("s1")
+        node = self.node(worker, shell=f"PYTHONPATH={ROOT} exec {sys.executable} {self.folder / 'refuse.py'}")
+        self.assertEqual(node.post("t")[:2], (200, b"s1:t"))
+        self.assertEqual(node.terminate(), 0)
+        said = node.close()
+        self.assertEqual(said.count("succession_no_place"), 1, said)
