Ask nothing believed of a cold server's load before its turn is used, in a large fleet

Change: an open turn needs a free slot in the last report, if any; a turn that comes pulls what waits.

Small fleets: not reached by it.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -222,13 +222,13 @@
         self._after(wait, self._cold_pull, worker)
 
     def _cold_pull(self, worker: Worker) -> None:
-        if self._load(worker, 0) < 1:
+        if self._load(worker, 0) < 1 or self._part() < 1:  # what a large fleet believes of it is old
             self._pull(worker)
 
     def _to_cold(self, request: Request) -> bool:
         """Guards a large fleet against idle cold servers: who finds no room takes a turn that has come."""
         fit = [w for w in self.workers.values() if self._part() < 1 and self._warmth(w) < 1.0 and w.serving
-               and (w.free is None or self._load(w, 0) < 1) and self.allowed(request, w)]
+               and (w.free is None or w.free[0] > 0) and self.allowed(request, w)]
         self._send(request, self._pick(fit, request.table))
         return bool(fit)
 
