In a large fleet, leave a server's queue early, and refuse retries that can only be late

A report is too old at 200 nodes to tell, but a start is told at once. Now a job that has not started after a quarter of its class's aim looks elsewhere, as long as most attempts start at once (`_eased`); else queues would all leave for one another. - `_on_arrival`: a retry counted as new, though its client's aim had gone by.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -17,13 +17,12 @@
 
 from arrowfold import interface as api
 from arrowfold.interface import Idempotency, Lifecycle, RosterMode, Status
-from arrowfold.state import SECOND, Attempt, Rate, Request, Table, Token, Worker
+from arrowfold.state import SECOND, STRIKE_US, Attempt, Rate, Request, Share, Table, Token, Worker
 
 ROUND_US = SECOND // 2  # mean time between market rounds
 SAMPLE = 8  # workers looked at in a round
 PARTNERS = 3  # workers looked at when a drawn token is traded at once
 FRESH_US = SECOND  # a figure younger than this is not asked for again
-LAG_US = SECOND // 2  # how far reports lie behind, about
 FINE = 24  # tokens a worker holds on average: enough that each has some of every class
 HOMES = 4  # homes of a key whose tokens are drawn first
 HOME_SHARE = 1.25  # a home holds at most this many times the mean of this dispatcher's jobs out, and one
@@ -31,11 +30,12 @@
 FULL_PART = 0.05  # a worker that turned a job away is no home for this part of a mean run time
 FULLS = 2  # turned away this often, a request waits here
 FEW = 12  # of up to so many dispatchers each knows enough of a server by its own jobs and its own line
+PATIENCE = 0.25  # of the aim: a job that has not started for so long waits in the worker's queue
+EASE = 0.6  # more of the last attempts than this started at once: another worker will most likely do
 QUEUE = 0.65  # a queue is joined up to this part of a worker's size
 LINE = 5  # behind a line of this length who arrives waits too
 FORGET_US = 5 * SECOND  # what others had at a worker has faded half-way into their mean after this
 RATE_US = 10 * SECOND  # memory of the measured arrival rates
-STRIKE_US = 4 * SECOND  # a failure's weight halves in this time
 HOLDER, NEAR, FAR = range(3)  # how far a request has looked for room
 COLD_SHARE = 0.4  # part of the cold budget that all dispatchers together aim to use
 HOME_MARKS = 64  # places of a worker on the ring of key homes; with few, shares are left to chance
@@ -84,7 +84,7 @@
         resources = 2 if settings.reports_memory else 1
         self.mean, self.spread = [0.5] * resources, 0.1  # L_avg^k, and how far loads lie from it
         self.others = [0.3] * resources  # what other dispatchers have at a worker, over its size, on average
-        self.latency: dict[str, float] = {}
+        self.ease = Share(0.9)  # of the attempts that started at once
         self.rtt = {True: 4.0 * settings.tick_us, False: 12.0 * settings.tick_us}
         self.tables = {c.name: Table(c, RATE_US) for c in settings.classes}
         self.wait_us = 0.0  # mean time from a send to its told start
@@ -253,7 +253,7 @@
 
     def _cold_turn(self, worker: Worker, request: Request) -> bool:
         """Rule 4: a cold worker gets light requests only, at a rate that holds for all dispatchers."""
-        work = self._work_us(request) * request.slots
+        work = request.work_us() * request.slots
         if not worker.cold_next_us:
             self._cold_wait(worker, work)
         # Guards against one heavy request that alone would spend the window's budget.
@@ -279,6 +279,8 @@
         if worker.strikes:
             # Guards the work when all servers fail: who fails no more than others is not left out.
             load += max(0.0, worker.strikes * 2 ** (-(self.now - worker.strike_us) / STRIKE_US) - self.struck)
+        if worker.errors and self._part() < 1:  # by its own word: who fails fast shows free slots
+            load += worker.errors * self.run_us / SECOND * 2 ** (-(self.now - worker.heard_us) / STRIKE_US)
         if worker.slow > 1.5:
             load += 0.5 * (worker.slow - 1.5) * 2 ** (-(self.now - worker.slow_us) / STRIKE_US)
         return load
@@ -315,8 +317,8 @@
         seen = [round(free[0]) + round(report.held or 0) if free[0] >= 1.5 else free[0], *free[1:]]
         for k, figure in enumerate(seen):
             worker.size[k] = max(worker.size[k], figure)
-        worker.free, worker.heard_us = free, self.now
-        self._own_lag(worker)
+        worker.free, worker.heard_us, worker.errors = free, self.now, report.errors or 0.0
+        worker.catch_up(self.now)
         for k, figure in enumerate(free):
             used = worker.size[k] - figure
             if not k and report.held is not None and report.free_slots <= 0:
@@ -330,33 +332,6 @@
             self.mean[k] += 0.03 * away
         worker.report = report
         self.spread += 0.03 * (abs(away) - self.spread)
-        if report.latency_ms:
-            usual = self.latency.get(worker.kind, report.latency_ms)
-            self.latency[worker.kind] = usual + 0.03 * (report.latency_ms - usual)
-            self._note_pace(worker, report.latency_ms / max(usual, 1e-9))
-
-    def _own_lag(self, worker: Worker) -> None:
-        """What this dispatcher had out when the report now heard was made, about."""
-        part = 1 - 2 ** (-(self.now - worker.lag_us) / LAG_US)
-        worker.lag_us = self.now
-        for k in (0, 1):
-            worker.lag[k] += part * (worker.out[k] - worker.lag[k])
-
-    def _count_out(self, worker: Worker, request: Request, sign: int) -> None:
-        self._own_lag(worker)
-        worker.out[0] = max(0.0, worker.out[0] + sign * request.slots)
-        worker.out[1] = max(0.0, worker.out[1] + sign * request.memory)
-
-    def _note_pace(self, worker: Worker, ratio: float) -> None:
-        """How much slower than usual a worker runs; forgotten unless seen again."""
-        worker.slow += 0.3 * (min(ratio, 10.0) - worker.slow)
-        worker.slow_us = self.now
-
-    def _strike(self, worker: Worker, weight: float = 1.0, failed: bool = False) -> None:
-        """Guards against a worker that fails, hangs or has gone: its load rises, for a while."""
-        part = 2 ** (-(self.now - worker.strike_us) / STRIKE_US)
-        worker.strikes, worker.strike_us = min(max(worker.strikes * part + weight, 0.0), 4.0), self.now
-        worker.failed = min(worker.failed * part + failed, worker.strikes)
 
     def _on_probe(self, event: api.ProbeEnded) -> None:
         worker = self.workers.get(event.worker)
@@ -366,9 +341,9 @@
         if event.status is Status.OK:
             self.rtt[worker.local] += 0.1 * (event.elapsed_us - self.rtt[worker.local])
             self._take_report(worker, event.report)
-            self._strike(worker, -0.5)  # an answer, even a late one, takes back what silence had added
+            worker.strike(self.now, -0.5)  # an answer, even a late one, takes back what silence had added
         else:
-            self._strike(worker)
+            worker.strike(self.now)
         for request in askers:
             if worker in request.candidates and request.awaiting:
                 request.awaiting -= 1
@@ -399,7 +374,7 @@
             request.awaiting = 0
             for worker in request.candidates:
                 if worker.probe_us is not None:
-                    self._strike(worker, 0.5)
+                    worker.strike(self.now, 0.5)
             self._decide(request)
 
     # --- token tables and market --------------------------------------------------------------------
@@ -514,11 +489,6 @@
 
     # --- requests and attempts ----------------------------------------------------------------------
 
-    def _work_us(self, request: Request) -> float:
-        """How long this request is expected to run."""
-        table = request.table
-        return request.hint * table.per_hint if request.hint else table.run_us
-
     def _on_arrival(self, event: api.Arrival) -> None:
         if event.request in self.requests:
             return
@@ -535,7 +505,12 @@
         table.memory += 0.05 * (request.memory - table.memory)
         # Rule 1, whatever else fails: each open request owes this timer.
         self._after(event.deadline_us - self.now - self.settings.tick_us, self._end, request)
-        if len(self.lines[table.cls.kind]) < LINE:
+        if self._part() < 1:  # a client that comes again has less than the class's time left
+            request.comes_again(self.now)
+        least, late = min(c.worth for c in self.settings.classes), table.cls.worth * table.cls.late_share
+        if request.aged and not self._eased() and late < least:
+            self._end(request)  # guards who can still be in time against those who can't
+        elif len(self.lines[table.cls.kind]) < LINE:
             self._seek(request)
         elif not self._to_cold(request):
             self._hold(request)  # many wait already: asking again for each would swamp the workers
@@ -575,8 +550,11 @@
                 token = next((t for t in home.tokens if t.table is request.table), None)
                 if token is not None:
                     return token
-        drawn = (self.random.choice(request.table.tokens) for _ in range(SAMPLE if request.reach else 1))
-        return next((t for t in drawn if request.reaches(t.holder)), None) if request.table.tokens else None
+        first = self._part() < 1 and not request.attempts  # of a large fleet, it stays in the zone if it can
+        count, tokens = SAMPLE if request.reach else PARTNERS if first else 1, request.table.tokens
+        drawn = [self.random.choice(tokens) for _ in range(count)] if tokens else []
+        drawn = [token for token in drawn if request.reaches(token.holder)]
+        return next((t for t in drawn if first and t.holder.local), drawn[0] if drawn else None)
 
     def _homes_of(self, request: Request) -> list[Worker]:
         """The workers that every dispatcher names for this key, in one order.
@@ -663,8 +641,9 @@
 
     def _rank(self, request: Request) -> float:
         """Who goes first when room is short: the most worth for the work."""
-        cls, work = request.cls, max(1.0, self._work_us(request) * request.slots)
+        cls, work = request.cls, max(1.0, request.work_us() * request.slots)
         worth = cls.worth * (self.settings.over_share_worth if request.over_share else 1.0)
+        worth *= cls.late_share if request.aged else 1.0
         return worth if self.settings.worth_by_work else worth / work
 
     def _hold(self, request: Request) -> None:
@@ -713,9 +692,10 @@
 
     def _late_at(self, request: Request) -> float:
         """The last moment to start and still be in time, as far as can be told."""
-        cls, work = request.cls, self._work_us(request)
-        in_time = request.born_us + cls.aim_us + (cls.stretch - 1) * work - self.wait_us
-        return min(in_time, request.deadline_us - work)
+        cls, work = request.cls, request.work_us()
+        more = (cls.stretch - 1) * work if self._part() >= 1 else 0.0  # which a light job has not
+        in_time = request.born_us + cls.aim_us + more - self.wait_us
+        return request.deadline_us - work if request.aged else min(in_time, request.deadline_us - work)
 
     def _stuck(self, request: Request) -> None:
         """No further attempt is possible or wise: wait for what is out, else end it."""
@@ -748,15 +728,28 @@
         if worker is None or not self.allowed(request, worker):
             return
         request.attempts.append(Attempt(worker, self.now))
-        self._count_out(worker, request, 1)
+        worker.count(self.now, request.slots, request.memory)
         self.out += 1
         if self._warmth(worker) < 1.0:
-            self._cold_wait(worker, self._work_us(request) * request.slots)
+            self._cold_wait(worker, request.work_us() * request.slots)
         self.actions.append(api.Send(request.id, worker.name))
-        number, work = len(request.attempts) - 1, self._work_us(request)
+        number, work = len(request.attempts) - 1, request.work_us()
         self._after(request.cls.aim_us + max(2.0, request.cls.stretch) * work, self._overdue, request, number)
         if self.settings.tells_start and self._part() < 1:
             self._after(self._late_at(request) + self.wait_us - self.now, self._unstarted, request, number)
+            if self._attempts_left(request):
+                self._after(PATIENCE * request.cls.aim_us, self._queued, request, number)
+
+    def _eased(self) -> bool:
+        """Whether a worker that is tried will most likely start a job at once."""
+        return self.ease.value > EASE
+
+    def _queued(self, request: Request, number: int) -> None:
+        """Guards against waiting behind others while slots are free elsewhere: no report tells in time."""
+        attempt = request.attempts[number]
+        if self._eased() and not attempt.ended and attempt.begun_us == attempt.sent_us:
+            self.ease.note(False)
+            self._unstarted(request, number)
 
     def _unstarted(self, request: Request, number: int) -> None:
         """Guards against late work that makes what waits behind it late too: it leaves a server's queue."""
@@ -770,7 +763,7 @@
         attempt = request.attempts[number]
         if attempt.ended or not request.open or request.streaming:
             return
-        self._strike(attempt.worker, 0.5)
+        attempt.worker.strike(self.now, 0.5)
         if self.settings.second_copies:
             if request.out() == 1 and request.cls.idempotency is not Idempotency.UNSAFE:
                 self._seek(request)
@@ -784,7 +777,7 @@
         attempt = request.attempts[event.attempt]
         self._judge(attempt.worker, event)
         attempt.ended, attempt.may_have_run = True, not event.status.never_ran
-        self._count_out(attempt.worker, request, -1)
+        attempt.worker.count(self.now, -request.slots, -request.memory)
         self.out -= 1
         if event.final:
             self._close(request)
@@ -797,7 +790,8 @@
             self.requests.pop(request.id, None)
         elif request.cls.idempotency is Idempotency.UNSAFE and attempt.may_have_run:
             self._end(request)  # rule 2: it may have run, and must not run twice
-        elif event.status is Status.FULL and len(request.attempts) >= FULLS and self._attempts_left(request):
+        elif event.status is Status.FULL and len(request.attempts) >= FULLS and self._attempts_left(request) \
+                and not (self._part() < 1 and self._eased()):
             self._hold(request)
         else:
             self._seek(request)
@@ -807,8 +801,9 @@
         self._take_report(worker, event.report)
         if event.status is Status.FULL:
             worker.full_us = self.now
+            self.ease.note(False)
         elif event.status in (Status.ERROR, Status.CONNECT_FAILED, Status.RESET, Status.TIMEOUT):
-            self._strike(worker, failed=event.status is not Status.TIMEOUT)
+            worker.strike(self.now, failed=event.status is not Status.TIMEOUT)
 
     def _measure(self, request: Request, attempt: Attempt) -> None:
         """C_i, from told start, else send, to outcome; and how the worker's pace compares."""
@@ -816,7 +811,7 @@
         run = max(1.0, self.now - attempt.begun_us)
         table.seen += 1
         step = max(0.03, 1 / table.seen)
-        self._note_pace(attempt.worker, run / max(1.0, self._work_us(request)))
+        attempt.worker.note_pace(self.now, run / max(1.0, request.work_us()))
         table.run_us += step * (run - table.run_us)
         self.run_us += 0.03 * (run - self.run_us)
         if request.hint:
@@ -827,7 +822,9 @@
         if request is not None and event.attempt < len(request.attempts) and event.done is None:
             attempt = request.attempts[event.attempt]
             attempt.begun_us = self.now
-            self.wait_us += 0.03 * (self.now - attempt.sent_us - self.wait_us)
+            waited = self.now - attempt.sent_us
+            self.wait_us += 0.03 * (waited - self.wait_us)
+            self.ease.note(waited < PATIENCE * request.cls.aim_us)
 
     def _on_stream(self, event: api.StreamStarted) -> None:
         if event.request in self.requests:
--- a/arrowfold/interface.py
+++ b/arrowfold/interface.py
@@ -164,6 +164,7 @@
     busy: float | None = None
     latency_ms: float | None = None
     held: float | None = None
+    errors: float | None = None  # a second
 
 
 @dataclass(frozen=True, slots=True)
--- a/arrowfold/state.py
+++ b/arrowfold/state.py
@@ -7,15 +7,17 @@
 from arrowfold import interface as api
 
 SECOND = 1_000_000
+LAG_US = SECOND // 2  # how far reports lie behind, about
+STRIKE_US = 4 * SECOND  # a failure's weight halves in this time
 
 
 class Worker:
     """A worker as this dispatcher sees it: its roster entry, its figures, its tokens."""
 
     __slots__ = (
-        "askers", "cell", "cold_next_us", "failed", "free", "full_us", "heard_us", "kind", "lag", "lag_us",
-        "launched_us", "local", "name", "others", "out", "probe_us", "report", "serving", "size", "slow",
-        "slow_us", "strike_us", "strikes", "tokens", "zone",
+        "askers", "cell", "cold_next_us", "errors", "failed", "free", "full_us", "heard_us", "kind", "lag",
+        "lag_us", "launched_us", "local", "name", "others", "out", "probe_us", "report", "serving", "size",
+        "slow", "slow_us", "strike_us", "strikes", "tokens", "zone",
     )
 
     def __init__(self, name: str) -> None:
@@ -24,6 +26,7 @@
         self.free: list[float] | None = None  # reported free figures, less what waits
         self.size: list[float] = []  # R_j^k: the largest free figures seen
         self.full_us = -60 * SECOND  # when it last turned a job away
+        self.errors = 0.0  # a second, by its last report
         self.report: object = None  # the last one, to tell a new one from the same told again
         self.out = [0.0, 0.0]  # what this dispatcher has out there now
         self.lag, self.lag_us = [0.0, 0.0], 0  # the same as reports show it: some time ago
@@ -35,6 +38,30 @@
         self.tokens: list[Token] = []
         self.cold_next_us = 0
 
+    def catch_up(self, now: int) -> None:
+        """What this dispatcher had out when a report that is heard now was made, about."""
+        part = 1 - 2 ** (-(now - self.lag_us) / LAG_US)
+        self.lag_us = now
+        for k in (0, 1):
+            self.lag[k] += part * (self.out[k] - self.lag[k])
+
+    def count(self, now: int, slots: float, memory: float) -> None:
+        """So much more is out here, or less."""
+        self.catch_up(now)
+        self.out[0] = max(0.0, self.out[0] + slots)
+        self.out[1] = max(0.0, self.out[1] + memory)
+
+    def note_pace(self, now: int, ratio: float) -> None:
+        """How much slower than usual it runs; forgotten unless seen again."""
+        self.slow += 0.3 * (min(ratio, 10.0) - self.slow)
+        self.slow_us = now
+
+    def strike(self, now: int, weight: float = 1.0, failed: bool = False) -> None:
+        """Guards against a worker that fails, hangs or has gone: its load rises, for a while."""
+        part = 2 ** (-(now - self.strike_us) / STRIKE_US)
+        self.strikes, self.strike_us = min(max(self.strikes * part + weight, 0.0), 4.0), now
+        self.failed = min(self.failed * part + failed, self.strikes)
+
 
 class Token:
     """A fixed part of one class's workload, held by a worker."""
@@ -59,7 +86,7 @@
     """An open request and its attempts."""
 
     __slots__ = (
-        "attempts", "awaiting", "born_us", "candidates", "cap", "cls", "deadline_us", "hint", "homes",
+        "aged", "attempts", "awaiting", "born_us", "candidates", "cap", "cls", "deadline_us", "hint", "homes",
         "homes_of", "id", "key", "memory", "open", "over_share", "reach", "slots", "stage", "streaming",
         "table", "tier", "token", "wave",
     )
@@ -69,6 +96,7 @@
         self.id, self.table, self.deadline_us, self.born_us = event.request, table, event.deadline_us, now
         self.slots, self.memory, self.hint = event.slots, event.memory, event.effort_us
         self.key, self.open, self.streaming, self.over_share = event.key, True, False, False
+        self.aged = False  # its client's aim had gone by when it came
         self.attempts: list[Attempt] = []
         self.awaiting = self.stage = self.wave = self.tier = 0
         self.reach = event.reach
@@ -81,6 +109,15 @@
         """Whether the route leaves this worker, up to the tier that is looked at."""
         return self.reach is None or self.reach.holds(worker.zone, worker.kind, self.tier)
 
+    def comes_again(self, now: int) -> None:
+        """Count from its client's first try: a later one has less than the class's time left."""
+        self.born_us = min(now, self.deadline_us - self.cls.deadline_us)
+        self.aged = now > self.born_us + self.cls.aim_us
+
+    def work_us(self) -> float:
+        """How long it is expected to run."""
+        return self.hint * self.table.per_hint if self.hint else self.table.run_us
+
     def out(self) -> int:
         """How many attempts have no outcome yet."""
         return sum(not a.ended for a in self.attempts)
@@ -103,6 +140,19 @@
         self.value, self.at_us = self.now(now) + SECOND / self.memory_us, now
 
 
+class Share:
+    """A share of late events, the newest weighing most."""
+
+    __slots__ = ("value",)
+
+    def __init__(self, value: float) -> None:
+        self.value = value
+
+    def note(self, held: bool) -> None:
+        """One event more, of which it holds or not."""
+        self.value += 0.05 * (held - self.value)
+
+
 class Table:
     """The tokens of one class, and what is measured of it."""
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -22,6 +22,15 @@
     return made
 
 
+def crowd(node: Dispatcher) -> None:
+    """Let a node find server after server full."""
+    for nth in range(30):
+        node.handle(SECOND - 1, [api.Arrival(f"early{nth}", node.settings.classes[0].name, 6 * SECOND)])
+        for name in [a.worker for a in node.actions if isinstance(a, api.Send)]:
+            node.handle(SECOND - 1, [api.AttemptEnded(f"early{nth}", 0, name, api.Status.FULL, 1)])
+        node.handle(SECOND - 1, [api.Withdrawn(f"early{nth}")])
+
+
 def hear(node: Dispatcher, now: int, held: dict[str, float]) -> None:
     """Tell a node how many slots are taken at each server."""
     for name in list(node.workers):
@@ -68,6 +77,7 @@
         """What a node does by itself from a send to the time when its job can only be late."""
         node = fleet(nodes, 4, tells_start=True)[0]
         hear(node, SECOND, {})
+        crowd(node)
         (send,) = sends(node.handle(SECOND, [api.Arrival("job", name, 6 * SECOND)]))
         timers = [(SECOND + a.delay_us, a.handle) for a in node.actions if isinstance(a, api.SetTimer)]
         if start:
@@ -92,6 +102,102 @@
         self.assertEqual(self.run_for(3, "safe", start=False), [])
 
 
+class LookingElsewhere(unittest.TestCase):
+    """No report tells in time which server has a slot free; whether a job has started is told at once."""
+
+    def waited(self, nodes: int, crowded: bool = False, tries: int = 1) -> tuple[list[str], list[api.Action]]:
+        """Where a job that no server starts was sent, and what its node does in 100 ms of each try."""
+        node = fleet(nodes, 12, tells_start=True, attempt_cap=3)[0]
+        hear(node, SECOND, {})
+        if crowded:
+            crowd(node)
+        now, sent, done = SECOND, list[str](), list[api.Action]()
+        actions = node.handle(now, [api.Arrival("job", "safe", 6 * SECOND)])
+        for number in range(tries):
+            (send,) = sends(actions)
+            sent.append(send.worker)
+            timers = sorted((now + a.delay_us, a.handle) for a in actions if isinstance(a, api.SetTimer))
+            begun, actions = now, []
+            for at, handle in timers:
+                if at <= begun + 100 * MS:
+                    now = at
+                    actions += node.handle(now, [api.TimerFired(handle)])
+            done += actions
+            if api.Cancel("job", number) in actions:
+                actions = node.handle(now, [api.AttemptEnded(
+                    "job", number, send.worker, api.Status.CANCELLED, now - begun)])
+                done += actions
+        return sent, done
+
+    def test_a_job_that_does_not_start_soon_goes_to_another_server(self) -> None:
+        sent, done = self.waited(40, tries=3)
+        self.assertEqual(len(set(sent)), 3)
+        self.assertEqual([a for a in done if isinstance(a, api.Cancel)],
+                         [api.Cancel("job", 0), api.Cancel("job", 1)])
+
+    def test_its_last_attempt_stays_where_it_is(self) -> None:
+        _, done = self.waited(40, tries=3)
+        self.assertNotIn(api.Cancel("job", 2), done)
+
+    def test_where_all_servers_are_crowded_it_keeps_its_place(self) -> None:
+        """Guards against queues that all leave for one another, whose slots then stand idle between them."""
+        self.assertEqual([a for a in self.waited(40, crowded=True)[1] if isinstance(a, api.Cancel)], [])
+
+    def test_a_small_fleet_goes_by_what_it_knows(self) -> None:
+        self.assertEqual([a for a in self.waited(3)[1] if isinstance(a, api.Cancel)], [])
+
+
+class ComesAgain(unittest.TestCase):
+    """A client that was denied comes again, and can only be late: in a crowd, who is new goes first."""
+
+    CLASSES = (api.RequestClass("lookup", 250 * MS, 5 * SECOND, worth=1.0, late_share=0.3),
+               api.RequestClass("record", 250 * MS, 5 * SECOND, worth=10.0, late_share=0.3))
+
+    def refused(self, name: str, left: int, crowded: bool = True, nodes: int = 40) -> bool:
+        node = fleet(nodes, 12, classes=self.CLASSES)[0]
+        hear(node, SECOND, {})
+        if crowded:
+            crowd(node)
+        actions = node.handle(SECOND, [api.Arrival("job", name, SECOND + left)])
+        self.assertNotEqual(bool(sends(actions)), any(isinstance(a, api.Refuse) for a in actions))
+        return not sends(actions)
+
+    def test_in_a_crowd_it_is_refused_at_once(self) -> None:
+        self.assertTrue(self.refused("lookup", 4 * SECOND))
+
+    def test_not_while_there_is_room(self) -> None:
+        self.assertFalse(self.refused("lookup", 4 * SECOND, crowded=False))
+
+    def test_not_where_it_is_worth_more_late_than_others_in_time(self) -> None:
+        self.assertFalse(self.refused("record", 4 * SECOND))
+
+    def test_not_one_that_is_new(self) -> None:
+        self.assertFalse(self.refused("lookup", 5 * SECOND))
+
+    def test_not_in_a_small_fleet(self) -> None:
+        self.assertFalse(self.refused("lookup", 4 * SECOND, nodes=3))
+
+
+class FailsFast(unittest.TestCase):
+    """Who fails every job at once shows free slots; that it fails it says itself."""
+
+    def sent_there(self, errors: float) -> int:
+        chosen: Counter[str] = Counter()
+        for node in fleet(40, 6):
+            for worker in list(node.workers):
+                node.handle(SECOND, [api.ProbeEnded(worker, api.Status.OK, MS, api.LoadReport(
+                    free_slots=SLOTS if worker == "w0" else 1.0, held=0.0 if worker == "w0" else 4.0,
+                    errors=errors if worker == "w0" else 0.0))])
+            for nth in range(3):
+                chosen.update(send.worker for send in sends(node.handle(
+                    SECOND + nth, [api.Arrival(f"job{nth}", "safe", 6 * SECOND, key=f"k{nth}")])))
+        return chosen["w0"]
+
+    def test_a_server_that_says_it_fails_is_left_out(self) -> None:
+        self.assertGreater(self.sent_there(errors=0.0), 40)
+        self.assertLess(self.sent_there(errors=5.0), 10)
+
+
 class HomesInTheZone(unittest.TestCase):
     def first_send(self, nodes: int, zone: str) -> api.RosterEntry:
         conf = settings(zone=zone, fleet_size=nodes)
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -125,7 +125,7 @@
     dispatcher = started(settings(), roster(2, zones="a"))
     worker = dispatcher.workers["w0"]
     before = dispatcher._load(worker, 0)
-    dispatcher._strike(worker)
+    worker.strike(dispatcher.now)
     assert dispatcher._load(worker, 0) > before + 0.5
     dispatcher.now += 60 * SECOND
     assert dispatcher._load(worker, 0) == pytest.approx(before, abs=0.01)
