Tell a retry by the longest wait its class's clients show, not by the class's limit

A retry is known by having less than its class's time left. Clients may wait less than that from the start (PROTOCOL lets each say), and then each of them would count as late and be refused in a crowd.

Change: `Table.longest_wait`, the most time left lately, fading towards what comes, takes the limit's place in `Request.comes_again`. The test fails without it.

--- a/arrowfold/state.py
+++ b/arrowfold/state.py
@@ -110,8 +110,8 @@
         return self.reach is None or self.reach.holds(worker.zone, worker.kind, self.tier)
 
     def comes_again(self, now: int) -> None:
-        """Count from its client's first try: a later one has less than the class's time left."""
-        self.born_us = min(now, self.deadline_us - self.cls.deadline_us)
+        """Count from its client's first try: a later one has less time left than others of its class."""
+        self.born_us = min(now, self.deadline_us - self.table.longest_wait(self.deadline_us - now))
         self.aged = now > self.born_us + self.cls.aim_us
 
     def work_us(self) -> float:
@@ -156,7 +156,7 @@
 class Table:
     """The tokens of one class, and what is measured of it."""
 
-    __slots__ = ("cls", "memory", "per_hint", "rate", "run_us", "seen", "slots", "tokens")
+    __slots__ = ("cls", "longest_us", "memory", "per_hint", "rate", "run_us", "seen", "slots", "tokens")
 
     def __init__(self, cls: api.RequestClass, memory_us: int) -> None:
         self.cls = cls
@@ -165,3 +165,12 @@
         self.run_us = float(cls.aim_us)  # C_i; the aim until one is measured
         self.per_hint = 1.0  # run time for each unit of hinted work
         self.slots, self.memory, self.seen = 1.0, 0.0, 0
+        self.longest_us = 0.0  # how long the clients with the most time left waited, lately
+
+    def longest_wait(self, left_us: float) -> float:
+        """How long a client waits in all, by those that came lately; the newest has so much time left.
+
+        Guards clients that never wait as long as their class would let them: none of them comes again.
+        """
+        self.longest_us = max(left_us, self.longest_us + 0.05 * (left_us - self.longest_us))
+        return min(self.longest_us, float(self.cls.deadline_us))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -22,10 +22,11 @@
     return made
 
 
-def crowd(node: Dispatcher) -> None:
-    """Let a node find server after server full."""
+def crowd(node: Dispatcher, wait: int = 5 * SECOND) -> None:
+    """Let a node find server after server full, for clients that wait so long."""
     for nth in range(30):
-        node.handle(SECOND - 1, [api.Arrival(f"early{nth}", node.settings.classes[0].name, 6 * SECOND)])
+        node.handle(SECOND - 1, [api.Arrival(
+            f"early{nth}", node.settings.classes[0].name, SECOND - 1 + wait)])
         for name in [a.worker for a in node.actions if isinstance(a, api.Send)]:
             node.handle(SECOND - 1, [api.AttemptEnded(f"early{nth}", 0, name, api.Status.FULL, 1)])
         node.handle(SECOND - 1, [api.Withdrawn(f"early{nth}")])
@@ -153,11 +154,13 @@
     CLASSES = (api.RequestClass("lookup", 250 * MS, 5 * SECOND, worth=1.0, late_share=0.3),
                api.RequestClass("record", 250 * MS, 5 * SECOND, worth=10.0, late_share=0.3))
 
-    def refused(self, name: str, left: int, crowded: bool = True, nodes: int = 40) -> bool:
+    def refused(
+            self, name: str, left: int, crowded: bool = True, nodes: int = 40, wait: int = 5 * SECOND,
+    ) -> bool:
         node = fleet(nodes, 12, classes=self.CLASSES)[0]
         hear(node, SECOND, {})
         if crowded:
-            crowd(node)
+            crowd(node, wait)
         actions = node.handle(SECOND, [api.Arrival("job", name, SECOND + left)])
         self.assertNotEqual(bool(sends(actions)), any(isinstance(a, api.Refuse) for a in actions))
         return not sends(actions)
@@ -177,6 +180,11 @@
     def test_not_in_a_small_fleet(self) -> None:
         self.assertFalse(self.refused("lookup", 4 * SECOND, nodes=3))
 
+    def test_clients_that_never_wait_as_long_as_they_may_are_new(self) -> None:
+        """Guards clients whose own limit is under their class's: in a crowd all would be refused."""
+        self.assertFalse(self.refused("lookup", SECOND, wait=SECOND))
+        self.assertTrue(self.refused("lookup", SECOND // 2, wait=SECOND))
+
 
 class FailsFast(unittest.TestCase):
     """Who fails every job at once shows free slots; that it fails it says itself."""
