--- a/arrowfold/state.py
+++ b/arrowfold/state.py
@@ -165,12 +165,12 @@
         self.run_us = float(cls.aim_us)  # C_i; the aim until one is measured
         self.per_hint = 1.0  # run time for each unit of hinted work
         self.slots, self.memory, self.seen = 1.0, 0.0, 0
-        self.longest_us = 0.0  # how long the clients with the most time left waited, lately
+        self.longest_us = 0  # how long the clients with the most time left waited, lately
 
-    def longest_wait(self, left_us: float) -> float:
+    def longest_wait(self, left_us: int) -> int:
         """How long a client waits in all, by those that came lately; the newest has so much time left.
 
         Guards clients that never wait as long as their class would let them: none of them comes again.
         """
-        self.longest_us = max(left_us, self.longest_us + 0.05 * (left_us - self.longest_us))
-        return min(self.longest_us, float(self.cls.deadline_us))
+        self.longest_us += max(left_us - self.longest_us, (left_us - self.longest_us) // 20)
+        return min(self.longest_us, self.cls.deadline_us)
