Add a fleet in virtual time: real decision modules among modelled servers, counted per 100 ms

Need: what 200 nodes lose to a policy without memory can't be told from one node's counters; the bench tells totals.

It counts over all nodes: idle slots beside denials, crossings beside room at home, what was turned away, new connections, probes, use of cold budgets. Rules are checked apart from the module; each checker has a test in which a decider breaks its rule. Same seed, same figures; a stream of chance for each part.

--- /dev/null
+++ b/benchmarks/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet in virtual time: real decision modules that share nothing, among modelled servers."""
--- /dev/null
+++ b/tests/test_virtual_fleet.py
@@ -0,0 +1,105 @@
+"""The fleet in virtual time: it repeats itself, and its checkers see each rule broken."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Iterable
+from unittest import mock
+
+from arrowfold import interface as api
+from benchmarks.fleet import __main__ as fleet
+from benchmarks.fleet.days import DAYS
+from benchmarks.fleet.deciders import Plain
+from benchmarks.fleet.world import World
+
+SMALL = {"nodes": 14, "servers": 9, "seconds": 8}
+
+
+class Repeats(unittest.TestCase):
+    def test_each_day_keeps_the_rules_and_repeats_itself(self) -> None:
+        for day in DAYS:
+            with self.subTest(day):
+                first, again = (fleet.play(day, seed=3, **SMALL) for _ in range(2))
+                self.assertEqual(first.broken, [])
+                self.assertEqual(first.figures(), again.figures())
+                self.assertGreater(first.figures()["in time"], 100)
+
+    def test_other_decisions_meet_the_same_arrivals(self) -> None:
+        """Streams of chance are apart: what a decider does leaves what clients want alone."""
+        offered = [fleet.play("calm", decider, seed=3, **SMALL).offered for decider in fleet.DECIDERS]
+        self.assertEqual(offered[0], offered[1])
+        self.assertEqual(offered[0], offered[2])
+
+    def test_who_sees_the_true_state_is_turned_away_least(self) -> None:
+        plain, seeing = (fleet.play("calm", decider, seed=3, **SMALL).figures().get("full", 0.0)
+                         for decider in ("plain", "seeing"))
+        self.assertLess(seeing, plain)
+
+
+class Twice(Plain):
+    def handle(self, now_us: int, events: Iterable[api.Event]) -> list[api.Action]:
+        actions = super().handle(now_us, events)
+        return actions + [a for a in actions if isinstance(a, api.Refuse)]
+
+
+class Never(Plain):
+    def handle(self, now_us: int, events: Iterable[api.Event]) -> list[api.Action]:
+        return [a for a in super().handle(now_us, events) if isinstance(a, api.Subscribe)]
+
+
+class Deaf(Plain):
+    """Goes on sending to whatever it first knew."""
+
+    def handle(self, now_us: int, events: Iterable[api.Event]) -> list[api.Action]:
+        return super().handle(now_us, [
+            e for e in events if not (self.serving and isinstance(e, api.RosterUpdate))])
+
+
+class Copies(Plain):
+    def _go_on(self, request: str) -> list[api.Action]:
+        return 3 * super()._go_on(request)[:1]
+
+
+class Pushes(Plain):
+    """Sends all it has to the server that started last."""
+
+    def pick(self) -> str:
+        return max(self.serving.values(), key=lambda entry: entry.launched_us).worker
+
+
+class Checkers(unittest.TestCase):
+    def play(self, day: str, decider: type[Plain], **changes: float) -> World:
+        def made(settings: api.Settings, seed: int, _: World) -> Plain:
+            return decider(settings, seed)
+
+        with mock.patch.dict(fleet.DECIDERS, other=made):
+            return fleet.play(day, "other", seed=3, **{**SMALL, **changes})  # type: ignore[arg-type]
+
+    def seen(self, world: World, words: str) -> None:
+        self.assertTrue(any(words in line for line in world.broken), world.broken[:3])
+
+    def test_plain_breaks_nothing(self) -> None:
+        self.assertEqual(self.play("calm", Plain).broken, [])
+
+    def test_two_answers(self) -> None:
+        self.seen(self.play("calm", Twice, load=2.0), "answered twice")
+
+    def test_no_answer(self) -> None:
+        self.seen(self.play("calm", Never), "lost")
+
+    def test_a_draining_server_is_sent_to(self) -> None:
+        world = self.play("join", Deaf, seconds=12)
+        self.seen(world, "told to drain")
+        self.assertGreater(world.latest_drain_us, 1_000_000)
+
+    def test_copies_beyond_what_the_settings_permit(self) -> None:
+        self.seen(self.play("calm", Copies), "attempts at once")
+
+    def test_a_cold_server_that_is_pushed_falls_over(self) -> None:
+        world = self.play("join", Pushes, seconds=12)
+        self.assertGreater(sum(s.falls for s in world.servers.values()), 0)
+        self.assertGreater(world.figures()["cold peak"], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
