Keep the ring of key homes through list changes, and start `make run` on a fresh clone

`state.marked` keeps the ring and hashes newcomers only.

Cause, `make run`: it needs EDGE_CONFIG. Without one it now takes deploy/example.json, starts stand-ins for discovery and servers (`arrowfold standins`, which ends with the node) and says how to send a job. The test starts it as a user would, sends what it says, and fails on the old Makefile.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,11 @@
 test:
 	python -m pytest -n 4
 
+# Without EDGE_CONFIG: an example node among stand-ins, which end with it.
 run:
-	trap '' HUP; exec python -m arrowfold $(if $(EDGE),run $(EDGE))
+	trap '' HUP; test -n "$$EDGE_CONFIG" || { \
+		export EDGE_CONFIG=deploy/example.json; arrowfold standins $$EDGE_CONFIG & }; \
+	exec python -m arrowfold $(if $(EDGE),run $(EDGE))
 
 try:
 	arrowfold try
--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -17,7 +17,7 @@
 
 from arrowfold import interface as api
 from arrowfold.interface import Idempotency, Lifecycle, RosterMode, Status
-from arrowfold.state import SECOND, STRIKE_US, Attempt, Rate, Request, Share, Table, Token, Worker
+from arrowfold.state import SECOND, STRIKE_US, Attempt, Rate, Request, Share, Table, Token, Worker, marked
 
 ROUND_US = SECOND // 2  # mean time between market rounds
 SAMPLE = 8  # workers looked at in a round
@@ -38,7 +38,6 @@
 RATE_US = 10 * SECOND  # memory of the measured arrival rates
 HOLDER, NEAR, FAR = range(3)  # how far a request has looked for room
 COLD_SHARE = 0.4  # part of the cold budget that all dispatchers together aim to use
-HOME_MARKS = 64  # places of a worker on the ring of key homes; with few, shares are left to chance
 GONE_KEPT = 100  # workers remembered after they have left the roster
 COLD_PART = 1 / 6  # the most that one request may take of a window's cold budget
 
@@ -196,8 +195,7 @@
         for worker in serving:
             for kind in (None, worker.kind):
                 self.pools.setdefault((kind, worker.local), []).append(worker)
-        self.homes = sorted((crc32(f"{i} {w.name}".encode()), w.name) for w in serving
-                            for i in range(HOME_MARKS))
+        self.homes = marked(self.homes, {w.name for w in serving})
         for table in self.tables.values():
             for token in table.tokens:
                 holder = None if token.holder.serving else self._cheapest(table, self._sample(table, SAMPLE))
--- a/arrowfold/interface.py
+++ b/arrowfold/interface.py
@@ -164,7 +164,7 @@
     busy: float | None = None
     latency_ms: float | None = None
     held: float | None = None
-    errors: float | None = None  # a second
+    errors: float | None = field(default=None, compare=False)  # a second; old news beside a new load
 
 
 @dataclass(frozen=True, slots=True)
--- a/arrowfold/program/commands.py
+++ b/arrowfold/program/commands.py
@@ -1,4 +1,7 @@
-"""The command line: `run`, `check`, `judge`, `try`. The platform names no command and loads none of this."""
+"""The command line: `run`, `check`, `judge`, `quotas`, `try`, `standins`.
+
+The platform names no command and loads none of this.
+"""
 
 from __future__ import annotations
 
@@ -174,6 +177,26 @@
     raise click.exceptions.Exit(Trial(click.echo).run(jobs))
 
 
+@cli.command()
+@click.argument("config", type=_FILE)
+@click.option("--workers", default=4, show_default=True, type=click.IntRange(1, 100),
+              help="How many stand-in search workers.")
+def standins(config: Path, workers: int) -> None:
+    """Stand in for what the node of CONFIG talks to: its discovery, and search workers.
+
+    Listens at CONFIG's discovery (or EDGE_DISCOVERY), on loopback only. Ends with the program that started
+    it, or with SIGTERM; `make run` starts it where EDGE_CONFIG is not set.
+    """
+    from arrowfold.program.trial import StandIns
+
+    try:
+        stand_ins = StandIns(config, workers)
+    except (OSError, ValueError) as error:
+        raise Fault(f"standins: {config}: {error}") from error
+    click.echo(stand_ins.how_to(), err=True)
+    stand_ins.stay()
+
+
 def main(arguments: list[str], signals: Signals | None = None) -> int:
     """Obey a command line; a fault is one line on standard error, and exit code 2."""
     if arguments and arguments[0].endswith(".toml"):
--- a/arrowfold/program/trial.py
+++ b/arrowfold/program/trial.py
@@ -1,11 +1,19 @@
-"""`arrowfold try`: a node among stand-ins, a mix of jobs over both wires, and what came of them."""
+"""`arrowfold try`: a node among stand-ins, a mix of jobs over both wires, and what came of them.
+
+`arrowfold standins`: the stand-ins alone, for a node that is started by hand.
+"""
 
 from __future__ import annotations
 
+import json
+import os
+import signal
 import tempfile
+import time
 from collections.abc import Callable
 from pathlib import Path
 
+from arrowfold.protocol.http import parse_address
 from arrowfold.standins.process import SETTINGS, Node, request_class
 from arrowfold.standins.producers import Client
 from arrowfold.standins.servers import Discovery, Worker, eventually, free_port
@@ -84,3 +92,38 @@
             producer.close()
         self.say(f"Faktory  {name:14} job-{number}: {reply}")
         return reply.startswith("+OK") or reply.startswith("-ERR denied")
+
+
+class StandIns:
+    """Discovery and search workers for one node's configuration.
+
+    OSError where the address is taken; ValueError where the configuration is none, or not on loopback.
+    """
+
+    def __init__(self, config: Path, workers: int) -> None:
+        conf = json.loads(config.read_text(encoding="utf-8"))
+        if not isinstance(conf, dict):
+            raise ValueError("not an object")
+        host, port = parse_address(str(os.environ.get("EDGE_DISCOVERY") or conf.get("discovery")))
+        if host != "127.0.0.1":
+            raise ValueError(f"discovery: stand-ins listen on 127.0.0.1 only, not on {host}")
+        self.listen = os.environ.get("EDGE_LISTEN") or conf.get("listen")
+        zones = (conf.get("settings") or {}).get("failureDomains") or ["cardiff", "newport", "bridgend"]
+        self.workers = [Worker(f"search-{n}", zone=zones[n % len(zones)]) for n in range(workers)]
+        self.discovery = Discovery([worker.row() for worker in self.workers], port=port)
+
+    def how_to(self) -> str:
+        """One line that says how to hand the node a job."""
+        return (f"send it a job: curl -d query -H 'X-Trace-Id: job-1' -H 'X-Qos: symbol-lookup' "
+                f"-H 'X-Expires-In: 5000m' 'http://{self.listen}/symbol-lookup?key=repo'")
+
+    def stay(self) -> None:
+        """Serve until a signal, or until the program that started this one is gone."""
+        ended: list[int] = []
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda which, _: ended.append(which))
+        parent = os.getppid()
+        while not ended and os.getppid() == parent:
+            time.sleep(0.1)
+        for server in (self.discovery, *self.workers):
+            server.close()
--- a/arrowfold/standins/servers.py
+++ b/arrowfold/standins/servers.py
@@ -45,9 +45,9 @@
 
 
 class Server:
-    """A threaded HTTP server on a free port, closed with the test."""
+    """A threaded HTTP server on a free port, or on the one that is asked for, closed with the test."""
 
-    def __init__(self, handler: type[BaseHTTPRequestHandler]) -> None:
+    def __init__(self, handler: type[BaseHTTPRequestHandler], port: int = 0) -> None:
         self.handler = handler
 
         class Silent(ThreadingHTTPServer):
@@ -56,7 +56,7 @@
             def handle_error(self, *_: Any) -> None:
                 pass
 
-        self.http = Silent(("127.0.0.1", 0), handler)
+        self.http = Silent(("127.0.0.1", port), handler)
         self.address = f"127.0.0.1:{self.http.server_address[1]}"
         threading.Thread(target=self.http.serve_forever, args=(0.02,), daemon=True).start()
 
@@ -135,7 +135,7 @@
 class Discovery(Server):
     """A stand-in discovery: the whole list first, then what `tell` adds; `drop` ends the watches."""
 
-    def __init__(self, rows: list[dict[str, Any]], held: bool = False) -> None:
+    def __init__(self, rows: list[dict[str, Any]], held: bool = False, port: int = 0) -> None:
         self.whole = threading.Event()  # with `held`, the list waits for it
         if not held:
             self.whole.set()
@@ -164,7 +164,7 @@
                         return
                     self.chunk(change)
 
-        super().__init__(Handler)
+        super().__init__(Handler, port)
 
     def tell(self, *rows: dict[str, Any]) -> None:
         self.revision += 1
--- a/arrowfold/state.py
+++ b/arrowfold/state.py
@@ -3,12 +3,24 @@
 from __future__ import annotations
 
 import math
+from zlib import crc32
 
 from arrowfold import interface as api
 
 SECOND = 1_000_000
 LAG_US = SECOND // 2  # how far reports lie behind, about
 STRIKE_US = 4 * SECOND  # a failure's weight halves in this time
+HOME_MARKS = 64  # places of a worker on the ring of key homes; with few, shares are left to chance
+
+
+def marked(ring: list[tuple[int, str]], names: set[str]) -> list[tuple[int, str]]:
+    """The ring of key homes with just these workers, in order of the places' hashes.
+
+    Guards a node's core against a large roster that changes often: only newcomers are hashed.
+    """
+    kept = [mark for mark in ring if mark[1] in names]
+    new = names - {name for _, name in kept}
+    return sorted(kept + [(crc32(f"{i} {name}".encode()), name) for name in new for i in range(HOME_MARKS)])
 
 
 class Worker:
--- a/benchmarks/fleet/deciders.py
+++ b/benchmarks/fleet/deciders.py
@@ -16,7 +16,7 @@
         self.serving: dict[str, api.RosterEntry] = {}
         self.open: dict[str, tuple[int, int]] = {}  # attempts, deadline
         self.handles: dict[int, str] = {}
-        self.asked = False
+        self.asked, self.timers = False, 0
 
     def handle(self, now_us: int, events: Iterable[api.Event]) -> list[api.Action]:
         """As the module's: take what happened, return what to do."""
@@ -34,10 +34,10 @@
                         self.serving[entry.worker] = entry
             elif isinstance(event, api.Arrival):
                 self.open[event.request] = 0, event.deadline_us
-                handle = len(self.handles) + 1
-                self.handles[handle] = event.request
+                self.timers += 1
+                self.handles[self.timers] = event.request
                 wait = event.deadline_us - now_us - self.settings.tick_us
-                actions.append(api.SetTimer(max(0, wait), handle))
+                actions.append(api.SetTimer(max(0, wait), self.timers))
                 actions += self._go_on(event.request)
             elif isinstance(event, api.AttemptEnded):
                 if event.status is api.Status.OK or event.final:
--- a/benchmarks/fleet/world.py
+++ b/benchmarks/fleet/world.py
@@ -123,7 +123,7 @@
         self.buckets[self.now // BUCKET_US][what] += by  # type: ignore[assignment]
 
     def _sample(self) -> None:
-        live = [self.servers[name] for name in self.listed if self.servers[name].up]
+        live = [s for s in map(self.servers.__getitem__, self.listed) if s.up and not s.draining]
         self.count("slots", sum(s.slots for s in live))
         self.count("idle", sum(s.slots - s.busy for s in live))
         cold = [s for s in live if s.warmth() < 1]
@@ -134,7 +134,8 @@
 
     def idle_share(self, zone: str | None = None) -> float:
         """How much of the listed servers' slots stands idle, in truth."""
-        some = [s for s in map(self.servers.__getitem__, self.listed) if s.up and zone in (None, s.zone)]
+        some = [s for s in map(self.servers.__getitem__, self.listed)
+                if s.up and not s.draining and zone in (None, s.zone)]
         return sum(s.slots - s.busy for s in some) / max(1, sum(s.slots for s in some))
 
     # --- servers and discovery ---------------------------------------------------------------------------
@@ -403,4 +404,4 @@
 
 # Of the arrivals, and a mean job's work.
 MIX = {"full-search": (0.55, 250 * MS), "symbol-lookup": (0.32, 100 * MS), "commit-record": (0.13, 120 * MS)}
-KEYS = list(accumulate(1 / n**0.9 for n in range(1, 401)))  # popular ones first
+KEYS = list(accumulate(1 / n**0.8 for n in range(1, 401)))  # popular ones first
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import json
+import os
+import shlex
+import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import unittest
+import urllib.request
 from pathlib import Path
+from typing import IO
 
+from arrowfold.standins.servers import LONG, eventually, free_port
 from tests.edge import ROOT
 from tests.samples import SAMPLES
 from tests.test_check import written
@@ -35,6 +42,47 @@
         for words in ("HTTP ", "Faktory ", "come back after", "answered_served", "8 of 8 jobs answered"):
             self.assertIn(words, done.stdout)
 
+    def test_make_run_starts_a_node_that_serves_the_job_it_names(self) -> None:
+        """On a fresh clone it once ended with `EDGE_CONFIG is missing`."""
+        ports = {name: free_port() for name in ("LISTEN", "ADMIN", "DISCOVERY")}
+        environ = {k: v for k, v in os.environ.items() if k != "EDGE_CONFIG"}
+        environ |= {f"EDGE_{name}": f"127.0.0.1:{port}" for name, port in ports.items()}
+        with tempfile.TemporaryFile() as log:
+            node = subprocess.Popen(
+                ["make", "run", "EDGE=", f"VENV={Path(sys.prefix).relative_to(ROOT)}"], cwd=ROOT, env=environ,
+                stdout=log, stderr=subprocess.STDOUT, start_new_session=True)
+            try:
+                eventually(lambda: bool(self.told(log, "send it a job: ")) and self.ready(ports["LISTEN"]))
+                words = shlex.split(self.told(log, "send it a job: "))
+                self.assertEqual(words[:2], ["curl", "-d"])
+                job = urllib.request.Request(words[-1], words[2].encode(), dict(
+                    word.split(": ") for word in words if ": " in word))
+                with urllib.request.urlopen(job, timeout=LONG) as answer:
+                    self.assertRegex(answer.read().decode(), "search-[0-9]:job-1")
+            finally:
+                os.killpg(node.pid, signal.SIGTERM)
+                node.wait(LONG)
+            eventually(lambda: not self.answers(ports["DISCOVERY"]))  # the stand-ins end with it
+
+    @staticmethod
+    def told(log: IO[bytes], words: str) -> str:
+        log.seek(0)
+        lines = log.read().decode().splitlines()
+        return next((line.partition(words)[2] for line in lines if words in line), "")
+
+    @staticmethod
+    def ready(port: int) -> bool:
+        try:
+            with urllib.request.urlopen(f"http://127.0.0.1:{port}/health/ready", timeout=LONG) as answer:
+                return bool(answer.status == 200)
+        except OSError:
+            return False
+
+    @staticmethod
+    def answers(port: int) -> bool:
+        with socket.socket() as sock:
+            return sock.connect_ex(("127.0.0.1", port)) == 0
+
     def test_check_says_what_fails_and_replays_it(self) -> None:
         sample = next(s for s in SAMPLES if s.name == "a denied network inside a preferred one, behind it")
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,10 +4,13 @@
 
 import unittest
 from collections import Counter
+from random import Random
+from unittest import mock
+from zlib import crc32
 
 from arrowfold import Dispatcher
 from arrowfold import interface as api
-from arrowfold.state import Request, Token
+from arrowfold.state import HOME_MARKS, Request, Token, marked
 from tests.field import MS, SECOND, roster, sends, settings
 
 SLOTS = 5.0
@@ -206,6 +209,27 @@
         self.assertLess(self.sent_there(errors=5.0), 10)
 
 
+class Ring(unittest.TestCase):
+    """The places of all servers on the ring of key homes, kept through changes of a long list."""
+
+    def test_only_newcomers_are_hashed(self) -> None:
+        (node,) = fleet(1, 100)
+        with mock.patch("arrowfold.state.crc32", side_effect=crc32) as hashing:
+            node.handle(SECOND, [api.RosterUpdate(api.RosterMode.PARTIAL, roster(1, zones="a"))])
+            self.assertEqual(hashing.call_count, 0)
+            node.handle(SECOND, [api.RosterUpdate(
+                api.RosterMode.PARTIAL, (api.RosterEntry("new", "a", "m"),))])
+            self.assertEqual(hashing.call_count, HOME_MARKS)
+
+    def test_it_is_the_same_whichever_way_it_came_about(self) -> None:
+        chance, ring = Random(5), list[tuple[int, str]]()
+        for _ in range(50):
+            names = {f"s{n}" for n in range(30) if chance.random() < 0.5}
+            ring = marked(ring, names)
+            self.assertEqual(ring, marked([], names))
+        self.assertEqual(len(ring), HOME_MARKS * len(names))
+
+
 class HomesInTheZone(unittest.TestCase):
     def first_send(self, nodes: int, zone: str) -> api.RosterEntry:
         conf = settings(zone=zone, fleet_size=nodes)
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from typing import Any
 
+from arrowfold.simhost import report_fields
+
 ROOT = Path(__file__).parent.parent
 CONF: dict[str, Any] = {
     "classes": [{"name": "c", "onTimeUs": 300000, "hardLimitUs": 5000000, "idempotency": "safe", "new": 1}],
@@ -101,3 +103,8 @@
     found = by_instance(replies)
     assert code == 0 and "request class" in found["s"][0]["GIVE_IN"]["words"]
     assert "GIVE_IN" not in str(found.get("t"))
+
+
+def test_reports_are_read_by_their_names() -> None:
+    conf = {"report": {"names": ["rif", "fail_rate", "x0", "new"]}, "domain": {"reportX0": "free slots"}}
+    assert report_fields(conf) == ["held", "errors", "free_slots", None]
