Use a cold server's turn for the next new job in a large fleet, not only for want of room

Lines at fault: `_to_cold` was asked in `_crowded` only, so a turn that had come lay open until no other server seemed to have room, and a turn that is not used brings no next one. Change: `_seek` asks it first, for a job that has not been sent yet. The budget's share stays at 0.4.

Small fleets are not reached.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -224,9 +224,9 @@
             self._pull(worker)
 
     def _to_cold(self, request: Request) -> bool:
-        """Guards a large fleet against idle cold servers: who finds no room takes a turn that has come."""
-        fit = [w for w in self.workers.values() if self._part() < 1 and self._warmth(w) < 1.0 and w.serving
-               and (w.free is None or w.free[0] > 0) and self.allowed(request, w)]
+        """In a large fleet, take a turn at a cold server that has come, if it still shows a free slot."""
+        fit = [w for w in self.workers.values() if w.serving and self._warmth(w) < 1.0 and (
+            w.free is None or w.free[0] > 0) and self.allowed(request, w)] if self._part() < 1 else []
         self._send(request, self._pick(fit, request.table))
         return bool(fit)
 
@@ -520,6 +520,8 @@
         if not self._attempts_left(request):
             self._stuck(request)
             return
+        if not request.attempts and self._to_cold(request):  # else they idle until all others are full
+            return
         if not table.tokens and self.tables.get(table.cls.name) is table:
             self._grant(table)
         tried = [a.worker for a in request.attempts]
--- a/tests/test_virtual_fleet.py
+++ b/tests/test_virtual_fleet.py
@@ -36,6 +36,18 @@
         self.assertLess(seeing, plain)
 
 
+class ColdBudget(unittest.TestCase):
+    def test_all_nodes_together_keep_to_it_and_use_it(self) -> None:
+        """Rule 4 holds over a fleet whose nodes share nothing; the budget is no use where it lies idle."""
+        for day in ("join", "zone"):
+            with self.subTest(day):
+                world = fleet.play(day, seed=3, nodes=26, servers=15, seconds=16)
+                used = world.figures()
+                self.assertEqual((world.broken, used["falls"]), ([], 0))
+                self.assertLess(used["cold peak"], 1)
+                self.assertGreater(used["cold peak"], 0.2)
+
+
 class Twice(Plain):
     def handle(self, now_us: int, events: Iterable[api.Event]) -> list[api.Action]:
         actions = super().handle(now_us, events)
