--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 # Without EDGE_CONFIG: an example node among stand-ins, which end with it.
 run:
 	trap '' HUP; test -n "$$EDGE_CONFIG" || { \
-		export EDGE_CONFIG=deploy/example.json; arrowfold standins $$EDGE_CONFIG & }; \
+		export EDGE_CONFIG=deploy/settings.json; arrowfold standins $$EDGE_CONFIG & }; \
 	exec python -m arrowfold $(if $(EDGE),run $(EDGE))
 
 try:
--- a/arrowfold/interface.py
+++ b/arrowfold/interface.py
@@ -162,9 +162,8 @@
     free_memory: float | None = None
     waiting: float | None = None
     busy: float | None = None
-    latency_ms: float | None = None
     held: float | None = None
-    errors: float | None = field(default=None, compare=False)  # a second; old news beside a new load
+    errors: float | None = None  # a second
 
 
 @dataclass(frozen=True, slots=True)
--- a/arrowfold/protocol/load.py
+++ b/arrowfold/protocol/load.py
@@ -10,7 +10,7 @@
 
 _FIELDS = {
     "rif": "held", "inflight": "held", "q": "waiting", "queue": "waiting", "busy": "busy", "util": "busy",
-    "lat_ms": "latency_ms", "latency_ms": "latency_ms", "eps": "errors", "fail_rate": "errors",
+    "eps": "errors", "fail_rate": "errors",
 }
 
 
--- a/arrowfold/simhost.py
+++ b/arrowfold/simhost.py
@@ -20,7 +20,7 @@
 _SOURCES = {"piggyback": api.LoadSource.ANSWERS, "pull": api.LoadSource.PROBES}
 _STATUS = {status.value: status for status in api.Status}
 _LIFECYCLES = {state.value: state for state in api.Lifecycle}
-_REPORTED = {"q": "waiting", "busy": "busy", "lat_ms": "latency_ms", "rif": "held", "fail_rate": "errors"}
+_REPORTED = {"q": "waiting", "busy": "busy", "rif": "held", "fail_rate": "errors"}
 _MEANINGS = {"free slots": "free_slots", "free memory": "free_memory"}
 _STARTED = 1
 
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -13,6 +13,8 @@
 region "newport" zones="newport"
 region "east" zones="cardiff newport"
 """
+FLEET = "\n".join(f' servers zone="{zone}" kind="{kind}"'
+                  for zone in ("cardiff", "newport", "bridgend") for kind in ("gen-a", "gen-b"))
 
 
 @dataclass(frozen=True)
@@ -26,7 +28,7 @@
     borders: dict[str, int] = field(default_factory=dict)
     settings: dict[str, Any] = field(default_factory=dict)  # of permissions
     kinds: tuple[int, int, int] = (-1, -1, -1)  # the kind that runs each class
-    fleet: str = ""
+    fleet: str = FLEET
     quotas: str = ""
 
     def text(self) -> str:
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -49,7 +49,7 @@
         environ |= {f"EDGE_{name}": f"127.0.0.1:{port}" for name, port in ports.items()}
         with tempfile.TemporaryFile() as log:
             node = subprocess.Popen(
-                ["make", "run", "EDGE=", f"VENV={Path(sys.prefix).relative_to(ROOT)}"], cwd=ROOT, env=environ,
+                ["make", "run", "EDGE=", f"VENV={os.path.relpath(sys.prefix, ROOT)}"], cwd=ROOT, env=environ,
                 stdout=log, stderr=subprocess.STDOUT, start_new_session=True)
             try:
                 eventually(lambda: bool(self.told(log, "send it a job: ")) and self.ready(ports["LISTEN"]))
@@ -106,7 +106,7 @@
                 'region "r" zones="x"\nexpectations {\n expect "e" {\n only-reaches region="r"\n }\n}\n')
             self.assertIn("check > settings is missing", arrowfold("check", str(path)).stderr)
             conf = json.loads((ROOT / "deploy/settings.json").read_text())
-            conf["known"]["targets"] = [{"az": "x", "model": "m"}]
+            conf["known"] = {"rev": 1, "all": True, "targets": [{"az": "x", "model": "m"}]}
             settings = Path(folder) / "config.json"
             settings.write_text(json.dumps(conf))
             done = arrowfold("check", str(path), "--settings", str(settings))
