--- a/benchmarks/fleet/__main__.py
+++ b/benchmarks/fleet/__main__.py
@@ -11,6 +11,7 @@
 
 import click
 
+from arrowfold import interface as api
 from arrowfold.choice import Dispatcher
 from arrowfold.simhost import build_settings
 from benchmarks.fleet.days import DAYS
@@ -47,10 +48,15 @@
 DECIDERS: dict[str, Maker] = {"module": module, "plain": plain, "seeing": seeing}
 
 
+def shipped() -> api.Settings:
+    """The example deployment's settings."""
+    return build_settings(json.loads(SETTINGS.read_text())["settings"])
+
+
 def play(day: str, decider: str = "module", nodes: int = 200, servers: int = 110, zones: int = 3,
-         seed: int = 1, load: float = 0.8, seconds: int = 25) -> World:
-    """One day; the world holds its figures."""
-    settings = build_settings(json.loads(SETTINGS.read_text())["settings"])
+         seed: int = 1, load: float = 0.8, seconds: int = 25, settings: api.Settings | None = None) -> World:
+    """One day; the world holds its figures. The settings are the shipped ones if none are given."""
+    settings = settings or shipped()
     world = World(settings, zones, nodes, servers, seed, load, DECIDERS[decider])
     DAYS[day](world)
     world.run(seconds * SECOND)
--- a/benchmarks/fleet/days.py
+++ b/benchmarks/fleet/days.py
@@ -18,10 +18,10 @@
     """A part of the servers leaves in steps, each drained for 3 s; new, cold ones come in their place."""
     def drain(server: Server) -> None:
         server.draining = True
-        world.list(server, api.Lifecycle.TERMINATING)
+        world.announce(server, api.Lifecycle.TERMINATING)
 
     def end(server: Server) -> None:
-        world.list(server, api.Lifecycle.TERMINATED)
+        world.announce(server, api.Lifecycle.TERMINATED)
         server.fall(0)
 
     old = list(world.servers.values())
@@ -71,7 +71,7 @@
     def lose() -> None:
         for server in lost:
             server.fall(5 * SECOND)
-            world.call(6500 * MS, partial(world.list, server, api.Lifecycle.IN_SERVICE))
+            world.call(6500 * MS, partial(world.announce, server, api.Lifecycle.IN_SERVICE))
 
     world.call(7 * SECOND, lose)
 
--- a/benchmarks/fleet/servers.py
+++ b/benchmarks/fleet/servers.py
@@ -15,9 +15,6 @@
 FETCH = 0.5  # work that a key not kept here adds, as a part of a job's own
 SHARDS = 12  # keys that a server keeps
 QUEUE = 1.0  # jobs that may wait, as a part of its slots
-COLD_US = 9 * SECOND
-COLD_FROM = 0.34
-FACTOR, WINDOW_US = 3.0, 1500 * MS  # sent more than this many times its capacity for so long, it falls over
 DOWN_US = 3 * SECOND
 CONNECTIONS = 90
 HANDSHAKE_US = 6 * MS
@@ -34,13 +31,18 @@
     node: int
     ended: bool = False
     running: bool = False
+    connected: int | None = None  # by which start of its server
     reported: bool = False  # its node knows how it ended
 
 
 @dataclass(eq=False)
 class Server:
-    """One server; `call(delay_us, function)` is the world's clock, `now()` its time."""
+    """One server; `call(delay_us, function)` is the world's clock, `now()` its time.
 
+    `pushed(sent)` hears what a cold server was sent when it fell over: times, work and nodes.
+    """
+
+    settings: api.Settings
     name: str
     zone: str
     kind: str
@@ -50,11 +52,13 @@
     now: Callable[[], int]
     call: Callable[[float, Callable[[], object]], None]
     chance: random.Random
+    pushed: Callable[[Server, list[tuple[int, int, int]]], None]
     up: bool = True
     draining: bool = False
     bad: bool = False
     busy: int = 0
     open: int = 0  # connections
+    start: int = 0  # how often it has started anew: its connections ended with each
     errors: float = 0.0
     held: list[Run] = field(default_factory=list)
     queue: deque[Run] = field(default_factory=deque)
@@ -68,8 +72,8 @@
 
     def warmth(self) -> float:
         """The share of its capacity that it has now."""
-        age = self.now() - self.started_us
-        return 1.0 if not self.started_us or age >= COLD_US else COLD_FROM + (1 - COLD_FROM) * age / COLD_US
+        age, whole, least = self.now() - self.started_us, self.settings.cold_us, self.settings.cold_from
+        return 1.0 if not self.started_us or age >= whole else least + (1 - least) * age / whole
 
     def report(self) -> api.LoadReport:
         """What it says of itself: refreshed now and then, so 0.05 to 1.5 s old when read."""
@@ -113,7 +117,7 @@
 
     def fall(self, back_us: int) -> None:
         """Down at once; cold when it is back."""
-        self.up, self.busy = False, 0
+        self.up, self.busy, self.open, self.start = False, 0, 0, self.start + 1
         self.queue.clear()
         self.kept.clear()
         for run in self.held:
@@ -135,12 +139,15 @@
         now = self.now()
         self.sent.append((now, run.work_us, run.node))
         self.pressed += run.work_us
-        while self.sent and self.sent[0][0] <= now - WINDOW_US:
+        window = self.settings.overload_for_us
+        while self.sent and self.sent[0][0] <= now - window:
             self.pressed -= self.sent.popleft()[1]
-        used = self.pressed / (FACTOR * self.slots * self.speed * self.warmth() * WINDOW_US)
+        able = self.slots * self.speed * self.warmth() * window
+        used = self.pressed / (self.settings.overload_factor * able)
         self.peak = max(self.peak, used)
         if used > 1.0:
             self.falls += 1
+            self.pushed(self, list(self.sent))
             self.fall(DOWN_US)
 
     def _next(self) -> None:
--- a/benchmarks/fleet/world.py
+++ b/benchmarks/fleet/world.py
@@ -41,7 +41,7 @@
     follows: bool = False  # discovery
     decider: Decider | None = None
     told: dict[str, tuple[int, api.RosterEntry]] = field(default_factory=dict)  # since when
-    idle: Counter[str] = field(default_factory=Counter)  # connections
+    idle: Counter[tuple[str, int]] = field(default_factory=Counter)  # connections, by start of a server
 
 
 @dataclass(eq=False)
@@ -143,13 +143,14 @@
     def add_server(self, started_us: int) -> Server:
         n, self.serial = self.serial, self.serial + 1
         kind, slots, speed = (("gen-a", 4, 1.0), ("gen-b", 6, 0.8))[self.dice["servers"].random() < 0.4]
-        server = Server(f"s{n}", self.zones[n % len(self.zones)], kind, slots, speed, started_us,
-                        lambda: self.now, self.call, self.dice["reports"])
+        server = Server(
+            self.settings, f"s{n}", self.zones[n % len(self.zones)], kind, slots, speed, started_us,
+            lambda: self.now, self.call, self.dice["reports"], self._pushed)
         self.servers[server.name] = server
-        self.list(server, api.Lifecycle.IN_SERVICE)
+        self.announce(server, api.Lifecycle.IN_SERVICE)
         return server
 
-    def list(self, server: Server, lifecycle: api.Lifecycle) -> None:
+    def announce(self, server: Server, lifecycle: api.Lifecycle) -> None:
         """Change discovery's list, and tell each node that follows it, some time later."""
         entry = api.RosterEntry(server.name, server.zone, server.kind, 0, server.started_us, lifecycle)
         if lifecycle is api.Lifecycle.TERMINATED:
@@ -192,9 +193,16 @@
         self.tell(node, api.RosterMode.PERSISTED, tuple(self.listed.values()))
 
     def kill(self, node: Node) -> None:
+        """Its connections end, and with them what it had out."""
         node.alive, node.dead_us = False, self.now
-        for name, count in node.idle.items():
-            self.servers[name].open -= count
+        for (name, start), count in node.idle.items():
+            if self.servers[name].start == start:
+                self.servers[name].open -= count
+        for session in [s for s in self.sessions.values() if s.node is node]:
+            for run, server, _ in session.sends:
+                if not run.reported:
+                    run.reported = True
+                    self._leave(run, server)
 
     def later(self, node: Node, delay_us: float, function: Callable[[], object]) -> None:
         """Unless the node has died by then."""
@@ -286,7 +294,10 @@
         return NEAR_US if node.zone == server.zone else FAR_US
 
     def _send(self, node: Node, action: api.Send) -> None:
-        session, server = self.sessions[node.number, action.request], self.servers[action.worker]
+        session, server = self.sessions.get((node.number, action.request)), self.servers.get(action.worker)
+        if session is None or server is None:
+            self.broken.append(f"sent after its time, or to a name never listed: {action}")
+            return
         number, job, sent_us = len(session.sends), session.job, self.now
         self._check_send(session, server)
         self.count("sends")
@@ -300,15 +311,15 @@
             lambda status: self.later(node, way, lambda: self._ended(session, number, status)), node.number)
         session.sends.append((run, server, sent_us))
         session.ran.append(True)
-        cut = (node.zone, server.zone) in self.cut
-        if cut or not server.up or (not node.idle[server.name] and server.open >= CONNECTIONS):
-            node.idle[server.name] = 0
+        cut, kept = (node.zone, server.zone) in self.cut, (server.name, server.start)
+        if cut or not server.up or (not node.idle[kept] and server.open >= CONNECTIONS):
             self.count("not connected")
             delay = 250 * MS if cut else 2 * way
             self.call(delay, lambda: run.told_end(api.Status.CONNECT_FAILED))
             return
-        if node.idle[server.name]:
-            node.idle[server.name] -= 1
+        run.connected = server.start
+        if node.idle[kept]:
+            node.idle[kept] -= 1
         else:
             self.count("new connections")
             server.open += 1
@@ -318,13 +329,13 @@
 
     def _ended(self, session: Session, number: int, status: api.Status) -> None:
         run, server, sent_us = session.sends[number]
-        if number >= len(session.ran) or session.node.decider is None or run.reported:
+        if run.reported:
             return
         run.reported = True
         session.ran[number] = not status.never_ran
-        if status in (api.Status.OK, api.Status.FULL, api.Status.ERROR):
-            session.node.idle[server.name] += 1
-        elif status is not api.Status.CONNECT_FAILED:
+        if status in (api.Status.OK, api.Status.FULL, api.Status.ERROR) and run.connected == server.start:
+            session.node.idle[server.name, server.start] += 1
+        elif run.connected == server.start:
             server.open -= 1
         self.count(status.name.lower())
         final = session.answered
@@ -338,12 +349,21 @@
     def _cancel(self, session: Session, number: int) -> None:
         run, server, _ = session.sends[number]
         if not run.reported:
-            if run in server.held:
-                self.call(self._link(session.node, server), lambda: server.drop(run))
-            else:
-                run.ended = True
+            self.call(self._link(session.node, server), partial(self._drop, run, server))
             self.later(session.node, 0, lambda: self._ended(session, number, api.Status.CANCELLED))
 
+    @staticmethod
+    def _drop(run: Run, server: Server) -> None:
+        if run in server.held:
+            server.drop(run)
+        run.ended = True
+
+    def _leave(self, run: Run, server: Server) -> None:
+        """Its node has died under it."""
+        if run.connected == server.start:
+            server.open -= 1
+        self._drop(run, server)
+
     def _probe(self, node: Node, server: Server) -> None:
         self.count("probes")
         way, sent_us = 2 * self._link(node, server), self.now
@@ -367,13 +387,23 @@
 
     # --- rules -----------------------------------------------------------------------------------------
 
+    def _pushed(self, server: Server, sent: list[tuple[int, int, int]]) -> None:
+        """Rule 4: a cold server fell over, by nodes of which two thirds (by work) were told."""
+        def told(number: int) -> bool:
+            _, entry = self.nodes[number].told.get(server.name, (0, None))
+            return entry is not None and entry.launched_us == server.started_us
+
+        work = sum(work for _, work, node in sent if told(node))
+        if 3 * work >= 2 * sum(work for _, work, _ in sent):
+            self.broken.append(f"pushed over: {server.name} at {self.now}")
+
     def _check_send(self, session: Session, server: Server) -> None:
-        """Rules 1 to 3 at each send, apart from the module's own guards; rule 4 is `Server.peak`."""
+        """Rules 1 to 3 at each send, apart from the module's own guards."""
         told = session.node.told.get(server.name)
         if session.answered:
             self.broken.append(f"sent after its answer: {session.id}")
         if told is None:
-            self.broken.append(f"sent to {server.name}, never listed")
+            self.broken.append(f"sent to {server.name}, of which the node was not told")
         elif told[1].lifecycle is not api.Lifecycle.IN_SERVICE:
             since = self.now - told[0]
             self.latest_drain_us = max(self.latest_drain_us, since)
@@ -384,6 +414,8 @@
             self.broken.append(f"{out + 1} attempts at once: {session.id}")
         cls = session.job.cls
         for ran, (_, _, sent_us) in zip(session.ran, session.sends, strict=True):
+            if ran and cls.idempotency is api.Idempotency.UNSAFE:
+                self.broken.append(f"repeated though it may have run: {session.id}")
             if ran and cls.idempotency is api.Idempotency.KEYED and self.now - sent_us >= cls.window_us:
                 self.broken.append(f"repeated after its window: {session.id}")
 
--- a/tests/test_virtual_fleet.py
+++ b/tests/test_virtual_fleet.py
@@ -4,6 +4,7 @@
 
 import unittest
 from collections.abc import Iterable
+from dataclasses import replace
 from unittest import mock
 
 from arrowfold import interface as api
@@ -72,6 +73,20 @@
         return 3 * super()._go_on(request)[:1]
 
 
+class Again(Plain):
+    """Sends once more what it has just served."""
+
+    def handle(self, now_us: int, events: Iterable[api.Event]) -> list[api.Action]:
+        told = list(events)
+        return super().handle(now_us, told) + [
+            api.Send(e.request, e.worker) for e in told if isinstance(e, api.AttemptEnded) and e.final]
+
+
+class Stranger(Plain):
+    def pick(self) -> str:
+        return "nobody"
+
+
 class Pushes(Plain):
     """Sends all it has to the server that started last."""
 
@@ -80,7 +95,7 @@
 
 
 class Checkers(unittest.TestCase):
-    def play(self, day: str, decider: type[Plain], **changes: float) -> World:
+    def play(self, day: str, decider: type[Plain], **changes: object) -> World:
         def made(settings: api.Settings, seed: int, _: World) -> Plain:
             return decider(settings, seed)
 
@@ -107,10 +122,27 @@
     def test_copies_beyond_what_the_settings_permit(self) -> None:
         self.seen(self.play("calm", Copies), "attempts at once")
 
+    def test_a_send_after_the_answer(self) -> None:
+        self.seen(self.play("calm", Again), "sent after its answer")
+
+    def test_a_send_to_a_name_that_nobody_listed(self) -> None:
+        self.seen(self.play("calm", Stranger), "never listed")
+
+    def test_what_may_have_run_is_repeated_too_late_or_at_all_or_called_harmless(self) -> None:
+        """A zone's loss resets what runs there; the plain decider sends on, and then denies."""
+        for effect, words in ((api.Idempotency.KEYED, ("after its window",)),
+                              (api.Idempotency.UNSAFE, ("though it may have run", "denied after"))):
+            conf = fleet.shipped()
+            classes = tuple(replace(c, idempotency=effect, window_us=20_000) for c in conf.classes)
+            world = self.play("zone", Plain, load=1.5, settings=replace(conf, classes=classes))
+            for word in words:
+                self.seen(world, word)
+
     def test_a_cold_server_that_is_pushed_falls_over(self) -> None:
         world = self.play("join", Pushes, seconds=12)
         self.assertGreater(sum(s.falls for s in world.servers.values()), 0)
         self.assertGreater(world.figures()["cold peak"], 1)
+        self.seen(world, "pushed over")
 
 
 if __name__ == "__main__":
