Count new connections by errand, probes that changed no choice, and cold servers' unused turns

Asked of a large fleet and told by no counter. In the module, since only it knows: a probe is no news where each job that waited for it finds the room that was believed before; a cold server's turn is counted as it comes and as it is used. The virtual fleet adds the same counters up over its nodes.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -12,6 +12,7 @@
 import math
 import random
 from bisect import bisect_left
+from collections import Counter
 from collections.abc import Callable, Iterable
 from zlib import crc32
 
@@ -68,8 +69,9 @@
 class Dispatcher:
     """Decides for one dispatcher; see `handle`."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int, counters: Counter[str] | None = None) -> None:
         self.settings, self.random = settings, random.Random(seed)
+        self.counters: Counter[str] = Counter() if counters is None else counters  # what no action tells
         self.now = 0
         self.actions: list[api.Action] = []
         self.timers: dict[int, tuple[Callable[..., None], tuple[object, ...]]] = {}
@@ -174,9 +176,8 @@
                 gone.append(self.tables[cls.name])
             self.tables[cls.name].cls = cls
         for table in gone:
-            for token in table.tokens:
-                token.holder.tokens.remove(token)
-            table.tokens = []
+            for token in list(table.tokens):
+                token.recall()
         if len(self.mean) != 1 + new.reports_memory:
             self.mean, self.others = [0.5] * (1 + new.reports_memory), [0.3] * (1 + new.reports_memory)
             self.kind_size = {}
@@ -200,7 +201,7 @@
             for token in table.tokens:
                 holder = None if token.holder.serving else self._cheapest(table, self._sample(table, SAMPLE))
                 if holder is not None:
-                    self._move(token, holder)
+                    token.move(holder)
 
     def _warmth(self, worker: Worker) -> float:
         """The share of its capacity that a worker surely has by now."""
@@ -220,6 +221,7 @@
         self._after(wait, self._cold_pull, worker)
 
     def _cold_pull(self, worker: Worker) -> None:
+        self.counters["cold_turns"] += worker.serving and self._warmth(worker) < 1.0
         if self._load(worker, 0) < 1 or self._part() < 1:  # what a large fleet believes of it is old
             self._pull(worker)
 
@@ -336,12 +338,14 @@
         if worker is None:
             return
         askers, worker.askers, worker.probe_us = worker.askers, [], None
+        room = [self._has_room(worker, request) for request in askers]
         if event.status is Status.OK:
             self.rtt[worker.local] += 0.1 * (event.elapsed_us - self.rtt[worker.local])
             self._take_report(worker, event.report)
             worker.strike(self.now, -0.5)  # an answer, even a late one, takes back what silence had added
         else:
             worker.strike(self.now)
+        self.counters["probes_no_news"] += room == [self._has_room(worker, request) for request in askers]
         for request in askers:
             if worker in request.candidates and request.awaiting:
                 request.awaiting -= 1
@@ -397,16 +401,9 @@
         holder = self._cheapest(table, self._sample(table, SAMPLE))
         if holder is None:
             return False
-        token = Token(table, holder)
-        table.tokens.append(token)
-        holder.tokens.append(token)
+        Token(table, holder)
         return True
 
-    def _move(self, token: Token, holder: Worker) -> None:
-        token.holder.tokens.remove(token)
-        token.holder = holder
-        holder.tokens.append(token)
-
     def _recount(self) -> None:
         """N_i = ceil(L_i / L_g): add or recall tokens as the measured workload moves (ch. 5)."""
         workload = {
@@ -420,9 +417,7 @@
                 pass
             while len(table.tokens) > wanted * 1.25 + 1:
                 few = [self.random.choice(table.tokens) for _ in range(PARTNERS)]
-                dear = max(few, key=lambda t: self._cost(t.holder, table))
-                table.tokens.remove(dear)
-                dear.holder.tokens.remove(dear)
+                max(few, key=lambda t: self._cost(t.holder, table)).recall()
 
     def _imbalance(self, worker: Worker) -> tuple[float, float]:
         """B_j and B_abs_j, equations 2 and 3."""
@@ -461,7 +456,7 @@
         """The giver's token with the lowest C_j(w) at the taker moves there."""
         fitting = [t for t in giver.tokens if t.table.cls.kind in (None, taker.kind)]
         if fitting and giver is not taker and self._warmth(taker) >= 1.0:
-            self._move(min(fitting, key=lambda t: self._cost(taker, t.table)), taker)
+            min(fitting, key=lambda t: self._cost(taker, t.table)).move(taker)
 
     def pair_gain(self, one: Worker, two: Worker) -> float:
         """Equation 4 minus equation 5: what a pair of exchangers could win."""
@@ -482,8 +477,8 @@
                  and b.table.cls.kind in (None, one.kind)]
         best = max(pairs, key=gain, default=None)
         if best and gain(best) > edge:
-            self._move(best[0], two)
-            self._move(best[1], one)
+            best[0].move(two)
+            best[1].move(one)
 
     # --- requests and attempts ----------------------------------------------------------------------
 
@@ -586,7 +581,7 @@
         if best is not None:
             self.misses = 0
             if token and token.holder is not best and token in request.table.tokens:
-                self._move(token, best)  # the drawn holder is full or barred: traded at once by C_j(w)
+                token.move(best)  # the drawn holder is full or barred: traded at once by C_j(w)
             self._send(request, best)
         elif request.stage == NEAR and (request.cls.kind, False) in self.pools:
             self._widen(request, near=False)
@@ -731,6 +726,7 @@
         worker.count(self.now, request.slots, request.memory)
         self.out += 1
         if self._warmth(worker) < 1.0:
+            self.counters["cold_turns_used"] += 1
             self._cold_wait(worker, request.work_us() * request.slots)
         self.actions.append(api.Send(request.id, worker.name))
         number, work = len(request.attempts) - 1, request.work_us()
--- a/arrowfold/protocol/worker.py
+++ b/arrowfold/protocol/worker.py
@@ -65,17 +65,21 @@
     def close(self) -> None:
         self.pool.close()
 
-    def _connect(self) -> Steps[Stream]:
+    def _connect(self, errand: str) -> Steps[Stream]:
         opened = self.pool.opened
         stream = yield from self.pool.take(self.loop.now() + self.connect_limit)
-        self.counters["connections_reused" if self.pool.opened == opened else "connections_opened"] += 1
+        if self.pool.opened == opened:
+            self.counters["connections_reused"] += 1
+        else:
+            self.counters["connections_opened"] += 1
+            self.counters[f"connections_opened_{errand}"] += 1
         return stream
 
     def _run(self, dispatch: Dispatch) -> Steps[None]:
         """One attempt, from its connection to its outcome."""
         job = dispatch.job
         try:
-            stream = yield from self._connect()
+            stream = yield from self._connect("dispatch")
         except NoRoom:
             # Never sent, and no fault of the server's: nothing is to be believed of it for this.
             self.counters["connections_no_room"] += 1
@@ -158,7 +162,7 @@
     def _ask(self, probe: Probe) -> Steps[None]:
         until = self.loop.now() + timedelta(seconds=5)
         try:
-            stream = yield from self._connect()
+            stream = yield from self._connect("probe")
         except Broken:
             probe.ended(api.Status.CONNECT_FAILED)
             return
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -50,7 +50,7 @@
         self.settings, self.clock, self.counters, self.log = settings, clock, counters, log
         self.ask_list = ask_list  # called with whether to follow the list's changes
         self.most_sessions = most_sessions
-        self.module = Dispatcher(settings, seed)
+        self.module = Dispatcher(settings, seed, counters)
         self.table = ServerTable()
         self.sessions: dict[str, Session] = {}
         self.owed = 0  # sessions with no final answer yet
--- a/arrowfold/state.py
+++ b/arrowfold/state.py
@@ -76,12 +76,23 @@
 
 
 class Token:
-    """A fixed part of one class's workload, held by a worker."""
+    """A fixed part of one class's workload; its table and the worker that holds it each list it."""
 
     __slots__ = ("holder", "table")
 
     def __init__(self, table: Table, holder: Worker) -> None:
         self.table, self.holder = table, holder
+        table.tokens.append(self)
+        holder.tokens.append(self)
+
+    def move(self, holder: Worker) -> None:
+        self.holder.tokens.remove(self)
+        self.holder = holder
+        holder.tokens.append(self)
+
+    def recall(self) -> None:
+        self.table.tokens.remove(self)
+        self.holder.tokens.remove(self)
 
 
 class Attempt:
--- a/benchmarks/fleet/__main__.py
+++ b/benchmarks/fleet/__main__.py
@@ -26,7 +26,7 @@
 
 def module(settings: Any, seed: int, world: World) -> Dispatcher:
     """The real decisions."""
-    return Dispatcher(settings, seed)
+    return Dispatcher(settings, seed, world.counted)
 
 
 def plain(settings: Any, seed: int, world: World) -> Plain:
--- a/benchmarks/fleet/world.py
+++ b/benchmarks/fleet/world.py
@@ -95,6 +95,7 @@
         self.cut: set[tuple[str, str]] = set()  # zones that don't hear each other
         self.busy_until = 0  # discovery's
         self.serial, self.latest_drain_us = 0, 0
+        self.counted: Counter[str] = Counter()  # what the modules count
         self.sessions: dict[tuple[int, str], Session] = {}
         for _ in range(servers):
             self.add_server(0)
@@ -425,6 +426,7 @@
         worth = sum(self.offered.values())
         return {
             **{name: round(float(value), 1) for name, value in sorted(total.items())},
+            **dict(sorted(self.counted.items())),
             "served": round(sum(self.earned.values()) / max(1.0, worth), 4),
             **{f"served {name}": round(self.earned[name] / max(1, self.offered[name]), 4)
                for name in sorted(self.offered)},
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -51,8 +51,7 @@
         for node in members:
             table = node.tables["safe"]
             for worker in node.workers.values():  # as later: each holds some of every class
-                table.tokens.append(Token(table, worker))
-                worker.tokens.append(table.tokens[-1])
+                Token(table, worker)
             hear(node, SECOND, {})  # the size of every server is known
         home = members[0]._homes_of(_request(members[0]))[0].name
         for step in range(1, 7):  # what is believed of a server follows a few reports
@@ -238,8 +237,7 @@
         node.handle(0, [api.RosterUpdate(api.RosterMode.COMPLETE, entries)])
         table = node.tables["safe"]
         for worker in node.workers.values():
-            table.tokens.append(Token(table, worker))
-            worker.tokens.append(table.tokens[-1])
+            Token(table, worker)
         hear(node, SECOND, {})
         self.homes = [w.name for w in node._homes_of(_request(node))[:4]]
         (send,) = sends(node.handle(SECOND, [api.Arrival("job", "safe", 6 * SECOND, key="popular")]))
@@ -288,8 +286,8 @@
             table = node.tables["safe"]
             for worker in node.workers.values():
                 if worker.name != "new":  # nobody's tokens show it yet
-                    table.tokens += [Token(table, worker)] * 4
-                    worker.tokens += table.tokens[-4:]
+                    for _ in range(4):
+                        Token(table, worker)
             for step in range(6):
                 hear(node, second + step, {"new": held_there, **{f"w{n}": held for n in range(20)}})
             node.workers["new"].heard_us -= heard_ago
@@ -303,6 +301,49 @@
         return taken["new"]
 
 
+class Counted(unittest.TestCase):
+    """What no action tells, and a large fleet is asked about."""
+
+    def probed(self, *held: float) -> int:
+        """Of probes that a waiting job's choice hung on, how many told of no other room than was believed."""
+        node = Dispatcher(settings(zone="a", may_probe=True), 1)
+        node.handle(0, [api.RosterUpdate(api.RosterMode.COMPLETE, roster(1, zones="a"))])
+        hear(node, SECOND, {})
+        node.counters.clear()
+        for nth, figure in enumerate(held, 2):
+            now = 3 * nth * SECOND
+            (probe,) = [a for a in node.handle(now, [api.Arrival(f"job{nth}", "safe", now + 5 * SECOND)])
+                        if isinstance(a, api.Probe)]
+            node.handle(now + MS, [api.ProbeEnded(
+                probe.worker, api.Status.OK, MS, api.LoadReport(max(0.0, SLOTS - figure), held=figure))])
+            node.handle(now + MS, [api.Withdrawn(f"job{nth}")])
+        return node.counters["probes_no_news"]
+
+    def test_a_probe_that_tells_of_the_room_that_was_believed_is_no_news(self) -> None:
+        self.assertEqual(self.probed(0, 1), 2)
+
+    def test_a_probe_that_tells_of_a_full_server_where_room_was_believed_is_news(self) -> None:
+        self.assertEqual(self.probed(0, 3 * SLOTS), 1)
+
+    def test_turns_at_a_cold_server_are_counted_as_they_come_and_as_they_are_used(self) -> None:
+        conf = settings(zone="a", fleet_size=40, cold_from=0.4, cold_us=90 * SECOND, overload_factor=3.0,
+                        overload_for_us=SECOND)
+        node, now = Dispatcher(conf, 1), 20 * SECOND
+        new = api.RosterEntry("new", "a", "std", 0, now - SECOND)
+        pending = node.handle(now, [api.RosterUpdate(api.RosterMode.COMPLETE, (new,))])
+        hear(node, now, {})
+        pending += node.handle(now, [api.Arrival("job", "safe", now + 5 * SECOND)])
+        timers = [(now + a.delay_us, a.handle) for a in pending if isinstance(a, api.SetTimer)]
+        while not node.counters["cold_turns"] and now < 100 * SECOND:
+            timers.sort()
+            now, handle = timers.pop(0)
+            timers += [(now + a.delay_us, a.handle) for a in node.handle(now, [api.TimerFired(handle)])
+                       if isinstance(a, api.SetTimer)]
+        self.assertEqual((node.counters["cold_turns"], node.counters["cold_turns_used"]), (1, 0))
+        self.assertEqual(len(sends(node.handle(now, [api.Arrival("next", "safe", now + 5 * SECOND)]))), 1)
+        self.assertEqual((node.counters["cold_turns"], node.counters["cold_turns_used"]), (1, 1))
+
+
 class DiscoveryInTrouble(unittest.TestCase):
     def test_nodes_ask_at_times_of_their_own_and_less_often_while_calls_fail(self) -> None:
         waits: list[list[float]] = []
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -39,10 +39,7 @@
     for worker, name, needs in zip(workers, ("slots", "memory"), ((2.0, 0.1), (0.1, 2.0)), strict=True):
         table = dispatcher.tables[name]
         table.slots, table.memory = needs
-        token = Token(table, worker)
-        table.tokens.append(token)
-        worker.tokens.append(token)
-        tokens.append(token)
+        tokens.append(Token(table, worker))
     dispatcher._trade(workers)
     return workers, tokens
 
@@ -61,8 +58,6 @@
         worker.size, worker.free, worker.heard_us = [10.0], [free], dispatcher.now
         worker.others = [10.0 - free]
     token = Token(table, heavy)
-    heavy.tokens.append(token)
-    table.tokens.append(token)
     dispatcher._trade([heavy, light])
     assert token.holder is light
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -36,6 +36,14 @@
             node.post(f"t{n}")
         self.assertLess(node.counters()["connections_opened"], 4)
 
+    def test_new_connections_are_counted_by_what_they_were_opened_for(self) -> None:
+        for probes, errand in ((True, "probe"), (False, "dispatch")):
+            permissions = {**QUICK["permissions"], "probes": probes}
+            node = self.node(self.worker(f"s-{errand}"), settings={**QUICK, "permissions": permissions})
+            node.post("t")
+            counted = node.counters()
+            self.assertEqual(counted[f"connections_opened_{errand}"], counted["connections_opened"])
+
 
 class Outcomes(EdgeCase):
     def tries(self, name: str, how: str | int, then: str = "done") -> tuple[int, int]:
