Hold custom.region over Faktory to a route that load can't move

The cause is that of: on busy cores a job of a millisecond takes thirty, its server looks as if it crawled, and a preference gives way. The test goes by `only` now; without custom.region read it still fails, by the count of routes matched.

--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -170,8 +170,8 @@
         client = Client(self.port)
         self.addCleanup(client.close)
         for n in range(8):
-            self.assertEqual(client.push(f"j{n}", custom={"region": "north"}), "+OK")
-        self.assertGreater(len(self.north.jobs), 4)
+            self.assertEqual(client.push(f"j{n}", custom={"region": "south"}), "+OK")
+        self.assertEqual(self.north.jobs, [])  # `only`: a preference may give way, see `mostly`
         self.assertRegex(client.push("bad", custom={"region": 5}), "^-ERR PUSH: custom.region")
         self.assertEqual(node.counters()["routes_matched"], 8)
 
