Quotas: a job that names no tenant is its client's network's; a server's own word of fetches counts

Needed by operators whose devices send no X-Tenant, and asked for with the quotas: who a job belongs to by its client's network, and index fetches by the server's own word. A network line in the quotas names a tenant, the narrowest network holds, a named tenant goes first.

Seen over both wires: a network's fifth job of four refused; 2.5 fetches charged as 2.5; an ACK's 3 as 3. Nothing changes where the document has no quotas.

--- a/arrowfold/expectations/check.py
+++ b/arrowfold/expectations/check.py
@@ -24,8 +24,9 @@
     share_owed,
 )
 from arrowfold.expectations.worlds import ENDINGS, EVENTS, LOADS, TARGETS, Plan, World, play
+from arrowfold.networks import read_network
 from arrowfold.routes.rules import Match, Routes, Rule, Subject
-from arrowfold.routes.table import holds, read_network
+from arrowfold.routes.table import holds
 
 LAGS = (0, 400, 1200, 3000)  # ms
 TOLD_LATE = ("drain", "gone", "vanish", "restart")  # events that the list brings
--- a/arrowfold/program/edge.py
+++ b/arrowfold/program/edge.py
@@ -13,12 +13,12 @@
 from arrowfold.expectations import claims
 from arrowfold.expectations.claims import Claim, Expectation, Target, When
 from arrowfold.expectations.history import ZERO, State
+from arrowfold.networks import read_network
 from arrowfold.program.document import DocumentError, Place, read_document
 from arrowfold.program.log import FORMS
 from arrowfold.protocol.http import parse_address
 from arrowfold.quotas.tree import MOST_AMOUNT, UNIT, Level, Limit, PathError, Resource, Tree, read_path
 from arrowfold.routes.rules import Action, Match, Routes, Rule
-from arrowfold.routes.table import read_network
 from arrowfold.transport.stream import Address
 
 MATCHES = ("class", "region", "key", "key-prefix", "tenant", "network", "retry")
@@ -222,7 +222,7 @@
     if place is None:
         return None
     place.check(("nobody", "default", "payback", "stretch", "cautious", "most-levels"),
-                repeated=("organisation",))
+                repeated=("organisation", "network"))
     nobody, payback, stretch, cautious, most = (place.child(name) for name in (
         "nobody", "payback", "stretch", "cautious", "most-levels"))
     return Tree(
@@ -231,7 +231,26 @@
         payback.number(0.01, 1) if payback is not None else 0.5,
         stretch.number(1, 1000) if stretch is not None else 1.0,
         cautious.number(0, 1) if cautious is not None else 1.0,
-        most.whole(100) if most is not None else 200_000)
+        most.whole(100) if most is not None else 200_000, _owners(place))
+
+
+def _owners(place: Place) -> tuple[tuple[str, str], ...]:
+    """Whose jobs come from a network: tenants by network, of which the narrowest holds."""
+    found: dict[str, str] = {}
+    for row in place.children("network"):
+        row.check(props=("tenant",), args=None)
+        tenant = row.prop_text("tenant")
+        if not tenant:
+            raise row.fault("tenant is missing")
+        try:
+            read_path(tenant)
+            networks = [str(read_network(text).cidr) for text in row.texts()]
+        except ValueError as error:
+            raise row.fault(str(error)) from error
+        for network in networks:
+            if found.setdefault(network, tenant) != tenant:
+                raise row.fault(f"{network} is {found[network]}'s already")
+    return tuple(found.items())
 
 
 def _levels(place: Place, name: str) -> dict[str, Level]:
--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -325,7 +325,7 @@
         if tree is None or self.core.quotas is None:
             self.core.quotas = open_gate(fresh, self.loop.now())
         else:
-            self.core.quotas.ledger.change(tree, fresh.settings.fleet_size)
+            self.core.quotas.change(tree, fresh.settings.fleet_size)
 
     def _leave(self) -> None:
         """From here on clients move away, and Faktory workers are told to be quiet when they beat."""
--- a/arrowfold/protocol/faktory.py
+++ b/arrowfold/protocol/faktory.py
@@ -32,6 +32,7 @@
     as_fields,
     result_bytes,
 )
+from arrowfold.protocol.load import said_fetches
 from arrowfold.protocol.waiting import Waiting
 from arrowfold.routing.core import Core
 from arrowfold.routing.session import Job, Verdict
@@ -310,7 +311,7 @@
 
     def _ack(self, peer: Peer, fields: dict[str, Any]) -> Steps[bytes]:
         body = result_bytes(fields.get("result"))
-        self._worker(peer, "ACK").finish(_jid(fields, "ACK"), api.Status.OK, body)
+        self._worker(peer, "ACK").finish(_jid(fields, "ACK"), api.Status.OK, body, said_fetches(fields))
         return OK
         yield
 
--- a/arrowfold/protocol/faktory_worker.py
+++ b/arrowfold/protocol/faktory_worker.py
@@ -135,12 +135,12 @@
         if self._forget(dispatch):
             dispatch.ended(api.Status.CONNECT_FAILED)
 
-    def finish(self, jid: str, status: api.Status, body: bytes) -> None:
+    def finish(self, jid: str, status: api.Status, body: bytes, fetched: float | None = None) -> None:
         """An ACK or a FAIL. One that is late, or comes twice, is counted and changes nothing."""
         dispatch = self.reserved.pop(jid, None)
         if dispatch is not None and not dispatch.over:
             self._note_past(jid)
-            dispatch.ended(status, body, self.load())
+            dispatch.ended(status, body, self.load(), fetched)
         elif jid in self.past:
             self.counters["faktory_late_acks"] += 1
         else:
--- a/arrowfold/protocol/load.py
+++ b/arrowfold/protocol/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -14,6 +15,14 @@
 }
 
 
+def said_fetches(row: Mapping[str, Any]) -> float | None:
+    """`index_fetches` beside a result: how often the server took something from the index for this job."""
+    count = row.get("index_fetches")
+    if isinstance(count, bool) or not isinstance(count, int | float) or not 0 <= count < math.inf:
+        return None  # said nothing, or nothing that can be meant
+    return float(count)
+
+
 class LoadReader:
     """Reads reports; what x0 and x1 mean comes from the settings."""
 
--- a/arrowfold/protocol/worker.py
+++ b/arrowfold/protocol/worker.py
@@ -11,7 +11,7 @@
 
 from arrowfold import interface as api
 from arrowfold.protocol.http import ClientSide, Request
-from arrowfold.protocol.load import LoadReader
+from arrowfold.protocol.load import LoadReader, said_fetches
 from arrowfold.routing.session import Dispatch, Job, Probe, to_us
 from arrowfold.transport.loop import Loop, Steps
 from arrowfold.transport.pool import NoRoom, Pool, Pools
@@ -153,7 +153,7 @@
                 load = self.loads.from_object(row["load"])
             result = row.get("result", "")
             body = result if isinstance(result, str) else json.dumps(result)
-            dispatch.ended(_LAST[state], body.encode(), load)
+            dispatch.ended(_LAST[state], body.encode(), load, said_fetches(row))
 
     def _header_load(self, headers: dict[str, str]) -> api.LoadReport | None:
         text = headers.get("endpoint-load-metrics")
--- a/arrowfold/quotas/tree.py
+++ b/arrowfold/quotas/tree.py
@@ -67,6 +67,7 @@
     stretch: float = 1.0  # how far all nodes' parts together may go beyond a limit
     cautious: float = 1.0  # the part of every limit that is free at a start from nothing
     most_levels: int = 200_000  # remembered at once
+    owners: tuple[tuple[str, str], ...] = ()  # networks, and whose jobs come from there without a tenant
 
     def chain(self, path: tuple[str, ...]) -> Iterator[tuple[tuple[str, ...], Level]]:
         """The levels that a path passes, from the top, each with its path."""
--- a/arrowfold/routes/table.py
+++ b/arrowfold/routes/table.py
@@ -5,25 +5,12 @@
 from collections.abc import Callable, Iterable, Sequence
 from functools import lru_cache
 
-import pytricia  # type: ignore[import-not-found]
-from netaddr import AddrFormatError, IPNetwork, IPSet  # type: ignore[import-untyped]
+from netaddr import IPSet  # type: ignore[import-untyped]
 
 from arrowfold.interface import Reach
+from arrowfold.networks import Networks
 from arrowfold.routes.rules import Match, Routes, Rule, Subject
 
-WIDTHS = {4: 32, 6: 128}
-
-
-def read_network(text: str) -> IPNetwork:
-    """A network in CIDR form, or one address. ValueError where it is neither, or has bits beyond its mask."""
-    try:
-        network = IPNetwork(text)
-    except (AddrFormatError, ValueError) as error:
-        raise ValueError(f"{text!r} is no network") from error
-    if network.ip != network.cidr.ip:
-        raise ValueError(f"{text!r} has bits set beyond its mask; {network.cidr} is meant?")
-    return network
-
 
 @lru_cache(maxsize=4096)
 def _as_set(networks: frozenset[str]) -> IPSet:
@@ -123,22 +110,11 @@
 
 
 class _NetworkPart:
-    """Networks of both families; a look-up is one longest match."""
+    """Networks of both families; a look-up is one longest match, which holds the rules of all around it."""
 
     def __init__(self, rules: Sequence[Rule]) -> None:
         self.any, named = _gather(rules, lambda match: match.networks)
-        self.trees: dict[int, pytricia.PyTricia] = {v: pytricia.PyTricia(w) for v, w in WIDTHS.items()}
-        # The wide ones first: each takes over what lies around it.
-        for network, text in sorted(((read_network(t), t) for t in named), key=lambda row: row[0].prefixlen):
-            tree, cidr = self.trees[network.version], str(network.cidr)
-            tree[cidr] = tree.get(cidr, self.any) | named[text]
+        self.networks = Networks(named.items(), lambda wide, own: wide | own)
 
     def of(self, client: str | None) -> int:
-        if client is None:
-            return self.any
-        tree = self.trees[6 if ":" in client else 4]
-        try:
-            found: int = tree[client]
-        except (KeyError, ValueError):
-            return self.any  # in none of them, or no address at all
-        return found
+        return self.any | (self.networks.find(client) or 0)
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -168,8 +168,10 @@
                     if self.observer is not None:
                         self.observer.progressed(dispatch, share)
                     self._consult(api.AttemptProgress(job.id, dispatch.number, share))
-                case Ended(dispatch, status, body, load) if not dispatch.over:
+                case Ended(dispatch, status, body, load, fetched) if not dispatch.over:
                     self._close(dispatch)
+                    if self.quotas is not None and fetched is not None:
+                        dispatch.fetches = self.quotas.said_fetches(fetched)
                     if status is api.Status.OK:
                         self._answer(session, Answer(Verdict.SERVED, body))
                     # The module chooses: to repeat it elsewhere, to let it wait, or to give it up.
@@ -193,7 +195,8 @@
         if session.timer is not None:
             session.timer.cancel()
         if self.quotas is not None and session.ticket is not None:
-            self.quotas.settle(session.ticket, session.worker_time, session.fetches, self.clock.now())
+            fetches = sum(dispatch.fetches for dispatch in session.dispatches)
+            self.quotas.settle(session.ticket, session.worker_time, fetches, self.clock.now())
         del self.sessions[job.id]
         self.on_session(job.id, False)
 
@@ -223,7 +226,8 @@
         if self.quotas is None:
             return True
         job = session.job
-        found = self.quotas.admit(job.account, job.request_class, job.slots, job.key, self.clock.now())
+        found = self.quotas.admit(
+            job.account, job.request_class, job.slots, job.key, self.clock.now(), job.client)
         if not found.refused:
             session.ticket = found
             self.counters["quotas_let_in"] += 1
@@ -255,7 +259,7 @@
         if self.observer is not None:
             self.observer.dispatched(dispatch)
         if self.quotas is not None:
-            session.fetches += self.quotas.fetches(order.worker, session.job.key)
+            dispatch.fetches = self.quotas.fetches(order.worker, session.job.key)
         server.send(dispatch)
 
     def _time_out(self, dispatch: Dispatch) -> None:
--- a/arrowfold/routing/session.py
+++ b/arrowfold/routing/session.py
@@ -94,8 +94,8 @@
     """One attempt of a session at a backend server."""
 
     __slots__ = (
-        "_report", "begun", "errand", "number", "over", "sent", "server", "server_name", "session", "span",
-        "timer")
+        "_report", "begun", "errand", "fetches", "number", "over", "sent", "server", "server_name", "session",
+        "span", "timer")
 
     def __init__(
             self, session: Session, number: int, server_name: str, server: BackendServer, sent: timedelta,
@@ -104,6 +104,7 @@
         self.session, self.number, self.server_name, self.server = session, number, server_name, server
         self.sent, self.over, self._report = sent, False, report
         self.begun = sent  # its told start, once it was told
+        self.fetches = 0  # of the index, as quotas count them
         self.timer: Cancellable | None = None
         self.errand: Any = None  # what the wire keeps of it
         self.span: Any = None  # what an observer keeps of it
@@ -118,8 +119,10 @@
     def progressed(self, share: float) -> None:
         self._report(self.session, Progress(self, share))
 
-    def ended(self, status: api.Status, body: bytes = b"", load: api.LoadReport | None = None) -> None:
-        self._report(self.session, Ended(self, status, body, load))
+    def ended(self, status: api.Status, body: bytes = b"", load: api.LoadReport | None = None,
+              fetched: float | None = None) -> None:
+        """Its outcome; `fetched`: how often it took something from the index, if the server says so."""
+        self._report(self.session, Ended(self, status, body, load, fetched))
 
 
 class Probe:
@@ -156,6 +159,7 @@
     status: api.Status
     body: bytes
     load: api.LoadReport | None
+    fetched: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,8 +207,7 @@
     """A job that was taken: it is owed exactly one final answer."""
 
     __slots__ = (
-        "answered", "client", "dispatches", "fetches", "job", "life", "rule", "span", "ticket", "timer",
-        "worker_time")
+        "answered", "client", "dispatches", "job", "life", "rule", "span", "ticket", "timer", "worker_time")
 
     def __init__(self, job: Job, client: Client) -> None:
         self.job, self.client = job, client
@@ -212,7 +215,7 @@
         self.rule: str | None = None  # the route's rule that held for it
         self.span: Any = None  # what an observer keeps of it
         self.ticket: Any = None  # what quotas charged for it
-        self.worker_time, self.fetches = timedelta(0), 0  # what its attempts have used
+        self.worker_time = timedelta(0)  # what its attempts have used
         self.dispatches: list[Dispatch] = []
         self.life: Generator[None, object, None] | None = None
         self.timer: Cancellable | None = None
--- a/arrowfold/standins/servers.py
+++ b/arrowfold/standins/servers.py
@@ -77,6 +77,7 @@
     ) -> None:
         self.uid, self.state, self.zone, self.kind, self.boot_ms = uid, "SERVING", zone, kind, 0
         self.load: dict[str, Any] = dict(LOAD)
+        self.said: dict[str, Any] = {}  # what else its last line holds
         self.jobs: list[tuple[str, str, dict[str, str], bytes]] = []
         self.release = threading.Event()
         outer = self
@@ -122,7 +123,7 @@
                         return
                     result = f"{outer.uid}:{job}"
                     self.chunk({"id": job, "from": outer.uid, "state": how, "result": result,
-                                "load": outer.load})
+                                "load": outer.load, **outer.said})
                     self.say(b"0\r\n\r\n")
 
         super().__init__(Handler)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,14 +12,14 @@
 MODULE = {"choice", "interface", "state"}
 MAY_USE = {
     "transport": {"transport"},
-    "routes": {"routes", "interface"},
-    "quotas": {"quotas"},
+    "routes": {"routes", "interface", "networks"},
+    "quotas": {"quotas", "networks"},
     "routing": {"routing", "routes", "quotas", *MODULE},
-    "expectations": {"expectations", "routing", "routes", "quotas", "interface"},
+    "expectations": {"expectations", "routing", "routes", "quotas", "interface", "networks"},
     "protocol": {"protocol", "routing", "transport", "interface"},
     "standins": {"standins"},
     "program": {"program", "protocol", "expectations", "routing", "routes", "quotas", "transport",
-                "standins", "simhost", *MODULE},
+                "networks", "standins", "simhost", *MODULE},
 }
 NO_IO = ("routes", "quotas", "expectations")
 IO = {"socket", "os", "io", "pathlib", "select", "time", "subprocess", "threading", "asyncio", "logging",
--- a/tests/test_quotas_node.py
+++ b/tests/test_quotas_node.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import http.client
 import time
+from functools import partial
 from typing import Any
 
 from arrowfold.standins.producers import Client
-from tests.edge import SETTINGS, EdgeCase, Node, eventually, free_port
+from tests.edge import LONG, SETTINGS, EdgeCase, Node, eventually, free_port, in_threads
 
 DOCUMENT = """
 faktory {
@@ -26,6 +28,11 @@
     organisation "slow" {
         worker-time limit=(ms)900 per=(min)10
     }
+    organisation "reads" {
+        index-fetches limit=10 per=(min)10
+    }
+    network "127.0.0.0/8" "10.0.0.0/8" tenant="reads"
+    network "127.0.0.9" tenant="acme/web"
     organisation "short" {
         requests limit=1 per=(ms)800
     }
@@ -66,6 +73,49 @@
         self.assertEqual(counted["quotas_denied"], 4)
         self.assertEqual(len(self.worker_.jobs), counted["quotas_let_in"])
 
+    def test_a_job_that_names_no_tenant_is_its_networks(self) -> None:
+        """The narrowest network holds; whom a job names goes before it; both wires alike."""
+        node = self.start()
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", node.port, timeout=LONG, source_address=("127.0.0.9", 0))
+        self.addCleanup(connection.close)
+        statuses = [node.post(f"web-{n}", connection=connection)[0] for n in range(5)]
+        self.assertEqual(statuses, [200] * 4 + [429])
+        self.assertEqual(node.post("named", connection=connection, X_Tenant="unknown")[0], 200)
+        for job in ("http", "faktory"):
+            if job == "http":
+                node.post(job, path="/search?key=k1")
+            else:
+                client = Client(self.port)
+                self.addCleanup(client.close)
+                self.assertEqual(client.push(job, custom={"key": "k2"}), "+OK")
+        self.assertIn("used 4 of 4", node.call("quota acme/web"))
+        self.assertIn("used 2 of 10", node.call("quota reads"))
+
+    def test_a_servers_own_word_of_fetches_goes_before_the_estimate(self) -> None:
+        node = self.start()
+        for nth, (said, used) in enumerate((({"index_fetches": 2.5}, "2.5"), ({"index_fetches": 0}, "2.5"),
+                           ({"index_fetches": -1}, "3.5"), ({"index_fetches": "many"}, "4.5"), ({}, "5.5"))):
+            self.worker_.said = said  # the last three say nothing that can be meant: one fetch of a new key
+            self.assertEqual(node.post(f"job-{nth}", path=f"/search?key=k{nth}")[0], 200)
+            self.assertIn(f"used {used} of 10", node.call("quota reads"))
+        self.worker_.said = {"index_fetches": 4.5}
+        self.assertEqual(node.post("last", path="/search?key=last")[0], 200)
+        self.assertEqual(node.post("over", path="/search?key=over")[0], 429)
+
+    def test_a_faktory_workers_own_word_of_fetches(self) -> None:
+        self.port = free_port()
+        node = self.node(edge=DOCUMENT.replace("PORT", str(self.port)))
+        producer, worker = Client(self.port), Client(self.port, "w1")
+        self.addCleanup(producer.close)
+        self.addCleanup(worker.close)
+        for job, row, used in (("told", {"index_fetches": 3}, "3"), ("silent", {}, "4")):
+            push = partial(producer.push, job, custom={"key": job})
+            answers = in_threads([push, lambda row=row: worker.call(  # type: ignore[misc]
+                "ACK", {"jid": worker.fetch()["jid"], **row})])
+            self.assertEqual(list(answers), ["+OK", "+OK"])
+            self.assertIn(f"used {used} of 10", node.call("quota reads"))
+
     def test_a_path_that_is_none_is_refused(self) -> None:
         node = self.start()
         for path in ("acme//web", "/", "a/b/c/d/e/f/g/h/i"):
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -12,8 +12,9 @@
 from hypothesis import strategies as st
 
 from arrowfold.interface import Reach
+from arrowfold.networks import read_network
 from arrowfold.routes.rules import Action, Match, Routes, Rule, Subject
-from arrowfold.routes.table import RouteTable, holds, read_network
+from arrowfold.routes.table import RouteTable, holds
 from arrowfold.standins.producers import Client
 from tests.edge import LONG, SETTINGS, EdgeCase, Node, Worker, eventually, free_port
 
