Quotas: while a process is replaced, each of the two counts what the other lets in and settles

Left open so far: the newcomer had the balances of one moment, and what the old one let in or settled after it stayed with it, so a limit could be used twice, and worker time beyond what was reserved was lost. Each now tells the other of every charge, and of what is given back with the moment of its charge; rows go over the link that carries open sessions, and only while there is one.

Seen: a property test over two ledgers, charges and settlements on either side, with the handover in the middle: the same balances after each step; two real processes: a job of 0.1 s reserved that ran over 0.3 s in the old one counts with over 0.3 s in the new one.

--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -70,7 +70,8 @@
         self.core = Core(
             settings, config.seed, self.loop, self.counters, self._ask_list, self.log, config.most_sessions)
         self.core.routes = compile_routes(config)
-        self.core.quotas = open_gate(config, self.loop.now())
+        self._open_quotas(config)
+        self.succession.on_charge = self._follow_charge
         if config.edge is not None and config.edge.trace is not None:
             self._open_trace(config.edge.trace)
         self.core.held_elsewhere, self.core.on_session = self.succession.holds, self.succession.note_session
@@ -199,8 +200,26 @@
             known["rev"] = None  # versions count at one address
         self.discovery.take(known, api.RosterMode.PERSISTED)
 
+    def _open_quotas(self, config: Config) -> None:
+        self.core.quotas = open_gate(config, self.loop.now())
+        self._share_charges()
+
+    def _share_charges(self) -> None:
+        """While there is another process, it is told of each charge."""
+        if self.core.quotas is not None:
+            self.core.quotas.ledger.on_charge = self.succession.note_charge if self.succession.links else None
+
+    def _follow_charge(self, row: Any) -> None:
+        """The other process has let a job in, or settled it: here it counts too."""
+        if self.core.quotas is not None:
+            try:
+                self.core.quotas.ledger.follow(row, to_us(self.loop.now()))
+            except ValueError as error:
+                self.log("succession_bad_charge", error=str(error))
+
     def _share_limits(self) -> None:
-        """Two processes of a node hold half of its descriptors each."""
+        """Two processes of a node hold half of its descriptors each, and each other's charges."""
+        self._share_charges()
         most = self.config.sockets - RESERVED
         if self.succession.links:
             most = max(self.config.sockets // 2 - RESERVED, self.config.sockets // 8)
@@ -323,7 +342,7 @@
         """Another tree of quotas: balances stay by path."""
         tree = fresh.edge.quotas if fresh.edge is not None else None
         if tree is None or self.core.quotas is None:
-            self.core.quotas = open_gate(fresh, self.loop.now())
+            self._open_quotas(fresh)
         else:
             self.core.quotas.change(tree, fresh.settings.fleet_size)
 
--- a/arrowfold/program/succession.py
+++ b/arrowfold/program/succession.py
@@ -198,6 +198,7 @@
         self.sock: socket.socket | None = None
         self.mark: tuple[int, int] | None = None  # device and inode of the socket's file
         self.calls = 0
+        self.on_charge: Callable[[Any], None] = lambda row: None  # what the other has charged to quotas
 
     @property
     def succeeded(self) -> bool:
@@ -287,6 +288,11 @@
             if link.told:
                 link.send({"opened" if opened else "closed": job_id})
 
+    def note_charge(self, row: Any) -> None:
+        for link in self.links:
+            if link.told:
+                link.send({"charged": row})
+
     def tell(self, name: str, argument: str) -> Steps[bool]:
         """Pass an operator's call on; whether everybody has confirmed it, or is gone."""
         self.calls += 1
@@ -338,6 +344,8 @@
             link.sessions.add(str(message["opened"]))
         elif "closed" in message:
             link.sessions.discard(str(message["closed"]))
+        elif "charged" in message:
+            self.on_charge(message["charged"])
 
     def _ended(self, link: Link) -> None:
         if link in self.links:
--- a/arrowfold/quotas/ledger.py
+++ b/arrowfold/quotas/ledger.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import OrderedDict, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from itertools import islice
@@ -81,6 +81,9 @@
     """What was charged for a job that was let in; settled once."""
 
     refused: ClassVar[Literal[False]] = False
+    path: Path = ()
+    request_class: str = ""
+    at_us: int = 0
     charges: list[tuple[Account, Window, Slot, Resource, int]] = field(default_factory=list)
     settled: bool = False
 
@@ -94,18 +97,15 @@
         self.forgotten = 0
         self.start_us: int | None = self.now_us  # from nothing; None once a predecessor's balances are here
         self.vanished: dict[Path, Account] = {}  # levels that another tree left out, with what they hold
+        # Told of each charge, and of what is given back, in plain values: `follow` of another takes them.
+        self.on_charge: Callable[[list[Any]], None] | None = None
 
     # --- asked at arrival --------------------------------------------------------------------------------
 
     def admit(self, path: Path, request_class: str, costs: Costs, now_us: int) -> Ticket | Refusal:
         """Charge every level for a job, or say which one has no room; then nothing is charged anywhere."""
         now_us = self._tick(now_us)
-        chain = [account for account in self._chain(path) if _counts(account.level, request_class)]
-        for parent, account in zip([None, *chain], chain, strict=False):
-            account.seen_us = now_us
-            if parent is not None:
-                parent.children.pop(account.path, None)
-                parent.children[account.path] = account
+        chain = self._asked(path, request_class, now_us)
         borrowing: list[tuple[Account, int, int]] = []
         worst: Refusal | None = None
         for depth, account in enumerate(chain):
@@ -128,7 +128,7 @@
                     worst = refusal
         if worst is not None:
             return worst
-        ticket = Ticket()
+        ticket = Ticket(path, request_class, now_us)
         for account in chain:
             account.open += 1
             for limit, window in zip(account.level.limits, account.windows, strict=True):
@@ -137,8 +137,19 @@
         for account, number, amount in borrowing:
             account.debt[number] += amount
             account.borrowed[number].charge(amount, now_us)
+        self._tell(ticket, costs, now_us, borrowing)
         return ticket
 
+    def _asked(self, path: Path, request_class: str, now_us: int) -> list[Account]:
+        """The levels that a job counts at, each noted as active at the one above."""
+        chain = [account for account in self._chain(path) if _counts(account.level, request_class)]
+        for parent, account in zip([None, *chain], chain, strict=False):
+            account.seen_us = now_us
+            if parent is not None:
+                parent.children.pop(account.path, None)
+                parent.children[account.path] = account
+        return chain
+
     def settle(self, ticket: Ticket, used: Costs, now_us: int) -> None:
         """What a job really used: the rest of what was reserved goes back, what is more is charged now."""
         if ticket.settled:
@@ -147,12 +158,44 @@
         now_us = self._tick(now_us)
         for account in dict.fromkeys(account for account, *_ in ticket.charges):
             account.open -= 1
+        differences: dict[Resource, int] = {}
         for _, window, slot, resource, reserved in ticket.charges:
-            difference = min(max(used.get(resource, 0), 0), MOST_AMOUNT) - reserved
+            difference = differences[resource] = min(max(used.get(resource, 0), 0), MOST_AMOUNT) - reserved
             if difference < 0:
                 window.refund(slot, -difference)
             elif difference > 0:
                 window.charge(difference, now_us)
+        self._tell(ticket, differences, now_us)
+
+    # --- the other process of this node, while both run --------------------------------------------------
+
+    def _tell(self, ticket: Ticket, amounts: Costs, now_us: int,
+              borrowing: Iterable[tuple[Account, int, int]] = ()) -> None:
+        if self.on_charge is not None:
+            self.on_charge([list(ticket.path), ticket.request_class, ticket.at_us, now_us,
+                            {resource.value: amount for resource, amount in amounts.items() if amount},
+                            [[list(account.path), number, amount] for account, number, amount in borrowing]])
+
+    def follow(self, row: Any, now_us: int) -> None:
+        """Charge what another process of this node has charged, or give it back. ValueError where it is none.
+
+        Guards a limit against being counted once in each process: what either lets in, both have charged.
+        """
+        now_us = self._tick(now_us)
+        try:
+            parts, request_class, begun_us, at_us, amounts, borrowing = row
+            path = tuple(str(part) for part in parts)
+            for account in self._asked(path, str(request_class), now_us):
+                for limit, window in zip(account.level.limits, account.windows, strict=True):
+                    amount = int(amounts.get(limit.resource.value, 0))
+                    window.adjust(amount, int(begun_us) if amount < 0 else int(at_us), now_us)
+            for parts, number, amount in borrowing:
+                lender = self.accounts.get(tuple(str(part) for part in parts))
+                if lender is not None and lender.borrowed:
+                    lender.debt[number] += int(amount)
+                    lender.borrowed[number].adjust(int(amount), int(at_us), now_us)
+        except (AttributeError, IndexError, TypeError, ValueError, OverflowError) as error:
+            raise ValueError(f"no charge: {error}") from error
 
     # --- borrowing ---------------------------------------------------------------------------------------
 
--- a/arrowfold/quotas/window.py
+++ b/arrowfold/quotas/window.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
+
 SLOTS = 40
 
 
@@ -53,6 +55,20 @@
         self.total += amount
         return slot
 
+    def adjust(self, amount: int, at_us: int, now_us: int) -> None:
+        """The same for a charge at an earlier time, or, below zero, a part of one given back."""
+        self.advance(now_us)
+        number = at_us // self.slot_us
+        place = bisect_left(self.slots, number, key=lambda slot: slot.number)
+        if place == len(self.slots) or self.slots[place].number != number:
+            if amount <= 0 or now_us >= (number + 1) * self.slot_us + self.span_us:
+                return  # it has left the window, or was never here
+            self.slots.insert(place, Slot(number))
+        slot = self.slots[place]
+        amount = max(amount, -slot.amount)  # guards against giving back what was forgotten since
+        slot.amount += amount
+        self.total += amount
+
     def refund(self, slot: Slot, amount: int) -> None:
         """Give back a part of what was charged in a slot; what has left the window is given back already."""
         if slot.live:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -124,6 +124,53 @@
         assert all(window.room(ledger.now_us) == window.limit for window in account.windows)
 
 
+@budget(max_examples=150, deadline=None, derandomize=True)
+@given(steps=st.lists(max_size=80, elements=st.tuples(
+    st.sampled_from(["ask", "ask", "ask", "end"]), st.booleans(), st.integers(0, 10_000))))
+def test_two_processes_of_a_node_count_each_charge_once(steps: list[tuple[str, bool, int]]) -> None:
+    """While both run, whichever lets a job in or settles it, both have the same balances."""
+    old, new, now, clock = Ledger(TREE), Ledger(TREE), 0, [0]
+    tickets: list[tuple[Ledger, Ticket]] = []
+    old.on_charge = lambda row: new.follow(json.loads(json.dumps(row)), clock[0])
+    for nth, (what, in_new, dice) in enumerate(steps):
+        clock[0] = now = now + dice * 37
+        if nth == len(steps) // 3:  # the newcomer comes while jobs are under way
+            new.restore(json.loads(json.dumps(old.state())), now)
+            new.on_charge = lambda row: old.follow(json.loads(json.dumps(row)), clock[0])
+        asked = new if in_new and new.on_charge is not None else old
+        if what == "ask":
+            found = asked.admit(read_path(PATHS[dice % len(PATHS)]), ("c", "other")[dice % 2],
+                                {R: 1, T: dice * 100}, now)
+            if isinstance(found, Ticket):
+                tickets.append((asked, found))
+        elif tickets:
+            by, ticket = tickets.pop(dice % len(tickets))
+            by.settle(ticket, {R: 1, T: dice * 77}, now)
+        if new.on_charge is not None:
+            assert live(old, now) == live(new, now)
+
+
+def live(ledger: Ledger, now: int) -> dict[Any, int]:
+    for account in ledger.accounts.values():
+        for window in account.windows:
+            window.advance(now)
+    return {key: value for key, value in totals(ledger).items() if value}
+
+
+def test_a_charge_that_is_none_is_refused() -> None:
+    ledger = Ledger(TREE)
+    assert let_in(ledger, "o/a", 5)
+    before = totals(ledger)
+    for row in (None, 5, [], [["o"], "c", 0, 0, 7, []], [["o"], "c", "x", 0, {"requests": -1}, []],
+                [["o"], "c", 0, 0, {}, [[["o", "a"], 9, 1]]]):
+        try:
+            ledger.follow(row, 10)
+        except ValueError:
+            continue
+        raise AssertionError(row)
+    assert totals(ledger) == before
+
+
 def totals(ledger: Ledger) -> dict[Any, int]:
     return {(path, n): w.total for path, a in ledger.accounts.items() for n, w in enumerate(a.windows)}
 
--- a/tests/test_quotas_node.py
+++ b/tests/test_quotas_node.py
@@ -168,6 +168,26 @@
         self.assertEqual(node.terminate(), 0)
         self.assertEqual(self.statuses(following, "after", 2, "acme/web"), [200, 429])
 
+    def test_what_the_last_process_settles_late_counts_at_the_next(self) -> None:
+        """A job under way while the process is replaced: what it used beyond what was reserved."""
+        settings = {**SETTINGS, "classes": [{**row, "onTimeUs": 100_000} for row in SETTINGS["classes"]]}
+        self.behave = lambda job, nth: "hold"  # type: ignore[method-assign]
+        node = self.start(settings=settings)
+        connection = http.client.HTTPConnection("127.0.0.1", node.port, timeout=LONG)
+        self.addCleanup(connection.close)
+        connection.request("POST", "/search?key=k", b"", {
+            "X-Trace-Id": "held", "X-Qos": "search", "X-Expires-In": "20000m", "X-Tenant": "slow"})
+        eventually(lambda: len(self.worker_.jobs) == 1)
+        following = self.node(self.worker_, edge=node.edge_file.read_text(), port=node.port, wait=False,
+                              settings=settings)
+        eventually(lambda: self.up(following) and following.call("status").startswith("ok "))
+        self.assertIn("used 0.1 of", following.call("quota slow"))
+        time.sleep(0.3)  # at least so long it has run by then, whatever the machine does
+        self.worker_.release.set()
+        self.assertEqual(connection.getresponse().status, 200)
+        eventually(lambda: float(following.call("quota slow").split("used ")[1].split()[0]) > 0.3)
+        self.assertEqual(node.terminate(), 0)
+
     @staticmethod
     def up(node: Node) -> bool:
         try:
