Quotas: keep room for who comes back when it was told, while others keep coming

Looked into by counting the refusing window: the advice looked at the window that refused alone, another was full by then; new jobs took all that got free; and a level that borrows was held to its part by weight. Now the moment is one at which all windows above have room beside all who were told before (Comebacks.earliest, which replaces the promises of each window), and a level keeps room for as many of them as lately came, at each moment at which something leaves a window.

Lenders are owed what they were.

--- a/arrowfold/program/quota_commands.py
+++ b/arrowfold/program/quota_commands.py
@@ -65,7 +65,8 @@
             while ends and ends[0][0] <= at:
                 end, _, ticket, used, fetches = heapq.heappop(ends)
                 gate.settle(ticket, used, fetches, end)
-            found = gate.admit(tenant, name, slots, row.get("key"), at, row.get("client"))
+            found = gate.admit(tenant, name, slots, row.get("key"), at, row.get("client"),
+                               bool(row.get("resent")))
         except (KeyError, TypeError, ValueError, OverflowError, PathError) as error:
             raise ValueError(f"{place}: {type(error).__name__}: {error}") from error
         who = f"{(at - START).total_seconds():10.3f}  {tenant or 'nobody'}  {name}"
--- a/arrowfold/protocol/faktory.py
+++ b/arrowfold/protocol/faktory.py
@@ -258,13 +258,16 @@
                            ("idempotency_key", effect_key)):
             if text is not None and not (isinstance(text, str) and text.isascii() and text.isprintable()):
                 raise CommandError(f"PUSH: custom.{name} is no plain text")
+        again = custom.get("second_try", False)
+        if not isinstance(again, bool):
+            raise CommandError("PUSH: custom.second_try is neither true nor false")
         fault = self.core.quotas.check(custom.get("tenant")) if self.core.quotas is not None else None
         if fault is not None:
             raise CommandError(f"PUSH: custom.tenant: {fault}")
         return Job(
             jid, cls.name, self.loop.now() + min(span, LONGEST_WAIT), json.dumps(fields["args"]).encode(),
             custom.get("key"), effect_key, custom.get("tenant"), None,
-            _number(custom, "slots", 1.0), _number(custom, "memory", 0.0), False,
+            _number(custom, "slots", 1.0), _number(custom, "memory", 0.0), again,
             custom.get("region"), client, custom.get("tenant"), PushedJob(fields))
 
     # --- workers -----------------------------------------------------------------------------------------
--- a/arrowfold/quotas/gate.py
+++ b/arrowfold/quotas/gate.py
@@ -45,7 +45,7 @@
 
     def admit(
             self, account: str | None, request_class: str, slots: float, key: str | None, now: timedelta,
-            client: str | None = None,
+            client: str | None = None, resent: bool = False,
     ) -> Ticket | Refusal:
         """Let a job in and charge it, or say what it lacks. PathError where the path is none.
 
@@ -54,7 +54,7 @@
         run_us = self.means_us.get(request_class, 0.0)
         return self.ledger.admit(read_path(account or self.owners.find(client)), request_class, {
             Resource.REQUESTS: 1, Resource.WORKER_TIME: int(run_us * max(slots, 0.0)),
-            Resource.FETCHES: FETCH if key is not None else 0}, now // MICROSECOND)
+            Resource.FETCHES: FETCH if key is not None else 0}, now // MICROSECOND, resent)
 
     def fetches(self, server: str, key: str | None) -> int:
         """How many fetches sending a key to a server costs, by what this node has sent there lately."""
--- a/arrowfold/quotas/ledger.py
+++ b/arrowfold/quotas/ledger.py
@@ -8,20 +8,21 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable, Mapping
+from collections import OrderedDict
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from itertools import islice
 from typing import Any, ClassVar, Literal
 
+from arrowfold.quotas.comebacks import Comebacks
 from arrowfold.quotas.tree import MOST_AMOUNT, UNIT, Level, Limit, Resource, Tree
 from arrowfold.quotas.window import Slot, Window
 
 MICROSECOND = timedelta(microseconds=1)
 MOST_VANISHED = 10_000
 MOST_NUMBERS = 100_000  # handed to the next process: about a megabyte
-MOST_PROMISED = 10_000  # come-backs told and not yet due, of one level
+MOST_ROUNDS = 16  # looks at all windows for a time that suits each
 Path = tuple[str, ...]
 Costs = Mapping[Resource, int]
 
@@ -42,20 +43,10 @@
         return f"quota of {level}: {self.limit.words()}"
 
 
-class Promises:
-    """What one window has told others to come back for, and when: the next is told a later time."""
-
-    __slots__ = ("ahead", "told")
-
-    def __init__(self) -> None:
-        self.told: deque[tuple[int, int]] = deque()  # when, and how much
-        self.ahead = 0
-
-
 class Account:
     """One level's balances."""
 
-    __slots__ = ("borrowed", "children", "debt", "debt_us", "level", "open", "path", "promised", "seen_us",
+    __slots__ = ("borrowed", "children", "comebacks", "debt", "debt_us", "level", "open", "path", "seen_us",
                  "windows")
 
     def __init__(self, path: Path, level: Level, windows: list[Window]) -> None:
@@ -65,14 +56,16 @@
         self.debt_us = 0  # when the debts were last reduced
         self.seen_us = -1  # when it last asked
         self.open = 0  # tickets that are not settled
-        self.promised: list[Promises] | None = None  # of each window, once it has refused somebody
+        self.comebacks: Comebacks | None = None  # once somebody was refused here or near
         self.children: dict[Path, Account] = {}  # those that asked lately, the latest last
 
     def idle(self, now_us: int) -> bool:
         """Whether forgetting it changes no decision."""
         for window in (*self.windows, *self.borrowed):
             window.advance(now_us)
-        return not (self.open or any(self.debt) or self.children
+        if self.comebacks is not None:
+            self.comebacks.pass_by(now_us)
+        return not (self.open or any(self.debt) or self.children or (self.comebacks and self.comebacks.times)
                     or any(w.total for w in (*self.windows, *self.borrowed)))
 
 
@@ -102,32 +95,26 @@
 
     # --- asked at arrival --------------------------------------------------------------------------------
 
-    def admit(self, path: Path, request_class: str, costs: Costs, now_us: int) -> Ticket | Refusal:
-        """Charge every level for a job, or say which one has no room; then nothing is charged anywhere."""
+    def admit(
+            self, path: Path, request_class: str, costs: Costs, now_us: int, resent: bool = False,
+    ) -> Ticket | Refusal:
+        """Charge every level for a job, or say which one has no room; then nothing is charged anywhere.
+
+        One that comes back when it was told, and says so (`resent`), may use what is kept for it.
+        """
         now_us = self._tick(now_us)
         chain = self._asked(path, request_class, now_us)
-        borrowing: list[tuple[Account, int, int]] = []
-        worst: Refusal | None = None
-        for depth, account in enumerate(chain):
-            self._pay(account, now_us)
-            parent = chain[depth - 1] if depth else None
-            for number, (limit, window) in enumerate(zip(account.level.limits, account.windows, strict=True)):
-                cost = costs.get(limit.resource, 0)
-                if cost <= 0:
-                    continue
-                over = cost - (window.room(now_us) - self._withheld(account, number))
-                if over <= 0:
-                    continue
-                if parent is not None and self._may_borrow(account, number, cost, parent, now_us):
-                    borrowing.append((account, number, min(cost, over)))
-                    continue
-                refusal = self._refuse(account, number, limit, cost, now_us)
-                if refusal.after is None:
-                    return refusal
-                if worst is None or (worst.after is not None and refusal.after > worst.after):
-                    worst = refusal
-        if worst is not None:
-            return worst
+        told = {account.path for account in chain
+                if resent and account.comebacks is not None and account.comebacks.take(now_us)}
+        borrowing, full = self._lacking(chain, costs, now_us, told, keep=False)
+        if not full and any(account.comebacks is not None for account in chain):
+            borrowing, full = self._lacking(chain, costs, now_us, told, keep=True)
+        if full:
+            for account, number in full:
+                limit = account.level.limits[number]
+                if costs[limit.resource] > account.windows[number].limit:
+                    return Refusal(account.path, limit, None)
+            return self._refuse(chain, full, costs, now_us)
         ticket = Ticket(path, request_class, now_us)
         for account in chain:
             account.open += 1
@@ -140,6 +127,34 @@
         self._tell(ticket, costs, now_us, borrowing)
         return ticket
 
+    def _lacking(
+            self, chain: list[Account], costs: Costs, now_us: int, told: Collection[Path], keep: bool,
+    ) -> tuple[list[tuple[Account, int, int]], list[tuple[Account, int]]]:
+        """What of its windows' room a job would have to borrow, and the windows that are full for it.
+
+        With `keep`, what is kept for those who come back counts as taken; it is reckoned up only for jobs
+        that have room otherwise.
+        """
+        borrowing, full = [], []
+        for depth, account in enumerate(chain):
+            self._pay(account, now_us)
+            parent = chain[depth - 1] if depth else None
+            for number, (limit, window) in enumerate(zip(account.level.limits, account.windows, strict=True)):
+                cost = costs.get(limit.resource, 0)
+                if cost <= 0:
+                    continue
+                over = cost - (window.room(now_us) - self._withheld(account, number))
+                if keep and over <= 0 and account.comebacks is not None and account.path not in told:
+                    over += account.comebacks.kept(window, cost, now_us)
+                if over <= 0:
+                    continue
+                if parent is not None and self._may_borrow(
+                        account, number, cost, parent, now_us, account.path in told):
+                    borrowing.append((account, number, min(cost, over)))
+                else:
+                    full.append((account, number))
+        return borrowing, full
+
     def _asked(self, path: Path, request_class: str, now_us: int) -> list[Account]:
         """The levels that a job counts at, each noted as active at the one above."""
         chain = [account for account in self._chain(path) if _counts(account.level, request_class)]
@@ -199,8 +214,13 @@
 
     # --- borrowing ---------------------------------------------------------------------------------------
 
-    def _may_borrow(self, account: Account, number: int, cost: int, parent: Account, now_us: int) -> bool:
-        """Whether siblings leave so much: the window around has room for it and for what they are owed."""
+    def _may_borrow(
+            self, account: Account, number: int, cost: int, parent: Account, now_us: int, told: bool,
+    ) -> bool:
+        """Whether siblings leave so much: the window around has room for it and for what they are owed.
+
+        One that was told to come back now may go beyond its level's part of what there is to borrow.
+        """
         if not account.level.borrow:
             return False
         limit = account.level.limits[number]
@@ -225,8 +245,8 @@
             if sibling.borrowed and (sibling is account or sibling.borrowed[own].room(now_us) <
                                      sibling.borrowed[own].limit):
                 wanting += self._pull(sibling, own)
-        if window.room(now_us) - owed < cost:
-            return False
+        if window.room(now_us) - owed < cost or told:
+            return window.room(now_us) - owed >= cost
         pool = max(0, window.limit - shares)
         lent = account.borrowed[number].limit - account.borrowed[number].room(now_us)
         return lent + cost <= pool * self._pull(account, number) / max(wanting, 1e-9)
@@ -253,30 +273,44 @@
 
     # --- refusals ----------------------------------------------------------------------------------------
 
-    def _refuse(self, account: Account, number: int, limit: Limit, cost: int, now_us: int) -> Refusal:
-        """When there is room for this one and all who were told to come back before it."""
-        window = account.windows[number]
-        if cost > window.limit:
-            return Refusal(account.path, limit, None)
-        if account.promised is None:
-            account.promised = [Promises() for _ in account.windows]
-        promises = account.promised[number]
-        while promises.told and promises.told[0][0] <= now_us:
-            promises.ahead -= promises.told.popleft()[1]
-        need = promises.ahead + cost + self._withheld(account, number)
-        rounds, rest = divmod(max(0, need - 1), max(1, window.limit))
-        at = window.free_at(min(rest + 1, window.limit), now_us)
-        at_us = at if at is not None else now_us + window.span_us
-        at_us += rounds * (window.span_us + window.slot_us)
-        withheld = self._withheld(account, number)
+    def _refuse(
+            self, chain: list[Account], full: list[tuple[Account, int]], costs: Costs, now_us: int,
+    ) -> Refusal:
+        """When all windows have room for this one beside all who were told to come back by then.
+
+        It names the window that lets it wait longest.
+        """
+        for account in chain:
+            account.comebacks = account.comebacks or Comebacks()
+        comebacks = [account.comebacks for account in chain if account.comebacks is not None]
+        # Whoever asks at one level is told one after the other.
+        at_us = max([now_us + 1, *comebacks[-1].times[-1:]])
+        longest, path, named = -1, full[0][0].path, full[0][0].level.limits[full[0][1]]
+        for round_ in range(MOST_ROUNDS):
+            before_us = at_us
+            for account in chain:
+                for number, limit in enumerate(account.level.limits):
+                    cost = costs.get(limit.resource, 0)
+                    if cost <= 0:
+                        continue
+                    alone_us = self._free_at(account, number, cost, before_us, now_us)
+                    if not round_ and (account, number) in full and alone_us > longest:
+                        longest, path, named = alone_us, account.path, limit
+                    at_us = max(at_us, alone_us)
+            if at_us == before_us:
+                break
+        for told in comebacks:
+            told.tell(at_us)
+        return Refusal(path, named, timedelta(microseconds=at_us - now_us))
+
+    def _free_at(self, account: Account, number: int, cost: int, at_us: int, now_us: int) -> int:
+        window, withheld = account.windows[number], self._withheld(account, number)
         if cost + withheld > window.limit:  # its debt has to be paid first
             rate = max(1, int(self.tree.payback * window.limit))
             at_us = max(at_us, now_us + account.debt[number] * window.span_us // rate + window.span_us)
-        at_us = max(at_us, now_us + 1)
-        if len(promises.told) < MOST_PROMISED:  # guards the memory; a crowd beyond it is spread no further
-            promises.told.append((at_us, cost))
-            promises.ahead += cost
-        return Refusal(account.path, limit, timedelta(microseconds=at_us - now_us))
+            withheld = 0
+        assert account.comebacks is not None
+        return account.comebacks.earliest(window, window.limit - withheld, cost, at_us)
 
     # --- accounts ----------------------------------------------------------------------------------------
 
@@ -345,7 +379,6 @@
                 account.level.limits, account.windows, account.debt, strict=True)}
             # The account itself stays, for open tickets know it.
             account.level, account.windows, account.debt = level, [], []
-            account.promised = None
             for limit in level.limits:
                 window, debt = held.get((limit.resource, limit.per), (None, 0))
                 if window is None:
@@ -429,7 +462,7 @@
             window.slots.clear()
             window.total = 0
         account.debt = [0] * len(account.windows)
-        account.promised = None
+        account.comebacks = None
         return True
 
 
--- a/arrowfold/quotas/window.py
+++ b/arrowfold/quotas/window.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
+from collections.abc import Iterator
 
 SLOTS = 40
 
@@ -75,15 +76,18 @@
             slot.amount -= amount
             self.total -= amount
 
-    def free_at(self, amount: int, now_us: int) -> int | None:
-        """When there will be room for so much, if nothing else comes; None if never."""
-        if amount > self.limit:
-            return None
-        missing = amount - self.room(now_us)
-        if missing <= 0:
-            return now_us
+    def leaving(self, now_us: int) -> Iterator[tuple[int, int]]:
+        """When what counts now will have left, and how much each time."""
+        self.advance(now_us)
         for slot in self.slots:
-            missing -= slot.amount
-            if missing <= 0:
-                return (slot.number + 1) * self.slot_us + self.span_us
-        return None
+            yield (slot.number + 1) * self.slot_us + self.span_us, slot.amount
+
+    def live(self, at_us: int) -> tuple[int, int]:
+        """What counts now and still will at a later time, and when the first of it will have left."""
+        if not self.slots or (self.slots[-1].number + 1) * self.slot_us + self.span_us <= at_us:
+            return 0, at_us
+        for place, slot in enumerate(self.slots):
+            leaves_us = (slot.number + 1) * self.slot_us + self.span_us
+            if leaves_us > at_us:
+                return sum(later.amount for later in self.slots[place:]), leaves_us
+        return 0, at_us
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -227,7 +227,8 @@
             return True
         job = session.job
         found = self.quotas.admit(
-            job.account, job.request_class, job.slots, job.key, self.clock.now(), job.client)
+            job.account, job.request_class, job.slots, job.key, self.clock.now(), job.client,
+            job.resent)
         if not found.refused:
             session.ticket = found
             self.counters["quotas_let_in"] += 1
