Repeats: one run for all tries of a request, its answer again, and a bound of memory

Need: a client that hears nothing tries again, and each try was a run of its own; what must not run twice could. A store with no I/O (arrowfold/repeats) is asked once by the core, after the routes: a key is class, tenant and Idempotency-Key. While it runs tries wait for the one run, which is a session of the core's with them as its client; after it the answer is replayed for as long as the class says; another payload is 422. Answers go before keys, keys into a filter that never forgets early, so nothing runs on the chance that it erred, and nobody is refused for longer than three spans. Off where the document has no repeats; the platform stays without.

Not yet: over to the next process, on disk, cost and storm.

--- a/arrowfold/program/edge.py
+++ b/arrowfold/program/edge.py
@@ -18,6 +18,7 @@
 from arrowfold.program.log import FORMS
 from arrowfold.protocol.http import parse_address
 from arrowfold.quotas.tree import MOST_AMOUNT, UNIT, Level, Limit, PathError, Resource, Tree, read_path
+from arrowfold.repeats.rules import Repeats
 from arrowfold.routes.rules import Action, Match, Routes, Rule
 from arrowfold.transport.stream import Address
 
@@ -68,6 +69,7 @@
     trace: TraceConfig | None = None
     routes: Routes = field(default_factory=lambda: Routes({}))
     quotas: Tree | None = None
+    repeats: Repeats | None = None
     log: str = FORMS[0]
     expectations: tuple[Expectation, ...] = ()
     check: CheckConfig = field(default_factory=CheckConfig)
@@ -78,7 +80,8 @@
     if path.suffix == ".toml":
         raise DocumentError(f"{path}: the deployment's file is a KDL document now, such as deploy/edge.kdl")
     root = read_document(path)
-    root.check(("faktory", "descriptions", "trace", "routes", "quotas", "expectations", "check",
+    root.check(("faktory", "descriptions", "trace", "routes", "quotas", "repeats", "expectations",
+                "check",
                 "log"),
                repeated=("region",))
     descriptions = root.child("descriptions")
@@ -88,7 +91,8 @@
         openapi=_file(descriptions, "openapi"), asyncapi=_file(descriptions, "asyncapi"),
         trace=_trace(root.child("trace")),
         routes=Routes(regions, _rules(root.child("routes"), regions)),
-        quotas=_quotas(root.child("quotas")), log=_log(root.child("log")),
+        quotas=_quotas(root.child("quotas")), repeats=_repeats(root.child("repeats")),
+        log=_log(root.child("log")),
         expectations=_expectations(root.child("expectations"), regions),
         check=_check(root.child("check")))
 
@@ -310,6 +314,29 @@
     return Limit(resource, amount, per)
 
 
+# --- repeats -------------------------------------------------------------------------------------------
+
+
+def _repeats(place: Place | None) -> Repeats | None:
+    if place is None:
+        return None
+    place.check(("memory", "largest-answer", "false-positives"), repeated=("class",))
+    memory, largest, errors = (place.child(name) for name in ("memory", "largest-answer", "false-positives"))
+    keep: dict[str, timedelta] = {}
+    for row in place.children("class"):
+        row.check(props=("keep",), args=1)
+        span = row.prop_span("keep")
+        if not span:
+            raise row.fault("keep is missing, or no time above 0")
+        if row.text() in keep:
+            raise row.fault("a second class of this name")
+        keep[row.text()] = span
+    return Repeats(
+        keep, memory.whole(1_000_000) if memory is not None else 16_000_000,
+        largest.whole(0) if largest is not None else 65_536,
+        errors.number(1e-9, 0.1) if errors is not None else 1e-6)
+
+
 # --- expectations --------------------------------------------------------------------------------------
 
 
--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -34,6 +34,7 @@
     from arrowfold.program.edge import TraceConfig
     from arrowfold.program.trace import TraceFile
     from arrowfold.quotas.gate import Gate
+    from arrowfold.repeats.store import Store
 
 RESERVED = 48  # descriptors for the program itself, discovery and connections about to be closed
 IDLE_SHARE = 8  # one descriptor in this many may be a client's idle connection
@@ -71,6 +72,7 @@
             settings, config.seed, self.loop, self.counters, self._ask_list, self.log, config.most_sessions)
         self.core.routes = compile_routes(config)
         self._open_quotas(config)
+        self.core.repeats = open_store(config, self.loop.now(), self.counters)
         self.succession.on_charge = self._follow_charge
         if config.edge is not None and config.edge.trace is not None:
             self._open_trace(config.edge.trace)
@@ -398,6 +400,15 @@
     return Gate(config.edge.quotas, config.settings.fleet_size, means, now)
 
 
+def open_store(config: Config, now: timedelta, counters: Counter[str]) -> Store | None:
+    """The store of request keys; None, and nothing loaded, where the document has no repeats."""
+    if config.edge is None or config.edge.repeats is None:
+        return None
+    from arrowfold.repeats.store import Store
+
+    return Store(config.edge.repeats, {cls.name: cls for cls in config.settings.classes}, now, counters)
+
+
 def _open_log(config: Config) -> Log:
     return Log(config.name, config.edge.log if config.edge is not None else None)
 
--- a/arrowfold/protocol/faktory.py
+++ b/arrowfold/protocol/faktory.py
@@ -227,7 +227,8 @@
         if answer.verdict is Verdict.SERVED:
             return OK
         if answer.verdict is Verdict.FAILED:
-            return error_reply(f"failed: job {job.id} may have run")
+            return error_reply(f"failed: job {job.id}: {answer.reason}" if answer.reason else
+                               f"failed: job {job.id} may have run")
         after = f"; retry after {answer.retry_after.total_seconds():.3f} s" if answer.retry_after else ""
         why = f"; {answer.reason}" if answer.reason else ""
         return error_reply(f"denied: job {job.id} may be pushed again{after}{why}")
@@ -268,7 +269,8 @@
             jid, cls.name, self.loop.now() + min(span, LONGEST_WAIT), json.dumps(fields["args"]).encode(),
             custom.get("key"), effect_key, custom.get("tenant"), None,
             _number(custom, "slots", 1.0), _number(custom, "memory", 0.0), again,
-            custom.get("region"), client, custom.get("tenant"), PushedJob(fields))
+            custom.get("region"), client, custom.get("tenant"), PushedJob(fields),
+            json.dumps([cls.name, custom.get("key")]).encode())
 
     # --- workers -----------------------------------------------------------------------------------------
 
--- a/arrowfold/protocol/front.py
+++ b/arrowfold/protocol/front.py
@@ -34,6 +34,7 @@
 MOST_ID = 200
 LONGEST_WAIT = timedelta(hours=1)
 OVER_QUOTA = 429
+CONFLICT = 422
 _STATUS = {Verdict.SERVED: 200, Verdict.DENIED: 503, Verdict.FAILED: 502}
 PAGES = ("/health/ready", "/health/live", "/counters")
 _UNITS = {"m": timedelta(milliseconds=1), "u": timedelta(microseconds=1)}
@@ -297,10 +298,12 @@
         headers = []
         if answer.retry_after is not None:
             headers.append(("Retry-After", f"{answer.retry_after.total_seconds():.3f}"))
+        if answer.replayed:
+            headers.append(("Idempotent-Replayed", "true"))
         body = answer.body
         if answer.verdict is not Verdict.SERVED:
             body = f"{answer.verdict.value}{answer.reason and ': '}{answer.reason}\n".encode()
-        status = OVER_QUOTA if answer.over_quota else _STATUS[answer.verdict]
+        status = CONFLICT if answer.conflict else OVER_QUOTA if answer.over_quota else _STATUS[answer.verdict]
         return (yield from self._reply(side, status, body, headers))
 
     def why_not_ready(self) -> str | None:
@@ -361,7 +364,8 @@
             headers["x-trace-id"], name, ZERO, b"", keys[0] if keys else None,
             headers.get("idempotency-key"), headers.get("x-customer"), None,
             props.get("slots", 1.0), props.get("memory", 0.0), headers.get("x-second-try") == "1",
-            headers.get("x-region"), None, account, request)
+            headers.get("x-region"), None, account, request,
+            f"{request.method} {request.target}".encode())
         return job, wait
 
     def _not_open(self, job_id: str) -> None:
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -8,6 +8,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable, Generator, Iterable
+from dataclasses import replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,7 @@
     Probe,
     Progress,
     Session,
+    Shared,
     Verdict,
     from_us,
     to_us,
@@ -36,7 +38,9 @@
 
 if TYPE_CHECKING:
     from arrowfold.quotas.gate import Gate
+    from arrowfold.repeats.store import Entry, Store
 
+FAN = 200  # tries that get one run's answer in a turn of the loop
 PROBE_LIMIT = timedelta(milliseconds=300)  # an unanswered probe counts as timed out after this
 
 
@@ -58,6 +62,8 @@
         self._draining = False
         self.routes: Router | None = None  # None: every job may go anywhere
         self.quotas: Gate | None = None  # None: nothing is limited
+        self.repeats: Store | None = None  # None: each try is run
+        self.runs: dict[str, Session] = {}  # where repeats are known: what all tries of a key wait for
         self.observer: Observer | None = None
         # Where another process serves this node too: what it has open, and what it is told of.
         self.held_elsewhere: Callable[[str], bool] = lambda job_id: False
@@ -114,7 +120,7 @@
         return self.table.serving() > 0
 
     def holds(self, job_id: str) -> bool:
-        return job_id in self.sessions or self.held_elsewhere(job_id)
+        return job_id in self.sessions or job_id in self.runs or self.held_elsewhere(job_id)
 
     def take(self, job: Job, client: Client) -> Session:
         """Take a job in; the client gets exactly one answer for it, perhaps before this returns."""
@@ -142,7 +148,7 @@
 
     def give_up_all(self) -> None:
         """The node ends now: what is still owed is answered, and may have run."""
-        for session in list(self.sessions.values()):
+        for session in [*self.runs.values(), *self.sessions.values()]:
             self._answer(session, Answer(Verdict.FAILED))
 
     # --- one session ---------------------------------------------------------------------------------
@@ -151,6 +157,9 @@
         """One session from its arrival to its last outcome."""
         job = session.job
         may_go, reach = self._route(session)
+        if may_go and self.repeats is not None and job.effect_key is not None and not session.is_run:
+            yield from self._join(session, self.repeats)
+            may_go = False
         may_go = may_go and self._charge(session)
         # The module chooses: to send, to let the session wait, or to deny it.
         if may_go:
@@ -184,11 +193,7 @@
                 case api.Fail():
                     self._answer(session, Answer(Verdict.FAILED))
                 case Left() if not session.answered:
-                    self.counters["client_left"] += 1
-                    session.answered = True
-                    self.owed -= 1
-                    if self.observer is not None:
-                        self.observer.answered(session, None)
+                    self._left(session)
                     self._consult(api.Withdrawn(job.id))
                 case Expired():
                     self._expire(session)
@@ -197,9 +202,81 @@
         if self.quotas is not None and session.ticket is not None:
             fetches = sum(dispatch.fetches for dispatch in session.dispatches)
             self.quotas.settle(session.ticket, session.worker_time, fetches, self.clock.now())
+        if session.is_run:
+            del self.runs[job.id]
+            return
         del self.sessions[job.id]
         self.on_session(job.id, False)
 
+    def _join(self, session: Session, store: Store) -> Generator[None, object, None]:
+        """One try of a key: wait for the run of all its tries, or be answered from one that has ended."""
+        job, now, cls = session.job, self.clock.now(), self._class(session.job.request_class)
+        digest = store.digest(job.request_class, job.payer, job.effect_key)
+        found, entry = store.ask(cls, digest, store.digest(job.asked, job.body), now)
+        self.counters[f"repeats_{found.value}"] += 1
+        if found.value in ("conflict", "refused") or entry is None:
+            reason = "this key was used for another request" if found.value == "conflict" else \
+                "it has run, or may have, and must not run twice; its answer is no longer kept"
+            self._answer(session, Answer(Verdict.FAILED, reason=reason, conflict=found.value == "conflict"))
+            return
+        if found.value == "replayed":
+            verdict = Verdict.FAILED if entry.body is None else Verdict.SERVED
+            self._answer(session, Answer(verdict, entry.body or b"", replayed=True))
+            return
+        if found.value == "first":
+            self._begin_run(session, entry, cls)
+        tries: Tries = entry.run
+        tries.waiting[session] = None
+        while not session.answered:
+            match (yield):
+                case Shared(answer):
+                    self._answer(session, answer)
+                case Expired():
+                    self._answer(session, Answer(
+                        Verdict.FAILED if tries.session.dispatches else Verdict.DENIED))
+                case Left():
+                    self._left(session)
+        tries.waiting.pop(session, None)
+        if not tries.waiting and not tries.session.answered:
+            self._tell(tries.session, Left())  # nobody waits any more
+
+    def _class(self, name: str) -> api.RequestClass:
+        return next((cls for cls in self.settings.classes if cls.name == name), api.RequestClass(name, 0, 0))
+
+    def _begin_run(self, session: Session, entry: Entry, cls: api.RequestClass) -> None:
+        """A session that stands for all tries of a key. Its time is the class's: others may have more."""
+        job = session.job
+        job = replace(job, deadline=max(job.deadline, self.clock.now() + from_us(cls.deadline_us)))
+        entry.run = tries = Tries(self, entry)
+        run = tries.session = Session(job, tries)
+        run.is_run, run.span = True, session.span
+        tries.waiting[session] = None
+        self.runs[job.id] = run
+        self.owed += 1
+        run.timer = self.clock.call_at(job.deadline, lambda: self._tell(run, Expired()))
+        run.life = self._life(run)
+        self._step(run, None)
+
+    def share(self, tries: Tries, answer: Answer) -> None:
+        """A run has its answer: each try gets it, so many in a turn of the loop."""
+        run = tries.session
+        may_have_run = answer.verdict is Verdict.SERVED or run.may_have_run or bool(run.out())
+        if self.repeats is not None:
+            body = answer.body if answer.verdict is Verdict.SERVED else None
+            self.repeats.ended(tries.entry, body, may_have_run and answer.verdict is not Verdict.DENIED,
+                               self.clock.now())
+        waiting = deque(tries.waiting)
+
+        def go_on() -> None:
+            for _ in range(min(FAN, len(waiting))):
+                self._inbox.append((waiting.popleft(), Shared(answer)))
+            if waiting:
+                self.clock.call_at(self.clock.now(), go_on)
+            self._drain()
+
+        # Guards the other tasks: ten thousand answers at once would hold the loop.
+        self.clock.call_at(self.clock.now(), go_on)
+
     def _route(self, session: Session) -> tuple[bool, api.Reach | None]:
         """The one place where the routes are asked: whether the job may go on, and what they leave it."""
         if self.routes is None:
@@ -285,6 +362,7 @@
             self.observer.ended(dispatch, status, load)
         elapsed = to_us(self.clock.now() - dispatch.sent)
         session = dispatch.session
+        session.may_have_run = session.may_have_run or not status.never_ran
         if self.quotas is not None and not status.never_ran:
             span = self.clock.now() - dispatch.begun
             session.worker_time += span * session.job.slots
@@ -303,11 +381,25 @@
             self._answer(session, Answer(Verdict.FAILED))
             self._consult(api.Withdrawn(session.job.id))
 
+    def _left(self, session: Session) -> None:
+        """Nobody waits for this one any more."""
+        session.answered = True
+        self.owed -= 1
+        if session.is_run:
+            self.share(session.client, Answer(Verdict.FAILED))  # type: ignore[arg-type]
+            return
+        self.counters["client_left"] += 1
+        if self.observer is not None:
+            self.observer.answered(session, None)
+
     def _answer(self, session: Session, answer: Answer) -> None:
         if session.answered:
             return
         session.answered = True
         self.owed -= 1
+        if session.is_run:
+            session.client.answer(answer)
+            return
         self.counters[f"answered_{answer.verdict.value}"] += 1
         if self.clock.now() > session.job.deadline:
             self.counters["answered_late"] += 1
@@ -338,6 +430,8 @@
                     self.ask_list(False)
                 case api.Log(text):
                     self.log("module", said=text)
+                case _ if action.request in self.runs:
+                    self._inbox.append((self.runs[action.request], action))
                 case _ if action.request in self.sessions:
                     self._inbox.append((self.sessions[action.request], action))
 
@@ -404,6 +498,18 @@
                 session.life = None
 
 
+class Tries:
+    """The client of a run: all tries of its key that wait, in the order in which they came."""
+
+    def __init__(self, core: Core, entry: Entry) -> None:
+        self.core, self.entry = core, entry
+        self.session: Session
+        self.waiting: dict[Session, None] = {}
+
+    def answer(self, answer: Answer) -> None:
+        self.core.share(self, answer)
+
+
 class _Nobody:
     """Stands in for a backend server that the table no longer holds."""
 
--- a/arrowfold/routing/session.py
+++ b/arrowfold/routing/session.py
@@ -39,6 +39,8 @@
     retry_after: timedelta | None = None
     reason: str = ""  # why it was denied, where there is something to say
     over_quota: bool = False
+    conflict: bool = False  # its key was used for something else
+    replayed: bool = False  # of a run that had ended before
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +62,7 @@
     client: str | None = None  # the address that its client called from
     account: str | None = None  # whose quotas it counts against: organisation and team
     origin: Any = None
+    asked: bytes = b""  # all of what is asked beside the body, for telling another request of the same key
 
     @property
     def payer(self) -> str | None:
@@ -162,6 +165,13 @@
     fetched: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Shared:
+    """The run that this try has waited for has its answer."""
+
+    answer: Answer
+
+
 @dataclass(frozen=True, slots=True)
 class Left:
     """The client has gone away."""
@@ -207,11 +217,14 @@
     """A job that was taken: it is owed exactly one final answer."""
 
     __slots__ = (
-        "answered", "client", "dispatches", "job", "life", "rule", "span", "ticket", "timer", "worker_time")
+        "answered", "client", "dispatches", "is_run", "job", "life", "may_have_run", "rule", "span", "ticket",
+        "timer", "worker_time")
 
     def __init__(self, job: Job, client: Client) -> None:
         self.job, self.client = job, client
         self.answered = False
+        self.is_run = False  # it stands for all tries of its key, each a session of its own
+        self.may_have_run = False  # one of its attempts that have ended
         self.rule: str | None = None  # the route's rule that held for it
         self.span: Any = None  # what an observer keeps of it
         self.ticket: Any = None  # what quotas charged for it
@@ -221,6 +234,7 @@
         self.timer: Cancellable | None = None
 
     def out(self) -> list[Dispatch]:
+        """Attempts that have no outcome yet."""
         return [dispatch for dispatch in self.dispatches if not dispatch.over]
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,14 +14,15 @@
     "transport": {"transport"},
     "routes": {"routes", "interface", "networks"},
     "quotas": {"quotas", "networks"},
-    "routing": {"routing", "routes", "quotas", *MODULE},
+    "repeats": {"repeats", "interface"},
+    "routing": {"routing", "routes", "quotas", "repeats", *MODULE},
     "expectations": {"expectations", "routing", "routes", "quotas", "interface", "networks"},
     "protocol": {"protocol", "routing", "transport", "interface"},
     "standins": {"standins"},
-    "program": {"program", "protocol", "expectations", "routing", "routes", "quotas", "transport",
+    "program": {"program", "protocol", "expectations", "routing", "routes", "quotas", "repeats", "transport",
                 "networks", "standins", "simhost", *MODULE},
 }
-NO_IO = ("routes", "quotas", "expectations")
+NO_IO = ("routes", "quotas", "repeats", "expectations")
 IO = {"socket", "os", "io", "pathlib", "select", "time", "subprocess", "threading", "asyncio", "logging",
       "sys"}
 NODE_NEEDS = {"h11"}  # of what is installed, all that a node of the platform's may load
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,189 @@
+"""The store of request keys against a plain model that forgets nothing, and within its bound."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from datetime import timedelta
+
+from hypothesis import settings as budget
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from arrowfold.interface import Idempotency, RequestClass
+from arrowfold.repeats.rules import Repeats
+from arrowfold.repeats.store import ENTRY_BYTES, Entry, Found, State, Store, may_run_again
+
+SECOND = timedelta(seconds=1)
+SAFE = RequestClass("safe", 300_000, 5_000_000)
+KEYED = RequestClass("keyed", 300_000, 5_000_000, Idempotency.KEYED, "all", 2_000_000)
+ZONED = RequestClass("zoned", 300_000, 5_000_000, Idempotency.KEYED, "zone", 2_000_000)
+UNSAFE = RequestClass("unsafe", 300_000, 5_000_000, Idempotency.UNSAFE)
+BRIEF = RequestClass("brief", 300_000, 5_000_000)  # of which nothing is kept
+CLASSES = {cls.name: cls for cls in (SAFE, KEYED, ZONED, UNSAFE, BRIEF)}
+KEEP = {name: 10 * SECOND for name in ("safe", "keyed", "zoned", "unsafe")}
+
+
+@dataclass
+class Known:
+    """What a store without bounds knows of a key."""
+
+    rule: RequestClass
+    fingerprint: bytes
+    begun: timedelta
+    state: State
+    body: bytes | None = None
+    until: timedelta = timedelta.max
+
+
+class AgainstAPlainModel(RuleBasedStateMachine):
+    """Same keys, other payloads, ends of all sorts, time: a small store must never run what must not run."""
+
+    memory = 8_000
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.store, self.now = Store(Repeats(KEEP, self.memory, 100), CLASSES), 100 * SECOND
+        self.known: dict[tuple[str, int], Known] = {}
+        self.running: dict[tuple[str, int], Entry] = {}
+
+    @rule(name=st.sampled_from(list(CLASSES)), key=st.integers(0, 12),
+          payload=st.sampled_from([b"a"] * 9 + [b"b"]))
+    def ask(self, name: str, key: int, payload: bytes) -> None:
+        cls = CLASSES[name]
+        found, entry = self.store.ask(
+            cls, self.store.digest(name, None, str(key)), self.store.digest(payload), self.now)
+        known = self.known.get((name, key))
+        if known is not None and known.state is not State.RUNNING and known.until <= self.now:
+            known = None  # too old to be asked for
+        if found is Found.FIRST:
+            assert entry is not None
+            assert known is None or (known.state is not State.RUNNING
+                                     and may_run_again(cls, self.now - known.begun))
+            begun = known.begun if known is not None and entry.begun != self.now else self.now
+            self.known[name, key] = Known(cls, payload, begun, State.RUNNING)
+            self.running[name, key] = entry
+        elif found is Found.JOINED:
+            assert known is not None and entry is self.running[name, key] and known.fingerprint == payload
+        elif found is Found.REPLAYED:
+            assert known is not None and entry is not None and known.fingerprint == payload
+            assert (known.state, known.body) == (entry.state, entry.body)
+        elif found is Found.CONFLICT:
+            assert known is not None and known.fingerprint != payload
+        elif found is Found.REFUSED and known is not None:
+            assert not may_run_again(cls, self.now - known.begun)
+
+    @precondition(lambda self: self.running)
+    @rule(nth=st.integers(0, 1000), size=st.integers(0, 150),
+          how=st.sampled_from(["served", "served", "failed", "never"]))
+    def end(self, nth: int, size: int, how: str) -> None:
+        name, key = place = sorted(self.running)[nth % len(self.running)]
+        body = b"x" * size if how == "served" else None
+        self.store.ended(self.running.pop(place), body, how != "never", self.now)
+        if how == "never" or name == "brief":
+            del self.known[place]
+            return
+        known = self.known[place]
+        known.state = State.SERVED if how == "served" else State.FAILED
+        known.body, known.until = body, self.now + KEEP[name]
+        del key
+
+    @rule(ms=st.integers(0, 4000))
+    def wait(self, ms: int) -> None:
+        self.now += timedelta(milliseconds=ms)
+
+    @invariant()
+    def what_is_counted_is_what_is_there(self) -> None:
+        entries = self.store.entries.values()
+        assert self.store.used == sum(ENTRY_BYTES + len(e.body or b"") for e in entries)
+        running = sum(entry.state is State.RUNNING for entry in entries)
+        assert running == len(self.running)
+        assert self.store.used <= self.store.bound + ENTRY_BYTES * running
+
+
+class InRoom(AgainstAPlainModel):
+    """The same with room for all: then each try is answered just as the model says."""
+
+    memory = 4_000_000
+
+    @rule(name=st.sampled_from(list(KEEP)), key=st.integers(0, 12))
+    def ask_again(self, name: str, key: int) -> None:
+        known = self.known.get((name, key))
+        if known is None or known.state is State.RUNNING or known.until <= self.now:
+            return
+        found, _ = self.store.ask(CLASSES[name], self.store.digest(name, None, str(key)),
+                                  self.store.digest(known.fingerprint), self.now)
+        again = may_run_again(CLASSES[name], self.now - known.begun)
+        if known.state is State.SERVED and known.body is not None and len(known.body) <= 100:
+            assert found is Found.REPLAYED
+        elif again:
+            assert found is Found.FIRST
+            self.ask_taken_up(name, key)
+        else:
+            assert found in (Found.REPLAYED, Found.REFUSED)
+
+    def ask_taken_up(self, name: str, key: int) -> None:
+        entry = self.store.entries[self.store.digest(name, None, str(key))]
+        self.known[name, key] = Known(
+            CLASSES[name], self.known[name, key].fingerprint, self.known[name, key].begun, State.RUNNING)
+        self.running[name, key] = entry
+
+
+STEPS = budget(max_examples=80, stateful_step_count=80, deadline=None, derandomize=True)
+AgainstAPlainModel.TestCase.settings = InRoom.TestCase.settings = STEPS
+TestSmallStore = AgainstAPlainModel.TestCase
+TestStoreInRoom = InRoom.TestCase
+
+
+def served(store: Store, cls: RequestClass, key: str, now: timedelta, body: bytes = b"answer") -> None:
+    found, entry = store.ask(cls, store.digest(key), b"f", now)
+    assert found is Found.FIRST and entry is not None
+    store.ended(entry, body, True, now)
+
+
+def test_answers_go_before_what_is_known_of_keys_and_that_goes_into_the_filter() -> None:
+    store = Store(Repeats({"unsafe": 60 * SECOND}, 1_000_000), CLASSES)
+    for n in range(200):
+        served(store, UNSAFE, f"big{n}", n * SECOND / 100, b"x" * 10_000)
+    assert store.counters["repeats_answers_dropped"] > 100 and not store.counters["repeats_keys_dropped"]
+    assert store.ask(UNSAFE, store.digest("big0"), b"f", 3 * SECOND)[0] is Found.REFUSED
+    assert store.ask(UNSAFE, store.digest("big199"), b"f", 3 * SECOND)[0] is Found.REPLAYED
+    for n in range(3000):
+        served(store, UNSAFE, f"small{n}", 3 * SECOND + n * SECOND / 1000)
+    assert store.counters["repeats_keys_dropped"] > 1000
+    now = 7 * SECOND
+    assert all(store.ask(UNSAFE, store.digest(f"small{n}"), b"f", now)[0] in (Found.REFUSED, Found.REPLAYED)
+               for n in range(3000))  # whatever is still known of it
+    assert store.used <= store.bound
+
+
+def test_an_evicted_key_runs_again_only_where_its_class_permits_and_is_not_refused_for_ever() -> None:
+    for cls, soon in ((SAFE, Found.FIRST), (KEYED, Found.REFUSED), (UNSAFE, Found.REFUSED)):
+        store = Store(Repeats({cls.name: 20 * SECOND}, 1_000_000), CLASSES)
+        for n in range(4000):
+            served(store, cls, f"k{n}", SECOND)
+        assert store.digest("k0") not in store.entries
+        assert store.ask(cls, store.digest("k0"), b"f", 2 * SECOND)[0] is soon
+        assert store.ask(cls, store.digest("k1"), b"f", 22 * SECOND)[0] is soon  # a span later
+        assert store.ask(cls, store.digest("k2"), b"f", 62 * SECOND)[0] is Found.FIRST  # three later
+
+
+def test_the_filters_errors_are_as_rare_as_stated() -> None:
+    store = Store(Repeats({"unsafe": 3600 * SECOND}, 2_000_000, false_positives=0.001), CLASSES)
+    count = 0
+    while not store.counters["repeats_filter_over"]:
+        served(store, UNSAFE, f"k{count}", SECOND)
+        count += 1
+        if count > 60_000:
+            break
+    rng, wrong = random.Random(1), 0
+    for _ in range(100_000):
+        digest = store.digest(f"other{rng.random()}")
+        wrong += store.shelves["unsafe"].may_hold(digest)[0]
+    assert wrong / 100_000 <= 0.002
+
+
+def test_two_clients_with_one_key_are_two() -> None:
+    store = Store(Repeats(KEEP), CLASSES)
+    digests = {store.digest("safe", tenant, "key") for tenant in ("a", "b", None, "")}
+    assert len(digests) == 3 and store.digest("ab", "c") != store.digest("a", "bc")
