--- a/arrowfold/repeats/store.py
+++ b/arrowfold/repeats/store.py
@@ -58,6 +58,7 @@
     body: bytes | None = None  # of a served answer, while it is kept
     until: timedelta = ZERO  # when it is forgotten, once it has ended
     run: Any = None  # the core's, while it runs
+    ran_before: bool = False  # an earlier run, of which this is the harmless repeat, may have run
 
 
 class Shelf:
@@ -128,9 +129,13 @@
             self._drop(entry)
             entry = None
         if entry is None:
-            if not self._may_go(rule, digest, now):
+            age = self._age(rule, digest, now)
+            if age is not None and not may_run_again(rule, age):
                 return Found.REFUSED, None
-            return Found.FIRST, self._begin(rule, digest, fingerprint, now)
+            entry = self._begin(rule, digest, fingerprint, now)
+            if age is not None:
+                entry.begun, entry.ran_before = now - age, True
+            return Found.FIRST, entry
         if entry.fingerprint != fingerprint:
             return Found.CONFLICT, None
         if entry.state is State.RUNNING:
@@ -143,19 +148,19 @@
         begun = entry.begun
         self._drop(entry)
         entry = self._begin(rule, digest, fingerprint, now)
-        entry.begun = begun  # the window in which a repeat is harmless counts from the first
+        entry.begun, entry.ran_before = begun, True  # its window counts from the first
         return Found.FIRST, entry
 
-    def _may_go(self, rule: RequestClass, digest: bytes, now: timedelta) -> bool:
-        """A key of which nothing is known but by the filter, perhaps."""
+    def _age(self, rule: RequestClass, digest: bytes, now: timedelta) -> timedelta | None:
+        """How long ago, at most, a key may have run of which only a filter knows; None: none does."""
         shelf = self.shelves.get(rule.name)
         held, old = shelf.may_hold(digest) if shelf is not None else (False, False)
         if not held:
-            return True
+            return None
         self.counters["repeats_by_filter"] += 1
         # How long ago it ran is known only as: within this span, or the one before, plus what it ran.
         assert shelf is not None
-        return may_run_again(rule, (now - shelf.since) + (shelf.keep if old else ZERO) + shelf.keep)
+        return (now - shelf.since) + (shelf.keep if old else ZERO) + shelf.keep
 
     def _begin(self, rule: RequestClass, digest: bytes, fingerprint: bytes, now: timedelta) -> Entry:
         entry = self.entries[digest] = Entry(digest, fingerprint, rule, now)
@@ -171,7 +176,7 @@
             return
         entry.run = None
         shelf = self.shelves.get(entry.rule.name)
-        if shelf is None or not may_have_run:
+        if shelf is None or not (may_have_run or entry.ran_before):
             self._drop(entry)
             return
         entry.until = now + shelf.keep
