--- a/arrowfold/repeats/store.py
+++ b/arrowfold/repeats/store.py
@@ -64,27 +64,29 @@
 class Shelf:
     """What has ended of one class: answers, keys without theirs, and a filter of keys that had to go."""
 
-    __slots__ = ("answers", "capacity", "error", "filters", "keep", "known", "since")
+    __slots__ = ("answers", "capacity", "error", "filters", "held", "keep", "known", "since")
 
     def __init__(self, keep: timedelta, capacity: int, error: float, now: timedelta) -> None:
         self.keep, self.capacity, self.error, self.since = keep, capacity, error, now
         self.answers: OrderedDict[bytes, Entry] = OrderedDict()  # the one that ended first comes first
         self.known: OrderedDict[bytes, Entry] = OrderedDict()
         self.filters: list[Bloom | None] = [None, None]  # of this span, and of the one before
+        self.held = 0  # keys in the first of them, for a filter counts its own bits anew each time
 
     def turn(self, now: timedelta) -> None:
         """A filter holds what came within one span, and is kept for one more."""
         if self.keep and now - self.since >= self.keep:
             whole = (now - self.since) // self.keep
             self.filters = [None, self.filters[0] if whole == 1 else None]
-            self.since += whole * self.keep
+            self.since, self.held = self.since + whole * self.keep, 0
 
     def put_away(self, digest: bytes) -> bool:
         """Into the filter; whether it held more already than it was made for."""
         held = self.filters[0] or Bloom(self.capacity, self.error, _as_number)
         held.add(digest)
         self.filters[0] = held
-        return held.approx_items > self.capacity
+        self.held += 1
+        return self.held > self.capacity
 
     def may_hold(self, digest: bytes) -> tuple[bool, bool]:
         """Whether a filter may hold a key, and whether only the older one does."""
