Open a silent watch anew in time, follow pushed lists, obey lists that are doubted

From the constants: 5 s (SILENCE_LIMIT) and 0.6 to 1.9 s of the module's pause (_on_roster) and the call lie behind 6 s and the drain limit of 0.3 s. Lines at fault: discovery.py, SILENCE_LIMIT counted from any byte and `list_failed` left the next call to the module; node.py `run`, which opened no watch where lists are pushed, since the module asks only where lists are asked for; `_read`, which took each line end for a message's end; `_doubt`, which delayed a drain that was written (up to 6 s of the module's pauses). Change: a watch is silent 2.5 to 3 s after its last whole word, and is opened anew by itself while a list is due (6 s after a silence, 4 s after SIGHUP); an agent's watch stays open from the first moment; messages are cut by their brackets; a drain in a doubted list holds at once, and a doubt ends within six tenths of the drain limit.

--- a/arrowfold/interface.py
+++ b/arrowfold/interface.py
@@ -128,6 +128,7 @@
     overload_factor: float = 1.0
     overload_for_us: int = 0
     connection_idle_us: int = 0
+    drain_limit_us: int = 1_000_000  # nothing new to a server this long after it was told to drain
     tells_start: bool = False
     progress_us: int = 0
     worth_by_work: bool = False
@@ -145,7 +146,8 @@
                 raise ValueError(f"class {cls.name!r}: a duration is negative")
             if cls.group not in ("all", "zone", "cell"):
                 raise ValueError(f"class {cls.name!r}: unknown group {cls.group!r}")
-        durations = (self.ask_within_us, self.cold_us, self.overload_for_us, self.answer_slack_us)
+        durations = (
+            self.ask_within_us, self.cold_us, self.overload_for_us, self.answer_slack_us, self.drain_limit_us)
         if min(durations) < 0 or self.max_retry_after_us < 0:
             raise ValueError("a duration in the settings is negative")
         if self.attempt_cap < 1 or self.fleet_size < 1 or self.tick_us < 1:
--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -80,7 +80,8 @@
         self.loads = LoadReader(config.meanings)
         self.idle = _idle_span(settings)
         self.discovery = Discovery(
-            self.loop, config.discovery, self.core, self._make_server, self.counters, self.log)
+            self.loop, config.discovery, self.core, self._make_server, self.counters, self.log,
+            config.seed)
         self.classes = classes = {c.name: c for c in settings.classes}  # as the fronts know them
         # With two fronts, neither fills the house alone.
         share = 0.75 if config.faktory else 1.0
@@ -266,6 +267,7 @@
             self.discovery.ask(True)
         else:
             self._take_known()
+            self.discovery.follow_pushed()
         gc.freeze()
         self._start_when_known(self.loop.now() + LONGEST_START)
         self.loop.run()
@@ -339,6 +341,7 @@
         if fresh.discovery is not None and fresh.discovery != self.discovery.address:
             self.log("reload_discovery", address=f"{fresh.discovery[0]}:{fresh.discovery[1]}")
             self.discovery.move(fresh.discovery)
+        self.discovery.follow_pushed()
 
     def _change_quotas(self, fresh: Config) -> None:
         """Another tree of quotas: balances stay by path."""
--- a/arrowfold/protocol/discovery.py
+++ b/arrowfold/protocol/discovery.py
@@ -3,25 +3,35 @@
 from __future__ import annotations
 
 import json
+import re
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
+from random import Random
 from typing import Any
 
 from arrowfold import interface as api
 from arrowfold.protocol.http import ClientSide, parse_address
 from arrowfold.protocol.worker import SearchWorker
 from arrowfold.routing.core import Core
-from arrowfold.routing.session import Logging
+from arrowfold.routing.session import Cancellable, Logging, from_us
 from arrowfold.routing.table import Row
-from arrowfold.transport.loop import Loop, Steps, Task
+from arrowfold.transport.loop import ZERO, Loop, Steps, Task
 from arrowfold.transport.stream import Address, Broken, Late, connect
 
 SOURCE = "discovery"
 CALL_LIMIT = timedelta(seconds=3)
 CONNECT_LIMIT = timedelta(seconds=1)  # a connection that is up at all is up much sooner
-SILENCE_LIMIT = timedelta(seconds=5)  # a watch says something every 2 s
+# A watch says something every 2 s. What a silent one misses counts as told 6 s after its last word, so that
+# another one has to be open well before; up to `SILENCE_SPREAD` more, lest a fleet call in one moment.
+SILENCE_LIMIT = timedelta(milliseconds=2500)
+SILENCE_SPREAD = timedelta(milliseconds=500)
+TOLD_AFTER_SILENCE = timedelta(seconds=6)
+TOLD_AFTER_MOVE = timedelta(seconds=4)
+SOON = timedelta(milliseconds=100)  # before a call is repeated while a list is due; up to four times that
+AGENT_LIMIT = timedelta(milliseconds=250)  # an agent on this machine answers at once, if it answers
+DOUBT_PART = 0.6  # of the time that is left to obey a list: a doubt lasts no longer
 MOST_LIST = 4 * 1024 * 1024
 MOST_LEAVING = 4096  # servers remembered as leaving
 DOUBTED = 3  # so many doubtful lists in a row are refused; the next one is how things are now
@@ -29,20 +39,64 @@
     "SERVING": api.Lifecycle.IN_SERVICE, "DRAINING": api.Lifecycle.TERMINATING,
     "DELETED": api.Lifecycle.TERMINATED,
 }
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
+
+class Silent(Late):
+    """A watch that stood says nothing any more: it is broken, though nothing closed it."""
+
+
+class Doubted(ValueError):
+    """A list that a discovery in trouble may tell."""
+
+
+class Messages:
+    """Cuts what a watch says into its messages, however they are indented. Empty lines are signs of life.
+
+    A JSON string holds no line end, so that each line's brackets can be counted by themselves.
+    """
+
+    def __init__(self) -> None:
+        self.rest, self.pending, self.depth = bytearray(), bytearray(), 0
+        self.alive = False  # whether a whole message or a sign of life came with the last bytes
+
+    def feed(self, data: bytes) -> list[Any]:
+        """The messages that are whole by now; ValueError where one can't be read."""
+        self.rest += data
+        self.alive, whole = False, []
+        *lines, rest = self.rest.split(b"\n")
+        self.rest = rest
+        if len(self.rest) + len(self.pending) > MOST_LIST:
+            raise Broken("a message is over the bound")
+        for line in lines:
+            if not line.strip():
+                self.alive = self.alive or not self.pending
+                continue
+            bare = _STRING.sub(b"", line)
+            self.depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+            self.pending += line
+            if self.depth <= 0:
+                text, self.pending, self.depth = self.pending, bytearray(), 0
+                whole.append(json.loads(text))
+                self.alive = True
+        return whole
 
 
 class Discovery:
-    """One node's calls to discovery. The module says when to call; a watch lasts until it breaks.
+    """One node's calls to discovery; a watch lasts until it breaks.
 
-    When the address changes, the watch at the old one stands until the new one has told its whole list.
+    Where discovery is asked, the module says when to call. Where an agent pushes, a watch is always open
+    here: what the agent has counts as told. When the address changes, the watch at the old one stands until
+    the new one has told its whole list.
     """
 
     def __init__(
             self, loop: Loop, address: Address | None, core: Core,
             make_server: Callable[[Address], SearchWorker], counters: Counter[str],
-            log: Logging,
+            log: Logging, seed: int = 0,
     ) -> None:
         self.loop, self.address, self.core = loop, address, core
+        self.random = Random(seed)  # spreads a fleet's calls
         self.make_server, self.counters, self.log = make_server, counters, log
         self.revision: int | None = None
         self.listed: dict[str, Any] = {}  # each server's entry as it was last told
@@ -50,6 +104,9 @@
         # Servers told to drain or to be gone: when they had started, and the version that said so.
         self.leaving: dict[str, tuple[int, int]] = {}
         self.doubts = 0  # doubtful lists since the last sound message
+        self.doubted: dict[str, Any] = {}  # the last of them
+        self.doubt_ends: Cancellable | None = None  # when it is believed, whatever comes of asking again
+        self.due = ZERO  # until then a call that fails is repeated here: a list is due
         self.watch: Task | None = None
         self.moving = False  # the address is new, and has not told its whole list yet
         self.successor: Task | None = None  # the watch at the new address until then
@@ -57,6 +114,7 @@
     def move(self, address: Address) -> None:
         """Discovery is at another address from now on."""
         self.address, self.moving = address, True
+        self.due = self.loop.now() + TOLD_AFTER_MOVE
         self.counters["discovery_moves"] += 1
         if self.successor is not None:
             self.successor.stop()
@@ -78,6 +136,11 @@
                 self.watch.stop()
             self.watch = self.loop.spawn(self._call(True), "discovery watch")
 
+    def follow_pushed(self) -> None:
+        """Keep a watch open at an agent that pushes lists, if the settings say that one does."""
+        if not self.core.settings.roster_on_request and self.watch is None and self.successor is None:
+            self.ask(True)
+
     def take(self, message: object, mode: api.RosterMode | None = None) -> None:
         """Apply one message of discovery's form."""
         if not isinstance(message, dict) or not isinstance(message.get("targets"), list):
@@ -109,8 +172,9 @@
         """Refuse what a discovery that is itself in trouble may say; raises ValueError.
 
         Guards the server table against a replica that lies behind, and against a list that has been emptied
-        rather than is empty: the node serves on from what it last had, and asks again later each time. A
-        discovery that stays at its word is believed, since its versions may have begun anew.
+        rather than is empty: the node serves on from what it last had, and asks again at once. A discovery
+        that stays at its word is believed, since its versions may have begun anew; and so it is, heard again
+        or not, before the time to obey it is over, for what it has written is told (rule 3).
         """
         revision, why = message.get("rev"), ""
         if whole and self.servers and not any(isinstance(t, dict) and "uid" in t for t in message["targets"]):
@@ -119,13 +183,37 @@
                 and not self.moving:
             why = f"version {revision}, older than {self.revision}"
         if not why:
-            self.doubts = 0
+            self._doubt_no_more()
             return
         self.doubts += 1
-        if self.doubts <= DOUBTED:
-            self.counters["discovery_doubted"] += 1
-            raise ValueError(why)
-        self.doubts = 0
+        if self.doubts > DOUBTED or message is self.doubted:
+            self._doubt_no_more()
+            return
+        self.counters["discovery_doubted"] += 1
+        self.doubted = message
+        self._obey_leaving(message)
+        if self.doubt_ends is None:
+            end = self.loop.now() + from_us(self.core.settings.drain_limit_us) * DOUBT_PART
+            self.doubt_ends = self.loop.call_at(end, lambda: self.take(self.doubted))
+        raise Doubted(why)
+
+    def _doubt_no_more(self) -> None:
+        self.doubts, self.doubted = 0, {}
+        if self.doubt_ends is not None:
+            self.doubt_ends.cancel()
+            self.doubt_ends = None
+
+    def _obey_leaving(self, message: dict[str, Any]) -> None:
+        """Guards rule 3 while a list is doubted: what was written is told, so a drain in it holds at once."""
+        rows = []
+        for target in message["targets"]:
+            state = target.get("state") if isinstance(target, dict) else None
+            if state in _STATES and state != "SERVING" and str(target.get("uid")) in self.servers:
+                row = self._row(target, None, keep=True)
+                if row is not None and row[0].launched_us == self.servers[row[0].worker][1]:
+                    rows.append((replace(row[0], lifecycle=api.Lifecycle.TERMINATING), row[1]))
+        if rows:
+            self.core.list_servers(SOURCE, rows)
 
     def limit(self, idle: timedelta, connect_limit: timedelta) -> None:
         """Other time limits for every search worker."""
@@ -137,8 +225,11 @@
         return {"rev": None if self.moving else self.revision, "all": True,
                 "targets": list(self.listed.values())}
 
-    def _row(self, target: Any, revision: object) -> Row | None:
-        """A server's row. An entry that can't be read is left out, and the others still count."""
+    def _row(self, target: Any, revision: object, keep: bool = False) -> Row | None:
+        """A server's row. An entry that can't be read is left out, and the others still count.
+
+        With `keep`, the server as it is known stays, whatever the entry says of its start.
+        """
         try:
             uid, state = str(target["uid"]), _STATES[target["state"]]
             address = parse_address(target["endpoint"])
@@ -153,7 +244,7 @@
             self.log("discovery_bad_entry", error=f"{type(error).__name__}: {error}")
             return None
         known = self.servers.get(uid)
-        if known is None or known[:2] != (address, launched_us):
+        if known is None or (known[:2] != (address, launched_us) and not keep):
             # A restarted or moved process: its old connections lead nowhere.
             if known is not None:
                 known[2].close()
@@ -184,25 +275,47 @@
             known[2].close()
 
     def _call(self, follow: bool) -> Steps[None]:
-        """One call or watch, from its connection to its end."""
-        task, error = self.loop.current, "it ended"
-        try:
-            yield from self._read(follow)
-        except (Broken, Late, ValueError, RecursionError) as fault:
-            error = str(fault)
-        else:
-            if not follow:
-                return
-        self.log("discovery_failed", what="watch" if follow else "call", error=error)
-        self.counters["discovery_failures"] += 1
+        """One call, or one watch with the calls that take it up again while a list is due."""
+        task = self.loop.current
+        while True:
+            error, doubt = "it ended", False
+            try:
+                yield from self._read(follow)
+                if not follow:
+                    return
+            except (Broken, Late, ValueError, RecursionError) as fault:
+                error, doubt = str(fault), isinstance(fault, Doubted)
+                if isinstance(fault, Silent):
+                    self.counters["discovery_silences"] += 1
+            self.log("discovery_failed", what="watch" if follow else "call", error=error)
+            self.counters["discovery_failures"] += 1
+            # The old address may close, as it must, while its successor is under way: so it is asked both
+            # before the pause and after it.
+            if self._superseded(task) or not self._goes_on(follow, doubt):
+                break
+            yield from self.loop.sleep(SOON * (1 if self._pushed() else self.random.uniform(1, 4)))
+            if self._superseded(task):
+                break
+            self.counters["discovery_calls"] += 1
+        if self._superseded(task):
+            self.watch = None
+            return
         if task is self.successor:
             self.successor = None
         elif task is self.watch:
             self.watch = None
-            if self.successor is not None:
-                return  # the old address has closed, as it must; its successor is under way
         self.core.list_failed()
 
+    def _superseded(self, task: Task | None) -> bool:
+        return task is self.watch and self.successor is not None
+
+    def _pushed(self) -> bool:
+        return not self.core.settings.roster_on_request
+
+    def _goes_on(self, follow: bool, doubt: bool) -> bool:
+        """Whether a call that failed is repeated here, and not when the module next asks."""
+        return (follow and (self._pushed() or self.loop.now() < self.due)) or doubt
+
     def _told(self, message: object) -> None:
         """A message of the watch or call that runs now."""
         self.take(message)
@@ -222,8 +335,10 @@
             if self.revision is not None and not self.moving:
                 target += f"&since={self.revision}"
         assert address is not None
-        until = self.loop.now() + CALL_LIMIT
-        stream = yield from connect(self.loop, address, min(until, self.loop.now() + CONNECT_LIMIT))
+        begun = self.loop.now()
+        until = begun + (max(AGENT_LIMIT, from_us(self.core.settings.drain_limit_us / 2))
+                         if self._pushed() else CALL_LIMIT)
+        stream = yield from connect(self.loop, address, min(until, begun + CONNECT_LIMIT))
         try:
             exchange = ClientSide(stream)
             host = f"{address[0]}:{address[1]}"
@@ -231,25 +346,35 @@
             status, _ = yield from exchange.head(until)
             if status != 200:
                 raise Broken(f"answered {status}")
-            buffered = bytearray()
-            while True:
-                if follow:
-                    until = self.loop.now() + SILENCE_LIMIT
-                part = yield from exchange.part(until)
-                buffered += part or b""
-                if len(buffered) > MOST_LIST:
-                    raise Broken("a message is over the bound")
-                if not follow:
-                    if part is None:
-                        self._told(json.loads(buffered))
-                        return
-                    continue
-                while (end := buffered.find(b"\n")) >= 0:
-                    line = bytes(buffered[:end])
-                    del buffered[:end + 1]
-                    if line.strip():
-                        self._told(json.loads(line))
-                if part is None:
-                    return
+            if follow:
+                yield from self._listen(exchange, begun + CALL_LIMIT)
+            else:
+                self._told(json.loads((yield from exchange.rest(until, MOST_LIST))))
         finally:
             stream.close()
+
+    def _listen(self, exchange: ClientSide, first: timedelta) -> Steps[None]:
+        """Follow a watch to its end. Without a whole message or an empty line for a while, it is silent.
+
+        Guards against one that stops within a line, or goes on with bytes that end none: `heard` counts,
+        not when a byte came. Its first message may be long, and has until `first`.
+        """
+        limit = SILENCE_LIMIT + SILENCE_SPREAD * self.random.random()
+        heard, messages = self.loop.now(), Messages()
+        until = max(first, heard + limit)
+        while True:
+            try:
+                part = yield from exchange.part(until)
+            except Late as error:
+                self.due = heard + TOLD_AFTER_SILENCE
+                raise Silent("it fell silent") from error
+            for message in messages.feed(part or b""):
+                self._told(message)
+            if messages.alive:
+                heard = self.loop.now()
+                until = heard + limit
+            elif self.loop.now() >= until:
+                self.due = heard + TOLD_AFTER_SILENCE
+                raise Silent("it says nothing whole")
+            if part is None:
+                return
--- a/arrowfold/protocol/http.py
+++ b/arrowfold/protocol/http.py
@@ -193,12 +193,12 @@
             return None
         raise Broken("the connection ended within an answer")
 
-    def rest(self, until: timedelta) -> Steps[bytes]:
-        """What is left of the body, within the protocol's bound."""
+    def rest(self, until: timedelta, most: int = MOST_BODY) -> Steps[bytes]:
+        """What is left of the body, within a bound of bytes."""
         body = bytearray()
         while (data := (yield from self.part(until))) is not None:
             body += data
-            if len(body) > MOST_BODY:
+            if len(body) > most:
                 raise Broken("an answer is over the protocol's bound")
         return bytes(body)
 
--- a/arrowfold/simhost.py
+++ b/arrowfold/simhost.py
@@ -74,6 +74,7 @@
         second_copies=bool(allowed.get("secondCopies")), attempt_cap=allowed.get("sendCap") or 1,
         retry_after=bool(allowed.get("retryAfter")), max_retry_after_us=allowed.get("maxRetryAfterUs") or 0,
         connection_idle_us=allowed.get("connIdleUs") or 0,
+        drain_limit_us=contract.get("stopSendingWithinUs") or 0,
         roster_on_request=conf.get("discovery") == "subscribe",
         ask_within_us=contract.get("askWithinUs") or 0, answer_slack_us=contract.get("answerSlackUs") or 0,
         cold_from=contract.get("coldFrom") or 1.0, cold_us=contract.get("coldUs") or 0,
