Keep off keys' homes, and call off nothing that waits, in a large fleet with no load told

Lines at fault: choice.py `_homes_of` and `_draw`, which send a popular key's jobs of the whole fleet to the same servers, where `_home_will_do` knows them full only by reports; `_unstarted`, which sends on what waits in a queue that may not let go of it. Both rest on told load; this deployment tells none and allows no probes. Change: `_blind()`, from the settings' load source and the fleet's size. Where load is told, nothing changes.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -539,6 +539,10 @@
         """Under 1 where so many dispatchers share a server that their own jobs tell little of its load."""
         return min(1.0, FEW / self.settings.fleet_size)
 
+    def _blind(self) -> bool:
+        """Of a large fleet with no load told: homes fill unheard, and what is called off is sent on again."""
+        return self._part() < 1 and not self.settings.tells_load
+
     def _draw(self, request: Request, tried: list[Worker]) -> Token | None:
         """A token of the class: one that a home of the request's key holds, else any, by chance."""
         # Of a large fleet, enough dispatchers are in each zone to share what a home there keeps.
@@ -554,11 +558,8 @@
         return next((t for t in drawn if first and t.holder.local), drawn[0] if drawn else None)
 
     def _homes_of(self, request: Request) -> list[Worker]:
-        """The workers that every dispatcher names for this key, in one order.
-
-        Guards against fetches: who looks for room, or has some, looks where the key may be kept.
-        """
-        if not request.key or not self.homes:
+        """The workers that every dispatcher names for this key, in one order; guards against fetches."""
+        if not request.key or not self.homes or self._blind():
             return []
         if request.homes_of is not self.homes:
             at = bisect_left(self.homes, (crc32(request.key.encode()), ""))
@@ -733,7 +734,7 @@
         self.actions.append(api.Send(request.id, worker.name))
         number, work = len(request.attempts) - 1, request.work_us()
         self._after(request.cls.aim_us + max(2.0, request.cls.stretch) * work, self._overdue, request, number)
-        if self.settings.tells_start and self._part() < 1:
+        if self.settings.tells_start and self._part() < 1 and not self._blind():
             self._after(self._late_at(request) + self.wait_us - self.now, self._unstarted, request, number)
             if self._attempts_left(request):
                 self._after(PATIENCE * request.cls.aim_us, self._queued, request, number)
@@ -753,7 +754,7 @@
         """Guards against late work that makes what waits behind it late too: it leaves a server's queue."""
         attempt = request.attempts[number]
         if request.open and attempt.begun_us == attempt.sent_us and not (attempt.ended or request.streaming) \
-                and self.settings.may_cancel and may_refuse(request):
+                and self.settings.may_cancel and may_refuse(request) and not self._blind():
             self.actions.append(api.Cancel(request.id, number))
 
     def _overdue(self, request: Request, number: int) -> None:
--- a/arrowfold/interface.py
+++ b/arrowfold/interface.py
@@ -136,6 +136,11 @@
     tenants: tuple[Tenant, ...] = ()
     prices: Prices = field(default_factory=Prices)
 
+    @property
+    def tells_load(self) -> bool:
+        """Whether anything but a dispatcher's own jobs tells it of a worker's load."""
+        return self.load_source is not LoadSource.NONE
+
     def __post_init__(self) -> None:
         if not self.classes:
             raise ValueError("settings name no request class")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -43,6 +43,37 @@
             name, api.Status.OK, MS, api.LoadReport(free_slots=SLOTS - taken, held=taken))])
 
 
+class NoLoadIsTold(unittest.TestCase):
+    """Guards a large fleet with no load told: its jobs jammed at the homes of popular keys."""
+
+    def sent(self, nodes: int) -> tuple[Counter[str], int]:
+        """Where one job of each node for one key goes, and how many are called off as they wait there."""
+        members = fleet(nodes, 12, load_source=api.LoadSource.NONE, may_probe=False, tells_start=True,
+                        second_copies=False)
+        taken, off = Counter[str](), 0
+        for node in members:
+            for worker in node.workers.values():
+                Token(node.tables["safe"], worker)
+            actions = node.handle(SECOND, [api.Arrival("job", "safe", 9 * SECOND, key="popular")])
+            taken.update(send.worker for send in sends(actions))
+            timers = [a for a in actions if isinstance(a, api.SetTimer)]
+            for timer in sorted(timers, key=lambda t: t.delay_us):
+                if timer.delay_us < 7 * SECOND:  # before its time is over
+                    later = node.handle(SECOND + timer.delay_us, [api.TimerFired(timer.handle)])
+                    off += sum(isinstance(a, api.Cancel) for a in later)
+        return taken, off
+
+    def test_a_popular_key_goes_to_all_and_what_waits_is_left_to_wait(self) -> None:
+        taken, off = self.sent(60)
+        self.assertGreater(len(taken), 8)
+        self.assertLess(max(taken.values()), 20)
+        self.assertEqual(off, 0)
+
+    def test_a_small_fleet_keeps_to_the_keys_homes(self) -> None:
+        taken, _ = self.sent(6)
+        self.assertLessEqual(len(taken), 4)
+
+
 class PopularKey(unittest.TestCase):
     def sent(self, nodes: int) -> Counter[str]:
         """Where a first job of each node for one key goes, once its first home is reported full."""
