Name settings of the wrong kind by their path, and take back what is unsent at the end

A probe set each key of a node's settings to ten wrong values: of 677, 2 ended the start with an OverflowError (sendCap Infinity, connectTimeoutUs 1e30), 155 were refused without the key's name, 419 taken, among them texts, NaN and Infinity where the module counts. Change: config._check_kinds; null keeps its neutral value. After it: none ends in a traceback, the key's path or its list's in each refusal. The message of a missing figure now has its whole path: the test that expected the shorter one asks for the longer, the file's name before it. After a second reading: give_up_all left unsent attempts to be sent after their answer; the copy of all classes on each request is a look at one; Faktory producers are waited for at the end. New crossings forced: joined tries that leave, a job's time over in its connection, a timer taken back in its turn.

--- a/arrowfold/program/config.py
+++ b/arrowfold/program/config.py
@@ -129,20 +129,88 @@
     pairs = [(str(target.get("az") or ""), str(target.get("model") or ""))
              for target in targets or [] if isinstance(target, dict)]
     try:
+        _check_kinds(conf)
         _check_figures(conf)
         return build_settings(conf), pairs
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from error
     except KeyError as error:
         raise ConfigError(f"{path}: settings: key {error.args[0]} is missing") from error
     except (ValueError, TypeError, AttributeError, IndexError) as error:
         raise ConfigError(f"{path}: settings: {error}") from error
 
 
+MOST_FIGURE = 1e15  # microseconds, in years some thirty; far beyond what any figure here can mean
+_FIGURES = {
+    "": ("fleetSize", "myNumber", "tickUs", "overShareWorth"),
+    "contract": ("answerSlackUs", "askWithinUs", "coldFrom", "coldUs", "overloadFactor", "overloadForUs",
+                 "stopSendingWithinUs"),
+    "permissions": ("connIdleUs", "connectTimeoutUs", "maxRetryAfterUs", "openCap", "sendCap"),
+    "domain": ("progressUs",),
+    "prices": ("connection", "crossZone", "handshake", "lateFail", "origin", "probe", "waste"),
+}
+_SWITCHES = {
+    "permissions": ("cancel", "probes", "retryAfter", "secondCopies"), "domain": ("tellsStart",)}
+_TEXTS = {"": ("discovery", "locality", "valueBy"), "report": ("source",), "domain": ("reportX0", "reportX1")}
+_OF_A_CLASS = ("windowUs", "importance", "lateShare", "aimStretch")
+
+
+def _check_kinds(conf: Mapping[str, Any]) -> None:
+    """Guards against settings of the wrong kind, which would fail only once the module counts with them.
+
+    What is absent or null has a neutral value; what is not known here is passed over.
+    """
+    for section in dict.fromkeys([*_FIGURES, *_SWITCHES, *_TEXTS]):
+        path, rows = (f"settings.{section}.", conf.get(section)) if section else ("settings.", conf)
+        if rows is None:
+            continue
+        if not isinstance(rows, dict):
+            raise ConfigError(f"{path.removesuffix('.')} is no object")
+        for key in _FIGURES.get(section, ()):
+            _check_figure(rows.get(key), f"{path}{key}")
+        for kinds, kind, word in ((_SWITCHES, bool, "neither true nor false"), (_TEXTS, str, "no text")):
+            for key in kinds.get(section, ()):
+                if not isinstance(rows.get(key), kind | None):
+                    raise ConfigError(f"{path}{key} is {word}")
+    names = (conf.get("report") or {}).get("names") or []
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        raise ConfigError("settings.report.names is no list of names")
+    if "classes" not in conf:
+        raise ConfigError("settings.classes is missing")
+    classes = conf["classes"]
+    if not isinstance(classes, list) or not classes:
+        raise ConfigError("settings.classes is no list of classes")
+    for n, row in enumerate(classes):
+        path = f"settings.classes[{n}]"
+        if not isinstance(row, dict):
+            raise ConfigError(f"{path} is no object")
+        for key in ("name", "hardLimitUs", "onTimeUs"):
+            if key not in row:
+                raise ConfigError(f"{path}.{key} is missing")
+        for key in _OF_A_CLASS:
+            _check_figure(row.get(key), f"{path}.{key}")
+        if not isinstance(row["name"], str) or not row["name"]:
+            raise ConfigError(f"{path}.name is no name")
+        if not isinstance(row.get("stream"), bool | None):
+            raise ConfigError(f"{path}.stream is neither true nor false")
+        if row.get("idempotency", "safe") not in [kind.value for kind in api.Idempotency]:
+            raise ConfigError(f"{path}.idempotency is none of safe, keyed and unsafe")
+
+
+def _check_figure(value: object, path: str) -> None:
+    if value is not None and (
+            isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < MOST_FIGURE):
+        raise ConfigError(f"{path} is no number from 0 to {MOST_FIGURE:g}")
+
+
 def _check_figures(conf: Mapping[str, Any]) -> None:
     """Guards against settings that say nothing: deadlines, aims or attempts that are no positive number."""
     allowed = conf.get("permissions") or {}
     rows = [(f"classes[{n}].{key}", row[key]) for n, row in enumerate(conf["classes"])
             for key in ("hardLimitUs", "onTimeUs")]
-    if "sendCap" in allowed:
+    if allowed.get("connectTimeoutUs") is not None:
+        rows.append(("permissions.connectTimeoutUs", allowed["connectTimeoutUs"]))
+    if allowed.get("sendCap") is not None:
         rows.append(("permissions.sendCap", allowed["sendCap"]))
         if allowed["sendCap"] != int(allowed["sendCap"]):
             raise ValueError("permissions.sendCap is no whole number")
@@ -199,6 +267,7 @@
     reader = _Reader(values, "")
     conf = reader.get("settings", dict)
     try:
+        _check_kinds(conf)
         _check_figures(conf)
         settings, row = build_settings(conf), report_fields(conf)
     except KeyError as error:
--- a/arrowfold/program/node.py
+++ b/arrowfold/program/node.py
@@ -389,7 +389,8 @@
         self.front.finish()
         self.core.give_up_all()
         yield from self.loop.turn()
-        while self.loop.now() < until and self.front.unsettled():
+        while self.loop.now() < until and (
+                self.front.unsettled() or (self.faktory is not None and self.faktory.producers_owed())):
             yield from self.loop.sleep(DRAIN_STEP / 4)
         self.loop.stopping = True
 
--- a/arrowfold/protocol/front.py
+++ b/arrowfold/protocol/front.py
@@ -276,9 +276,9 @@
             # A fault in the head is answered before the body is read: it may be long, or never come.
             page = request.method in ("GET", "HEAD")
             job, wait = (None, ZERO) if page else self._read_job(request)
-            known = self.classes.copy()
+            cls = self.classes.get(job.request_class) if job is not None else None
             yield from side.read_body(request, until, lambda size: self._hold(connection, size))
-            if job is not None and self.classes != known:
+            if job is not None and self.classes.get(job.request_class) is not cls:
                 # Guards rule 2: new settings came between the head and the body, and a stricter class may ask
                 # for more of the head than the one under which it was read.
                 job, wait = self._read_job(request)
--- a/arrowfold/routing/core.py
+++ b/arrowfold/routing/core.py
@@ -152,6 +152,8 @@
         """The node ends now: what is still owed is answered, and may have run."""
         for session in [*self.runs.values(), *self.sessions.values()]:
             self._answer(session, Answer(Verdict.FAILED))
+            self._withdraw(session)
+        self._drain()
 
     # --- one session ---------------------------------------------------------------------------------
 
--- a/arrowfold/simhost.py
+++ b/arrowfold/simhost.py
@@ -37,7 +37,7 @@
     return api.RequestClass(
         name=row["name"], aim_us=row["onTimeUs"], deadline_us=row["hardLimitUs"],
         idempotency=api.Idempotency(row.get("idempotency", "safe")), group=row.get("group") or "all",
-        window_us=row.get("windowUs") or 0, worth=row.get("importance", 1.0),
+        window_us=row.get("windowUs") or 0, worth=1.0 if row.get("importance") is None else row["importance"],
         stretch=(stretches[index] if index < len(stretches) else 0.0) + (row.get("aimStretch") or 0.0),
         late_share=row.get("lateShare") or 0.0, stream=bool(row.get("stream")),
         kind=conf["kinds"][bound] if bound >= 0 else None)
@@ -81,7 +81,8 @@
         overload_factor=contract.get("overloadFactor") or 1.0,
         overload_for_us=contract.get("overloadForUs") or 0,
         tells_start=bool(domain.get("tellsStart")), progress_us=domain.get("progressUs") or 0,
-        worth_by_work=conf.get("valueBy") == "work", over_share_worth=conf.get("overShareWorth", 1.0),
+        worth_by_work=conf.get("valueBy") == "work",
+        over_share_worth=1.0 if conf.get("overShareWorth") is None else conf["overShareWorth"],
         tenants=tuple(
             api.Tenant(t["name"], t.get("share") or 0.0, t.get("quotaPerS") or 0.0)
             for t in conf.get("tenants") or []),
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -113,5 +113,5 @@
             self.assertEqual((done.returncode, done.stdout[:8]), (0, "holds   "), done.stdout)
             del conf["settings"]["classes"][0]["onTimeUs"]
             settings.write_text(json.dumps(conf))
-            self.assertIn("settings: key onTimeUs is missing",
+            self.assertIn(f"{settings}: settings.classes[0].onTimeUs is missing",
                           arrowfold("check", str(path), "--settings", str(settings)).stderr)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -102,6 +102,27 @@
         self.waits(self.running, "client_left")
         self.nothing_came()
 
+    def test_its_time_is_over(self) -> None:
+        client = self.client(self.running, post("t1").replace(b"20000m", b"300m"))
+        self.assertIn(client.recv(65536)[:12], (b"HTTP/1.1 502", b"HTTP/1.1 503"))
+        self.nothing_came()
+
+    def test_all_tries_of_one_run_leave(self) -> None:
+        """The first that leaves takes nothing back, for another try waits for the run; the last one does."""
+        agent = self.door("discovery")
+        document = 'repeats {\n    class "search" keep=(s)60\n}\n'
+        node = self.among(self.shut, discovery=agent.address, edge=document,
+                          settings={**NO_CANCEL, "discovery": "automatic"})
+        tries = [self.client(node, post(f"try{n}", "Idempotency-Key: k")) for n in range(2)]
+        self.waits(node, "repeats_joined")
+        self.waits(node, "dispatched")
+        tries[0].close()
+        self.waits(node, "client_left")
+        self.assertNotIn("outcome_moot", node.counters())
+        tries[1].close()
+        self.running = node
+        self.nothing_came()
+
     def served_by_the_other(self, event: Callable[[], Any]) -> None:
         thread, got = self.handed_in()
         event()
@@ -444,6 +465,25 @@
             self.assertGreater(leave, timedelta(0))
 
 
+class Timers(unittest.TestCase):
+    def test_one_taken_back_in_the_turn_in_which_it_is_due_does_not_fire(self) -> None:
+        loop, fired = Loop(lambda *_: None), list[str]()
+        due = loop.now()
+
+        def first() -> None:
+            fired.append("first")
+            second.cancel()
+
+        def last() -> None:
+            loop.stopping = True
+
+        loop.call_at(due, first)
+        second = loop.call_at(due, lambda: fired.append("second"))
+        loop.call_at(due, last)
+        loop.run()
+        self.assertEqual(fired, ["first"])
+
+
 class Descriptors(unittest.TestCase):
     def test_an_event_of_a_closed_one_does_not_reach_the_next_with_its_number(self) -> None:
         loop = Loop(lambda *_: None)
