--- a/Makefile
+++ b/Makefile
@@ -27,8 +27,13 @@
 check:
 	arrowfold check $(EDGE)
 
+capacity:
+	$(VENV)/bin/pip install -q --disable-pip-version-check -c constraints.txt -e '.[dev,benchmarks]'
+	python -m benchmarks.capacity run
+	python -m benchmarks.capacity tables
+
 benchmark:
 	$(VENV)/bin/pip install -q --disable-pip-version-check -c constraints.txt -e '.[dev,benchmarks]'
 	python -m pytest benchmarks -q --benchmark-only
 
-.PHONY: build lint test run try check benchmark
+.PHONY: build lint test run try check capacity benchmark
--- /dev/null
+++ b/benchmarks/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Scale tests behind docs/CAPACITY.md: `python -m benchmarks.capacity`."""
--- /dev/null
+++ b/benchmarks/capacity/__main__.py
@@ -0,0 +1,74 @@
+"""`python -m benchmarks.capacity`: run the scale tests that have no result yet, make the page's tables."""
+
+from __future__ import annotations
+
+import contextlib
+
+import click
+
+from benchmarks.capacity import page
+from benchmarks.capacity.points import POINTS
+from benchmarks.capacity.results import Faulty, Point, TooLarge, measure, place, read, write
+
+
+def wanted(names: tuple[str, ...], again: bool) -> list[Point]:
+    """The points to run: those of the tests named, or all, that have no usable result."""
+    left = []
+    for point in POINTS:
+        if names and point.test not in names and point.name not in names:
+            continue
+        try:
+            read(place(point.name))
+        except FileNotFoundError:
+            left.append(point)
+        except Faulty as fault:
+            click.echo(f"run again: {fault}", err=True)
+            left.append(point)
+        else:
+            if again:
+                left.append(point)
+    return left
+
+
+@click.group()
+def main() -> None:
+    """Scale tests behind docs/CAPACITY.md."""
+
+
+@main.command()
+@click.argument("names", nargs=-1)
+@click.option("--again", is_flag=True, help="Also those that have a result.")
+def run(names: tuple[str, ...], again: bool) -> None:
+    """Run the tests NAMES (all, if none is named), point by point; each result is kept as it comes."""
+    points = wanted(names, again)
+    for point in points:
+        try:
+            point.check()
+        except TooLarge as error:
+            raise click.ClickException(str(error)) from error
+    with click.progressbar(points, item_show_func=lambda point: point.name if point else "") as bar:
+        for point in bar:
+            write(measure(point))
+
+
+@main.command(name="list")
+def show() -> None:
+    """The points, and which of them have a result."""
+    for point in POINTS:
+        state = "-"
+        with contextlib.suppress(FileNotFoundError, Faulty):
+            state = "".join(f"{k}={v[0]:g} " for k, v in list(read(place(point.name)).figures.items())[:4])
+        click.echo(f"{point.name:42} {state}")
+
+
+@main.command()
+@click.option("--fit/--no-fit", default=True, help="Fit the slopes anew, which needs scipy.")
+def tables(fit: bool) -> None:
+    """Make the tables of docs/CAPACITY.md from the results."""
+    if fit:
+        page.fit()
+    page.PAGE.write_text(page.filled(page.PAGE.read_text()))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import heapq
 import math
+import os
 import socket
 import threading
 import time
@@ -15,10 +17,10 @@
 
 from arrowfold import Dispatcher
 from arrowfold import interface as api
-from arrowfold.protocol.discovery import LONGEST_SPREAD, Discovery
+from arrowfold.protocol import discovery as watches
 from arrowfold.standins.door import NEVER_RAN, WATCH_HEAD, Door, Peer
 from arrowfold.standins.process import SETTINGS, Node
-from arrowfold.standins.servers import LONG, Quiet, Server, eventually
+from arrowfold.standins.servers import LONG, Discovery, Quiet, Server, eventually, free_port
 from arrowfold.transport.loop import Loop
 from tests.edge import EdgeCase
 from tests.field import MS, SECOND, settings
@@ -141,8 +143,9 @@
             for seed in range(60):
                 loop = Loop(lambda where, error: None)
                 begun = loop.now()
-                one = Discovery(loop, ("127.0.0.1", 1), Core(nodes), lambda address: None,  # type: ignore[arg-type, return-value]
-                                Counter(), lambda event, **fields: None, seed)
+                one = watches.Discovery(
+                    loop, ("127.0.0.1", 1), Core(nodes),  # type: ignore[arg-type]
+                    lambda address: None, Counter(), lambda event, **fields: None, seed)  # type: ignore[arg-type, return-value]
                 one.begin()
                 due.append(min((when - begun).total_seconds() for when, _, _ in loop.timers))
                 loop.epoll.close()
@@ -151,7 +154,7 @@
         few, many, most = firsts(2), firsts(200), firsts(2700)
         self.assertLess(few[-1], 0.1)
         self.assertGreater(many[45] - many[15], 0.1)
-        self.assertLess(most[-1], LONGEST_SPREAD.total_seconds() + 0.1)
+        self.assertLess(most[-1], watches.LONGEST_SPREAD.total_seconds() + 0.1)
         self.assertGreater(most[45] - most[15], 0.3)
 
 
@@ -283,3 +286,41 @@
             times = self.sends(nodes, 300.0)
             self.assertGreater(len(times), 60, f"{nodes} nodes hardly use it")
             self.assertLess(self.over(times), 0, f"{nodes} nodes")
+
+
+class Crowded(EdgeCase):
+    """Term 4: idle clients fill the descriptors while discovery is away."""
+
+    def test_a_list_told_at_the_return_is_obeyed_and_the_second_address_answers(self) -> None:
+        one, two = self.worker("s1"), self.worker("s2")
+        port = free_port()
+        first = Discovery([one.row(), two.row()], port=port)
+        limits = {"cores": 1.0, "memory_mb": 192, "sockets": 128}
+        node = self.node(one, two, discovery=first.address, limits=limits, settings=SLOW_TO_ASK)
+        eventually(lambda: node.answers_ready() == 200)
+        first.close()
+        first.changes.put(None)  # the watch ends
+        eventually(lambda: node.counters().get("discovery_failures", 0) >= 1)
+        idle: list[socket.socket] = []
+        self.addCleanup(lambda: [sock.close() for sock in idle])
+
+        def fill() -> None:
+            """As many clients as find room, each with a request behind it, and idle since."""
+            for nth in range(400):
+                sock = socket.create_connection(("127.0.0.1", node.port), timeout=0.5)
+                idle.append(sock)
+                with contextlib.suppress(OSError):
+                    sock.sendall(b"GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n" if nth % 2 else b"")
+
+        fill()
+        self.assertLess(len(os.listdir(f"/proc/{node.process.pid}/fd")), 128)
+        counted = node.counters()
+        self.assertGreater(sum(counted.get(f"connections_{why}", 0) for why in (
+            "closed_for_room", "closed_as_idle", "no_room")), 20)  # the house was full over and over
+        self.assertTrue(node.call("status").startswith("ok"))
+        second = Discovery([one.row("DRAINING"), two.row()], port=port)
+        self.addCleanup(second.close)
+        second.asked.get(timeout=LONG)  # the call found a descriptor
+        eventually(lambda: "maintenance" in node.call("status"))
+        answers = {node.post(f"t{nth}")[1] for nth in range(4)}
+        self.assertEqual(answers, {b"s2:t%d" % nth for nth in range(4)})
