Look at a line every tenth of a second, however long jobs run

Seen, in virtual time: 24 nodes, 2,700 servers, jobs of 18.6 s at 80 % of the slots: 705 of 13,400 denied and 18.5 % of the ordinary ones over 1.6 s beside 21 % idle slots; with the whole list 284 and 8.2 %. Cause: _hold set the next look at run_us / 8 times 1 to 8: 2.3 to 18.6 s, one job a look, while newcomers stand behind five. Ruled out: that the part is too small. A node that looked wider once it denied (twice, four times its part) denied 695 and was late with 20.0 %: a trial, not taken. Change: at most LOOK, 0.1 s, in place of run_us / 8. The test in test_bounds.py is red with the old pause.

--- a/arrowfold/choice.py
+++ b/arrowfold/choice.py
@@ -35,6 +35,7 @@
 EASE = 0.6  # more of the last attempts than this started at once: another worker will most likely do
 QUEUE = 0.65  # a queue is joined up to this part of a worker's size
 LINE = 5  # behind a line of this length who arrives waits too
+LOOK = SECOND // 10  # a line is looked at this often at least while slots are free, however long jobs run
 FORGET_US = 5 * SECOND  # what others had at a worker has faded half-way into their mean after this
 DEAF_US = 2 * SECOND  # the longest wait between failed calls: the list counts as told 6 s after it was there
 RATE_US = 10 * SECOND  # memory of the measured arrival rates
@@ -645,14 +646,13 @@
     def _hold(self, request: Request) -> None:
         """Guards against a jam: a request that finds no room waits here, not in a full worker's queue.
 
-        The line is looked at as often as slots turn over; more often, all would chase one stale figure.
+        It is looked at as often as slots turn over, up to LOOK; else all would chase one stale figure.
         """
-        line = self.lines[request.cls.kind]
-        if request not in line:
+        if request not in (line := self.lines[request.cls.kind]):
             line.append(request)
         if not self.line_due:
             self.line_due = True
-            self._after(self._jitter(self.run_us / 8 * min(8, 1 + self.misses)), self._poll_lines)
+            self._after(self._jitter(min(self.run_us / 8, LOOK) * min(8, 1 + self.misses)), self._poll_lines)
 
     def _poll_lines(self) -> None:
         """One request of each line looks for room again; those that can no longer be served end."""
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -146,6 +146,18 @@
                   "ordinary p99, s", "over 1.6 s, %", "denied", "idle, %", "crossing, %"], rows)
 
 
+def looks(results: Results) -> str:
+    """The same fleet with lines looked at by the run time alone, and at least every tenth of a second."""
+    rows: Rows = []
+    for kind in ("part", "whole"):
+        for label, test in (("an eighth of a run apart", "slowlooks"), ("0.1 s at most", "peak")):
+            r = results.one(test, day="calm", nodes=24, servers=SERVERS, list=kind)
+            rows.append([kind, label, spread(r, "ordinary_late_share", 100), spread(r, "denied"),
+                         spread(r, "urgent_late_share", 100), spread(r, "idle_share", 100)])
+    return table(["list", "looks at a line", "ordinary over 1.6 s, %", "denied", "urgent over 1.6 s, %",
+                  "idle, %"], rows)
+
+
 def quotas(results: Results) -> str:
     return _by(results, "quotas", "teams", [
         ("a look, us", "admit_us", 1.0), ("a refusal, us", "refuse_us", 1.0),
@@ -263,7 +275,8 @@
 
 TABLES: dict[str, Callable[[Results], str]] = {
     "verdict": verdict, "module": module, "rates": rates, "steps": steps, "memory": memory, "node": node,
-    "events": events, "watches": watches, "peak": peak, "quotas": quotas, "configuration": configuration,
+    "events": events, "watches": watches, "peak": peak, "looks": looks, "quotas": quotas,
+    "configuration": configuration,
     "fits": fits, "fleets": fleets}
 
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -52,6 +52,32 @@
         self.assertEqual(sizes, [5, 5, 5])
 
 
+    def test_a_line_is_looked_at_in_time_however_long_jobs_run(self) -> None:
+        """Guards work among long jobs: looks were an eighth of a run apart and more, beside free slots."""
+        patient = (api.RequestClass("safe", 4 * SECOND, 5 * SECOND),)
+        field = Recorder(settings(may_probe=True, classes=patient), roster(2, zones="a"))
+        module = field.dispatcher
+        module.run_us, module.tables["safe"].run_us = 20.0 * SECOND, 1.0 * SECOND  # of all, of this
+        full, free = api.LoadReport(free_slots=0, held=9), api.LoadReport(free_slots=5, held=4)
+
+        def answer(report: api.LoadReport) -> None:
+            while field.probes:
+                field.feed(api.ProbeEnded(field.probes.pop(0), api.Status.OK, 500, report))
+
+        for worker in list(module.workers):
+            field.feed(api.ProbeEnded(worker, api.Status.OK, 500, full))
+        field.arrive("first")  # a server is tried once, whatever it says, while nothing is out
+        for nth in range(3):
+            field.arrive(f"r{nth}")
+            answer(full)
+        waiting = sum(map(len, module.lines.values()))
+        self.assertGreater(waiting, 0)
+        begun, sent = field.now, len(field.sent)
+        while len(field.sent) < sent + waiting and field.now < begun + 4 * SECOND:
+            field.advance(field.now + SECOND // 20)
+            answer(free)
+        self.assertLess(field.now - begun, 3 * SECOND)
+
     def test_a_cold_servers_turn_pulls_a_job_that_waits(self) -> None:
         """Guards those who wait: its turn once passed unless one of them looked for room just then."""
         cold = settings(cold_us=9 * SECOND, cold_from=0.4, overload_factor=3.0, overload_for_us=SECOND)
