--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -114,6 +114,34 @@
         self.assertLess(change(5400), 1.5 * change(400))
 
 
+class BadLists(unittest.TestCase):
+    def test_twice_the_size_with_duplicates_unknown_zones_and_nonsense(self) -> None:
+        """What can't be read is left out and counted; the last word on a name holds; the part is bounded."""
+        loop, counters = Loop(lambda where, error: None), Counter[str]()
+        self.addCleanup(loop.epoll.close)
+        core = Core(shipped(), 1, loop, counters, lambda follow: None, lambda event, **fields: None)
+        found = Discovery(loop, None, core, lambda address: mock.Mock(), counters,
+                          lambda event, **fields: None)
+        rows: list[Any] = [
+            {"uid": f"s{n}", "endpoint": f"127.0.0.1:{n + 1}",
+             "az": f"z{n % 19}" if n % 5 else f"nowhere{n % 900}", "model": "m", "pod_group": 0,
+             "state": "SERVING", "capacity_hint": 1.0, "boot_ms": 0}
+            for n in range(5400)]
+        again = [{**row, "state": "DRAINING"} for row in rows[:200]]
+        broken = [None, 7, {}, {**rows[0], "endpoint": "nowhere"}, {**rows[1], "state": "LOST"},
+                  {**rows[2], "boot_ms": "soon"}, {**rows[3], "az": None, "uid": "nozone"}]
+        found.take({"rev": 5, "all": True, "targets": [*rows, *again, *broken]})
+        self.assertEqual(counters["discovery_bad_entries"], 6)
+        self.assertEqual(core.table.serving(), 5400 - 200 + 1)
+        self.assertNotIn("module_faults", counters)
+        serving = [w for w in core.module.workers.values() if w.serving]
+        self.assertLess(len(serving), 2000)  # at least some of each of 900 zones that nobody knows
+        self.assertFalse({w.name for w in serving} & {row["uid"] for row in again})
+        found.take({"rev": 6, "all": True, "targets": rows[:3]})
+        self.assertEqual(core.table.serving(), 3)
+        self.assertEqual({w.name for w in core.module.workers.values() if w.serving}, {"s0", "s1", "s2"})
+
+
 class Kept(unittest.TestCase):
     """Results, and what becomes of bad ones."""
 
