--- /dev/null
+++ b/arrowfold/internal/__init__.py
@@ -0,0 +1,1 @@
+"""The internal protocol: typed messages between nodes, and the channel that carries them."""
--- /dev/null
+++ b/arrowfold/internal/messages.py
@@ -0,0 +1,228 @@
+"""The messages that nodes exchange. Numbers are permanent; new fields are appended with defaults.
+
+Times are seconds, sizes are as the field's name says. Addresses are HOST:PORT of the internal protocol unless
+the name says otherwise.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from arrowfold.internal.codec import message
+
+STATE_ORIGIN = "state"  # the version vector's entry of the replicated control state
+
+
+@message(1)
+@dataclass(frozen=True, slots=True)
+class NodeIdentity:
+    """Who calls: `member` is the identity on the disk of a core machine, else a name drawn at the start."""
+
+    name: str
+    member: str
+    zone: str
+    address: str
+    serves: tuple[str, ...] = ()
+
+
+@message(2)
+@dataclass(frozen=True, slots=True)
+class HeldModel:
+    """A model that a worker holds, with the adapters on it."""
+
+    name: str
+    version: int = 1
+    adapters: tuple[str, ...] = ()
+
+
+@message(3)
+@dataclass(frozen=True, slots=True)
+class WorkerRecord:
+    """What a worker last said of itself. `state`: available, draining, gone, or silent (not heard lately)."""
+
+    instance: str
+    service: str
+    address: str
+    zone: str
+    version: str
+    capacity_slots: int
+    state: str
+    models: tuple[HeldModel, ...] = ()
+    call_sequence: int = 0
+    remaining_ms: float | None = None
+    cold_left_ms: float = 0.0
+    stage: str = "both"
+
+
+@message(4)
+@dataclass(frozen=True, slots=True)
+class WorkerUpdate:
+    """Update `counter` of `origin`, a life of a control node that heard this worker."""
+
+    origin: str
+    counter: int
+    record: WorkerRecord
+
+
+@message(5)
+@dataclass(frozen=True, slots=True)
+class ConfigurationUpdate:
+    """The committed configuration: the whole document as JSON, at a position of the replicated state."""
+
+    sequence: int
+    version: int
+    document: bytes
+
+
+@message(6)
+@dataclass(frozen=True, slots=True)
+class ConfigurationDelta:
+    """A committed change as a PATCH document (JSON) that leads from `base_version` to `version`."""
+
+    sequence: int
+    base_version: int
+    version: int
+    patch: bytes
+
+
+@message(7)
+@dataclass(frozen=True, slots=True)
+class DepartureUpdate:
+    """A committed notice that a worker drains or is gone; it is never taken back."""
+
+    sequence: int
+    instance: str
+    state: str
+    remaining_ms: float | None = None
+
+
+@message(8)
+@dataclass(frozen=True, slots=True)
+class MemberInfo:
+    """A core machine of the group."""
+
+    member: str
+    name: str
+    address: str
+    control_address: str
+    zone: str
+
+
+@message(9)
+@dataclass(frozen=True, slots=True)
+class RoleOwner:
+    """Who owns a fenced role, such as `placement/SERVICE`, under which fencing token."""
+
+    role: str
+    member: str
+    token: int
+
+
+@message(10)
+@dataclass(frozen=True, slots=True)
+class ClusterView:
+    """The group as the answering node knows it. `edges`: how many edge nodes take traffic now or did lately."""
+
+    epoch: int
+    primary: str
+    members: tuple[MemberInfo, ...]
+    edges: int
+    roles: tuple[RoleOwner, ...] = ()
+
+
+@message(20)
+@dataclass(frozen=True, slots=True)
+class PullRequest:
+    """Asks for what lies beyond a version vector; held open for `wait_s` while there is nothing new."""
+
+    sender: NodeIdentity
+    vector: dict[str, int]
+    wait_s: float
+    notice_only: bool = False
+
+
+@message(21)
+@dataclass(frozen=True, slots=True)
+class PullResponse:
+    """`current`: the answering node heard from the primary lately, so its state may be relied on by a newcomer.
+
+    `vector` is what the answering node has; the puller adopts it after taking all `updates` (empty for a notice).
+    """
+
+    current: bool
+    view: ClusterView
+    vector: dict[str, int]
+    updates: tuple[WorkerUpdate | ConfigurationUpdate | ConfigurationDelta | DepartureUpdate, ...] = ()
+
+
+@message(22)
+@dataclass(frozen=True, slots=True)
+class ClassDemand:
+    """What an edge saw of one class (a model, or an adapter of it) of a service since its last report."""
+
+    service: str
+    model: str
+    adapter: str
+    requests: float
+    workload_s: float
+    missing: float = 0.0
+
+
+@message(23)
+@dataclass(frozen=True, slots=True)
+class DemandReport:
+    """Demand by class over the last `period_s` seconds, told to the owner of the service's placement."""
+
+    sender: NodeIdentity
+    period_s: float
+    classes: tuple[ClassDemand, ...]
+
+
+@message(24)
+@dataclass(frozen=True, slots=True)
+class Acknowledgement:
+    """The receiver has taken the message."""
+
+
+@message(25)
+@dataclass(frozen=True, slots=True)
+class CallFailed:
+    """The receiver could not answer: a result code and one line for the log."""
+
+    code: int
+    text: str
+
+
+@message(30)
+@dataclass(frozen=True, slots=True)
+class SubmitChange:
+    """An operator's call, passed on to the primary as it came. `kind`: PUT or PATCH."""
+
+    kind: str
+    if_match: str | None
+    body: bytes
+
+
+@message(31)
+@dataclass(frozen=True, slots=True)
+class SubmitResult:
+    """The HTTP answer to an operator's call."""
+
+    status: int
+    body: bytes
+
+
+@message(32)
+@dataclass(frozen=True, slots=True)
+class SubmitDeparture:
+    """A worker's draining or gone notice, to be committed by the primary before it is acknowledged."""
+
+    instance: str
+    state: str
+    remaining_ms: float | None = None
+
+
+@message(33)
+@dataclass(frozen=True, slots=True)
+class ReadConfiguration:
+    """Asks the primary for the newest committed configuration."""
--- /dev/null
+++ b/arrowfold/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs of the system, thin: each assembles the library of its plane."""
--- /dev/null
+++ b/arrowfold/selection/interface.py
@@ -0,0 +1,112 @@
+"""What the data plane tells the selection of workers, and what it asks. No decisions and no I/O live here.
+
+Times are seconds of a steady clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from arrowfold.internal.messages import ClassDemand, WorkerRecord
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """One part of a prompt: its identity and its size in tokens."""
+
+    identity: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestProfile:
+    """What the selection may know of a request."""
+
+    request: str
+    route: str
+    service: str
+    model: str  # empty for a service without models
+    adapter: str  # empty without one
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[PromptPart, ...]
+    priority: int  # of the route; 0 is the most urgent
+    streaming: bool
+    idempotent: bool  # may run more than once
+    arrived_s: float
+    latency_objective_s: float  # to the whole answer, of a stream to its first event
+    deadline_s: float  # the time on the clock at which it is given up
+    attempts_left: int
+
+
+@dataclass(frozen=True, slots=True)
+class ChosenWorker:
+    """Send the request there. `priority_header`: 0 to 9 for the worker, 0 first; None to leave it out."""
+
+    instance: str
+    address: str
+    priority_header: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedRequest:
+    """Answer 503 at once; the client is told to come back after `retry_after_s` (None: no advice)."""
+
+    code: int
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class WaitForWorker:
+    """Hold the request for at most `wait_s` and ask again (its model is on its way to a worker)."""
+
+    wait_s: float
+
+
+class Outcome(Enum):
+    """How a send to a worker ended."""
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"  # the worker's own failure: it ran
+    REJECTED_FULL = "rejected_full"  # 503 or 429 with X-Not-Executed: it did not run
+    MISDIRECTED = "misdirected"  # 421: another worker, or the model is not there; it did not run
+    UNREACHABLE = "unreachable"  # no connection: it did not run
+    LOST = "lost"  # sent, then broken off or silent: it may have run
+    CANCELLED = "cancelled"  # given up by us or by the client
+
+
+Choice = ChosenWorker | RefusedRequest | WaitForWorker
+
+
+class WorkerSelector(Protocol):
+    """The selection as the data plane uses it; every call is short and does no I/O."""
+
+    def apply_workers(self, workers: tuple[WorkerRecord, ...], now_s: float) -> None:
+        """Take the whole table of known workers, as an immutable snapshot."""
+
+    def apply_edges(self, edges: int) -> None:
+        """Take how many edge nodes share the workers."""
+
+    def choose(self, request: RequestProfile, excluded: Collection[str], now_s: float) -> Choice:
+        """Where to send a request now; `excluded` are instances that it was sent to already."""
+
+    def sent(self, request: RequestProfile, instance: str, now_s: float) -> None:
+        """The request is on its way to this worker."""
+
+    def first_event(self, request: RequestProfile, instance: str, now_s: float) -> None:
+        """The first bytes of the body came."""
+
+    def ended(self, request: RequestProfile, instance: str, outcome: Outcome, now_s: float) -> None:
+        """The send has ended; called exactly once for each `sent`."""
+
+    def load_reported(self, instance: str, running: int, waiting: int, slots: int, now_s: float) -> None:
+        """An answer carried X-Server-Load."""
+
+    def market_round(self, now_s: float) -> None:
+        """One round of the market: recount tokens and trade. Called about every half second."""
+
+    def take_demand(self, now_s: float) -> tuple[ClassDemand, ...]:
+        """Demand by class since the last call, for the owner of the placement."""
