--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Every target works from a fresh clone once `make build` has run.
 VENV ?= .dev-venv
 # Empty: the platform's front alone.
+# Packages in the formatter's style; older ones keep theirs until they are taken over.
+FORMATTED = arrowfold/node arrowfold/internal arrowfold/selection arrowfold/programs $(wildcard arrowfold/configuration arrowfold/storage arrowfold/replication arrowfold/registry arrowfold/placement arrowfold/market arrowfold/controlplane arrowfold/dataplane arrowfold/emulator tests/system)
 EDGE = deploy/edge.kdl
 export PATH := $(CURDIR)/$(VENV)/bin:$(PATH)
 
@@ -10,6 +12,7 @@
 
 lint:
 	ruff check .
+	ruff format --check $(FORMATTED)
 	mypy
 
 test:
--- a/arrowfold/internal/messages.py
+++ b/arrowfold/internal/messages.py
@@ -121,7 +121,7 @@
 @message(10)
 @dataclass(frozen=True, slots=True)
 class ClusterView:
-    """The group as the answering node knows it. `edges`: how many edge nodes take traffic now or did lately."""
+    """The group as the answering node knows it. `edges`: how many edge nodes take traffic, or did lately."""
 
     epoch: int
     primary: str
@@ -144,9 +144,10 @@
 @message(21)
 @dataclass(frozen=True, slots=True)
 class PullResponse:
-    """`current`: the answering node heard from the primary lately, so its state may be relied on by a newcomer.
+    """What the puller lacks.
 
-    `vector` is what the answering node has; the puller adopts it after taking all `updates` (empty for a notice).
+    `current`: the answering node heard from the primary lately, so a newcomer may rely on its state.
+    `vector`: what the answering node has; the puller adopts it after `updates` (a notice has none).
     """
 
     current: bool
--- a/arrowfold/node/logs.py
+++ b/arrowfold/node/logs.py
@@ -51,6 +51,10 @@
     """Send the log to standard error, as key=value or as JSON lines."""
     logger.remove()
     logger.add(
-        sys.stderr, level=level, serialize=json_lines, format="{time:HH:mm:ss.SSS} {level} {message}",
-        backtrace=False, diagnose=False,
+        sys.stderr,
+        level=level,
+        serialize=json_lines,
+        format="{time:HH:mm:ss.SSS} {level} {message}",
+        backtrace=False,
+        diagnose=False,
     )
--- a/arrowfold/selection/__init__.py
+++ b/arrowfold/selection/__init__.py
@@ -1,1 +1,1 @@
-"""Which worker a request goes to at an edge: the token market over the workers that hold the request's model."""
+"""Which worker a request goes to at an edge: the token market over the workers that hold its model."""
