--- a/arrowfold/internal/codec.py
+++ b/arrowfold/internal/codec.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import fields, is_dataclass
+from dataclasses import fields
 from typing import Any, TypeVar
 
 import cbor2
@@ -27,14 +27,14 @@
     """Register a frozen dataclass under a number that is never given to another type."""
 
     def register(cls: type[T]) -> type[T]:
-        if not is_dataclass(cls):
+        if "__dataclass_fields__" not in cls.__dict__:
             raise TypeError(f"{cls.__name__} is not a dataclass")
         tag = FIRST_TAG + number
         if tag in _types_by_tag:
             raise ValueError(f"message number {number} is taken by {_types_by_tag[tag].__name__}")
         _types_by_tag[tag] = cls
         _tags_by_type[cls] = tag
-        _field_names[cls] = tuple(field.name for field in fields(cls))
+        _field_names[cls] = tuple(field.name for field in fields(cls))  # type: ignore[arg-type]
         return cls
 
     return register
