--- /dev/null
+++ b/arrowfold/configuration/diffs.py
@@ -0,0 +1,74 @@
+"""What changed between two configurations, as a patch that is shorter to send than the whole."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from result import Err, Ok, Result
+
+from arrowfold.configuration.documents import ConfigurationDocument
+from arrowfold.configuration.faults import ConfigurationFault
+from arrowfold.configuration.json_text import JsonObject, read_object, same_value, write_canonical
+from arrowfold.configuration.patches import NAME, REMOVE, UPSERT, apply_patch
+from arrowfold.configuration.validity import check_value
+
+_WHOLE = "replaceWith"  # a delta with this member alone holds the whole new configuration
+_NAMED_LISTS = ("routes", "services")
+
+
+def delta(old: ConfigurationDocument, new: ConfigurationDocument) -> bytes:
+    """A patch (JSON) that leads from `old` to exactly `new`, or the whole of `new` where that is shorter."""
+    whole = write_canonical({_WHOLE: new.value})
+    patch = _patch_between(old.value, new.value)
+    applied = apply_patch(old.value, patch)
+    if isinstance(applied, Err) or not same_value(applied.ok_value, new.value):
+        return whole
+    text = write_canonical(patch)
+    return min(text, whole, key=len)
+
+
+def apply_delta(
+    old: ConfigurationDocument, patch: bytes
+) -> Result[ConfigurationDocument, ConfigurationFault]:
+    """The configuration to which `delta` led, checked whole."""
+    return apply_delta_value(old.value, patch).and_then(check_value)
+
+
+def apply_delta_value(old: JsonObject, patch: bytes) -> Result[JsonObject, ConfigurationFault]:
+    """As `apply_delta`, on JSON values and unchecked: for an edge, which takes committed changes only."""
+    return read_object(patch).and_then(lambda change: _follow(old, change))
+
+
+def _follow(old: JsonObject, change: JsonObject) -> Result[JsonObject, ConfigurationFault]:
+    whole = change.get(_WHOLE)
+    if isinstance(whole, dict):
+        return Ok(whole)
+    return apply_patch(old, change)
+
+
+def _patch_between(old: JsonObject, new: JsonObject) -> JsonObject:
+    patch: JsonObject = {}
+    upsert: dict[str, list[Any]] = {}
+    remove: dict[str, list[str]] = {}
+    for member, value in new.items():
+        if member not in _NAMED_LISTS:
+            if member not in old or not same_value(old[member], value):
+                patch[member] = value
+            continue
+        before = {item[NAME]: item for item in old[member]}
+        after = {item[NAME]: item for item in value}
+        changed = [item for name, item in after.items() if not _unchanged(before, name, item)]
+        dropped = [name for name in before if name not in after]
+        if changed:
+            upsert[member] = changed
+        if dropped:
+            remove[member] = dropped
+    if upsert:
+        patch[UPSERT] = upsert
+    if remove:
+        patch[REMOVE] = remove
+    return patch
+
+
+def _unchanged(before: dict[str, Any], name: str, item: Any) -> bool:
+    return name in before and same_value(before[name], item)
--- /dev/null
+++ b/arrowfold/configuration/faults.py
@@ -0,0 +1,31 @@
+"""Why a configuration, or a change to it, is refused."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from arrowfold.node.result_codes import ResultCode
+
+_STATUS_BY_CODE = {
+    ResultCode.CONFIGURATION_VERSION_CONFLICT: 412,
+    ResultCode.CONFIGURATION_TOO_LARGE: 413,
+}
+_STATUS_INVALID = 400
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationFault:
+    """A numbered cause, its place in the document (`routes[3].targetService`, or empty), and one line."""
+
+    code: ResultCode
+    path: str
+    text: str
+
+    def __str__(self) -> str:
+        place = f"{self.path}: " if self.path else ""
+        return f"{int(self.code)} {self.code.name}: {place}{self.text}"
+
+
+def fault_status(fault: ConfigurationFault) -> int:
+    """The HTTP status that answers an operator's call with this fault."""
+    return _STATUS_BY_CODE.get(fault.code, _STATUS_INVALID)
--- /dev/null
+++ b/arrowfold/configuration/patches.py
@@ -0,0 +1,102 @@
+"""Changes of named items: a patch document applied to a configuration's JSON value. No pydantic here.
+
+A patch holds `version`, `upsert` (for each list of the configuration, items to add, or to replace by `name`)
+and `remove` (for each list, names to remove). Objects, such as `limits`, are merged member by member
+(RFC 7396), under `upsert` or beside it; any other member replaces that of the configuration.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from arrowfold.configuration.faults import ConfigurationFault
+from arrowfold.configuration.json_text import JsonObject
+from arrowfold.node.result_codes import ResultCode
+
+MemberChange = Callable[[Any, Any, str], Result[Any, ConfigurationFault]]
+
+UPSERT = "upsert"
+REMOVE = "remove"
+NAME = "name"
+
+
+def apply_patch(value: JsonObject, patch: JsonObject) -> Result[JsonObject, ConfigurationFault]:
+    """The configuration value after a patch, not checked as a whole; `value` itself is left as it is."""
+    changed = dict(value)
+    for member, item in patch.items():
+        if member in (UPSERT, REMOVE):
+            continue
+        changed[member] = _merge(changed.get(member), item)
+    for action, change in ((REMOVE, _remove_names), (UPSERT, _upsert_items)):
+        fault = _change_members(changed, patch, action, change)
+        if fault is not None:
+            return Err(fault)
+    return Ok(changed)
+
+
+def _invalid(path: str, text: str) -> ConfigurationFault:
+    return ConfigurationFault(ResultCode.CONFIGURATION_INVALID, path, text)
+
+
+def _change_members(
+    changed: JsonObject, patch: JsonObject, action: str, change: MemberChange
+) -> ConfigurationFault | None:
+    members = patch.get(action)
+    if members is None:
+        return None
+    if not isinstance(members, dict):
+        return _invalid(action, "not an object of lists")
+    for member, items in members.items():
+        result = change(changed.get(member), items, f"{action}.{member}")
+        if isinstance(result, Err):
+            return result.err_value
+        changed[member] = result.ok_value
+    return None
+
+
+def _remove_names(current: Any, names: Any, path: str) -> Result[Any, ConfigurationFault]:
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        return Err(_invalid(path, "not a list of names"))
+    if current is None:
+        return Ok([])
+    if not isinstance(current, list):
+        return Err(_invalid(path, "the configuration has no such list"))
+    dropped = set(names)
+    return Ok([item for item in current if _name_of(item) not in dropped])
+
+
+def _upsert_items(current: Any, items: Any, path: str) -> Result[Any, ConfigurationFault]:
+    if isinstance(items, dict) and not isinstance(current, list):
+        return Ok(_merge(current, items))
+    if not isinstance(items, list) or not isinstance(current, list | None):
+        return Err(_invalid(path, "not a list of named items"))
+    replacements: dict[str, Any] = {}
+    for index, item in enumerate(items):
+        name = _name_of(item)
+        if name is None:
+            return Err(_invalid(f"{path}[{index}].{NAME}", "an item needs a name"))
+        if name in replacements:
+            return Err(_invalid(f"{path}[{index}].{NAME}", f"{name!r} is named twice"))
+        replacements[name] = item
+    changed = [replacements.pop(_name_of(item) or "", item) for item in current or []]
+    return Ok(changed + list(replacements.values()))
+
+
+def _name_of(item: Any) -> str | None:
+    name = item.get(NAME) if isinstance(item, dict) else None
+    return name if isinstance(name, str) and name else None
+
+
+def _merge(current: Any, change: Any) -> Any:
+    if not isinstance(change, dict):
+        return change
+    merged = dict(current) if isinstance(current, dict) else {}
+    for member, item in change.items():
+        if item is None:
+            merged.pop(member, None)
+        else:
+            merged[member] = _merge(merged.get(member), item)
+    return merged
