--- /dev/null
+++ b/arrowfold/dataplane/front.py
@@ -0,0 +1,209 @@
+"""The HTTP front of an edge on aiohttp's low-level server: reads requests, writes answers, tells readiness."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+
+from aiohttp import web
+from aiohttp.web_request import BaseRequest
+from multidict import CIMultiDict
+
+from arrowfold.configuration.routes import Limits
+from arrowfold.dataplane.exchange import ClientAnswer, ClientRequest
+from arrowfold.dataplane.own_answers import OwnAnswer
+from arrowfold.node.result_codes import ResultCode
+
+DEFAULT_HEADER_BYTES = 64 * 1024
+DEFAULT_BODY_BYTES = 64 * 1024 * 1024
+IDLE_CLOSE_S = 600.0  # longer than any client may rest a connection
+BACKLOG = 1024
+Forward = Callable[[ClientRequest, ClientAnswer], Awaitable[None]]
+
+
+class AiohttpAnswer:
+    """Writes a `ClientAnswer` as a response of aiohttp."""
+
+    def __init__(self, request: BaseRequest, close: bool) -> None:
+        self._request = request
+        self._close = close
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def started(self) -> bool:
+        """Whether the head was passed on."""
+        return self.response is not None
+
+    async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Pass on the head of an answer whose body is of unknown length."""
+        response = self._response(status, headers)
+        response.enable_chunked_encoding()
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Pass on a part of the body at once."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """End the body, so that the answer is complete."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    async def send_whole(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        """Pass on a whole answer."""
+        response = self._response(status, headers)
+        response.content_length = len(body)
+        await response.prepare(self._request)
+        await response.write_eof(body)
+
+    def abort(self) -> None:
+        """Break off, so that the answer can't look complete."""
+        if self._request.transport is not None:
+            self._request.transport.close()
+
+    def _response(self, status: int, headers: list[tuple[bytes, bytes]]) -> web.StreamResponse:
+        fields: CIMultiDict[str] = CIMultiDict()
+        for name, value in headers:
+            fields.add(name.decode("latin-1"), value.decode("latin-1"))
+        response = web.StreamResponse(status=status, reason=_reason(status), headers=fields)
+        if self._close:
+            response.force_close()
+        self.response = response
+        return response
+
+
+def _reason(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
+class EdgeFront:
+    """Serves clients at one address."""
+
+    def __init__(self, forward: Forward, limits: Callable[[], Limits]) -> None:
+        self._forward = forward
+        self._limits = limits
+        self._draining = False
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._web = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            logger=logging.getLogger("arrowfold.front"),
+            auto_decompress=False,
+            keepalive_timeout=IDLE_CLOSE_S,
+            max_line_size=DEFAULT_HEADER_BYTES,
+            max_field_size=DEFAULT_HEADER_BYTES,
+            lingering_time=1.0,
+        )
+        self._listener: asyncio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen at HOST:PORT."""
+        host, port = address.rsplit(":", 1)
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._web, host, int(port), backlog=BACKLOG
+        )
+
+    def begin_draining(self) -> None:
+        """Tell clients to close their connections after the next answer."""
+        self._draining = True
+
+    async def stop(self, grace_s: float) -> None:
+        """Take no new connections, wait until all requests are answered, then end."""
+        if self._listener is not None:
+            self._listener.close()
+        try:
+            async with asyncio.timeout(grace_s):
+                await self._idle.wait()
+        except TimeoutError:
+            pass
+        await self._web.shutdown(0.1)
+
+    async def _handle(self, request: BaseRequest) -> web.StreamResponse:
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            return await self._serve(request)
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
+    async def _serve(self, request: BaseRequest) -> web.StreamResponse:
+        arrived_s = asyncio.get_running_loop().time()
+        answer = AiohttpAnswer(request, close=self._draining)
+        refusal = self._too_large(request)
+        body = b"" if refusal else await self._read_body(request)
+        if refusal is None and body is None:
+            refusal = OwnAnswer(413, ResultCode.BODY_TOO_LARGE)
+        if refusal is not None or body is None:
+            assert refusal is not None
+            answer = AiohttpAnswer(request, close=True)
+            await answer.send_whole(refusal.status, refusal.headers(None), refusal.body())
+        else:
+            await self._forward(_client_request(request, body, arrived_s), answer)
+        assert answer.response is not None
+        return answer.response
+
+    def _too_large(self, request: BaseRequest) -> OwnAnswer | None:
+        limits = self._limits()
+        head = sum(len(name) + len(value) + 4 for name, value in request._message.raw_headers)
+        if limits.max_header_bytes is not None and head > limits.max_header_bytes:
+            return OwnAnswer(431, ResultCode.HEADERS_TOO_LARGE)
+        most = limits.max_body_bytes
+        if most is not None and request.content_length is not None and request.content_length > most:
+            return OwnAnswer(413, ResultCode.BODY_TOO_LARGE)
+        return None
+
+    async def _read_body(self, request: BaseRequest) -> bytes | None:
+        """The whole body, or None if it is larger than the configuration allows."""
+        if not request.body_exists:
+            return b""
+        expected = request.headers.get("Expect", "").lower() == "100-continue"
+        if expected and request.transport is not None:
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        most = self._limits().max_body_bytes or DEFAULT_BODY_BYTES
+        chunks = []
+        size = 0
+        while chunk := await request.content.readany():
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > most:
+                return None
+        return b"".join(chunks)
+
+
+def _client_request(request: BaseRequest, body: bytes, arrived_s: float) -> ClientRequest:
+    return ClientRequest(
+        method=request.method,
+        target=request.raw_path,
+        host=request.headers.get("Host", ""),
+        headers=tuple(request.raw_headers),
+        body=body,
+        arrived_s=arrived_s,
+    )
+
+
+class ReadinessFront:
+    """Answers the platform's readiness probes."""
+
+    def __init__(self, ready: Callable[[], bool]) -> None:
+        self._ready = ready
+        self._web = web.Server(self._handle, access_log=None)
+        self._listener: asyncio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen at HOST:PORT."""
+        host, port = address.rsplit(":", 1)
+        self._listener = await asyncio.get_running_loop().create_server(self._web, host, int(port))
+
+    async def _handle(self, request: BaseRequest) -> web.StreamResponse:
+        return web.Response(status=200 if self._ready() else 503)
--- /dev/null
+++ b/arrowfold/dataplane/headers.py
@@ -0,0 +1,124 @@
+"""Headers of forwarded messages, kept as the raw bytes that came."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from arrowfold.selection.interface import PromptPart
+
+RawHeaders = tuple[tuple[bytes, bytes], ...]
+
+ATTEMPT_ID = b"x-attempt-id"
+DEADLINE_MS = b"x-deadline-ms"
+TARGET_INSTANCE = b"x-target-instance"
+PRIORITY = b"priority"
+LAST_EVENT_ID = b"last-event-id"
+NOT_EXECUTED = b"x-not-executed"
+SERVER_LOAD = b"x-server-load"
+SERVER_SEAL = b"x-server-seal"
+VERSIONS = b"versions"
+MODEL = b"x-model"
+TOKEN_USAGE = b"x-token-usage"
+PROMPT_PREFIX = b"x-prompt-prefix"
+RETRY_AFTER = b"retry-after"
+CONTENT_LENGTH = b"content-length"
+CONTENT_ENCODING = b"content-encoding"
+CONNECTION = b"connection"
+KEEP_ALIVE = b"keep-alive"
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    {
+        CONNECTION,
+        KEEP_ALIVE,
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# Headers of a request that the edge writes itself.
+REWRITTEN_IN_REQUESTS = frozenset({CONTENT_LENGTH, b"expect", DEADLINE_MS, TARGET_INSTANCE, PRIORITY})
+
+
+def find(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
+    """The value of the first header with this name (given in lower case), or None."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value.decode("latin-1").strip()
+    return None
+
+
+def end_to_end(headers: RawHeaders, dropped: frozenset[bytes]) -> list[tuple[bytes, bytes]]:
+    """The headers to pass on: without those of one connection, those it names, and `dropped`."""
+    named = {
+        token.strip().lower()
+        for key, value in headers
+        if key.lower() == CONNECTION
+        for token in value.split(b",")
+    }
+    kept = []
+    for key, value in headers:
+        name = key.lower()
+        if name not in HOP_BY_HOP and name not in dropped and name not in named:
+            kept.append((key, value))
+    return kept
+
+
+def parse_number(text: str | None) -> float | None:
+    """A finite number that is not negative, or None."""
+    try:
+        number = float(text) if text is not None else -1.0
+    except ValueError:
+        return None
+    return number if 0 <= number < float("inf") else None
+
+
+def parse_model(text: str | None) -> tuple[str, str]:
+    """Model and adapter of `X-Model: MODEL[/ADAPTER]`; empty where there is none."""
+    model, _, adapter = (text or "").partition("/")
+    return model, adapter
+
+
+def parse_token_usage(text: str | None) -> tuple[int, int]:
+    """Tokens of the prompt and most tokens of the output, of `X-Token-Usage: IN,OUT`."""
+    prompt, _, output = (text or "").partition(",")
+    return _whole(prompt), _whole(output)
+
+
+def parse_prompt_parts(text: str | None) -> tuple[PromptPart, ...]:
+    """The parts of `X-Prompt-Prefix: ID:TOKENS,...`, in order."""
+    if not text:
+        return ()
+    parts = []
+    for item in text.split(","):
+        identity, _, tokens = item.strip().rpartition(":")
+        if identity:
+            parts.append(PromptPart(identity, _whole(tokens)))
+    return tuple(parts)
+
+
+def parse_load(text: str | None) -> tuple[int, int, int] | None:
+    """Running, waiting and slots of `X-Server-Load: R,W,S`, or None."""
+    fields = (text or "").split(",")
+    if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
+        return None
+    running, waiting, slots = (int(field) for field in fields)
+    return running, waiting, slots
+
+
+def parse_keep_alive_s(text: str | None) -> float | None:
+    """The seconds of a `Keep-Alive: timeout=N` header, or of a bare number, or None."""
+    for item in (text or "").split(","):
+        name, _, value = item.strip().rpartition("=")
+        if name.strip().lower() in ("", "timeout"):
+            return parse_number(value)
+    return None
+
+
+def _whole(text: str) -> int:
+    stripped = text.strip()
+    return int(stripped) if stripped.isdigit() else 0
--- /dev/null
+++ b/arrowfold/dataplane/least_loaded.py
@@ -0,0 +1,100 @@
+"""A plain selection of workers: the one with the fewest requests of this edge in flight."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Collection
+
+from arrowfold.internal.messages import ClassDemand, WorkerRecord
+from arrowfold.node.result_codes import ResultCode
+from arrowfold.selection.interface import (
+    Choice,
+    ChosenWorker,
+    Outcome,
+    RefusedRequest,
+    RequestProfile,
+    WaitForWorker,
+)
+
+RETRY_AFTER_S = 0.5
+MODEL_WAIT_S = 1.0
+
+
+class LeastLoadedSelector:
+    """Implements `WorkerSelector` without a market."""
+
+    def __init__(self, draw: random.Random | None = None) -> None:
+        self._draw = draw or random.Random()
+        self._workers: tuple[WorkerRecord, ...] = ()
+        self._in_flight: Counter[str] = Counter()
+        self._demand: dict[tuple[str, str, str], list[float]] = {}
+        self._started: dict[str, float] = {}
+
+    def apply_workers(self, workers: tuple[WorkerRecord, ...], now_s: float) -> None:
+        """Take the whole table of known workers."""
+        self._workers = workers
+
+    def apply_edges(self, edges: int) -> None:
+        """Take how many edge nodes share the workers; not used."""
+
+    def choose(self, request: RequestProfile, excluded: Collection[str], now_s: float) -> Choice:
+        """The holder with the fewest requests in flight; a silent one only as the last resort."""
+        demand = self._demand.setdefault((request.service, request.model, request.adapter), [0.0, 0.0, 0.0])
+        if not excluded:
+            demand[0] += 1
+        holders = [worker for worker in self._workers if _can_run(worker, request)]
+        if not holders:
+            demand[2] += 1
+            if request.model and now_s - request.arrived_s < MODEL_WAIT_S:
+                return WaitForWorker(MODEL_WAIT_S - (now_s - request.arrived_s))
+            code = ResultCode.MODEL_LOADING if request.model else ResultCode.NO_WORKER
+            return RefusedRequest(code, RETRY_AFTER_S)
+        candidates = [worker for worker in holders if worker.instance not in excluded]
+        candidates = [worker for worker in candidates if worker.state == "available"] or candidates
+        if not candidates:
+            return RefusedRequest(ResultCode.OVERLOADED, RETRY_AFTER_S)
+        chosen = min(candidates, key=lambda w: (self._in_flight[w.instance], self._draw.random()))
+        return ChosenWorker(chosen.instance, chosen.address)
+
+    def sent(self, request: RequestProfile, instance: str, now_s: float) -> None:
+        """Count it as in flight."""
+        self._in_flight[instance] += 1
+        self._started[request.request] = now_s
+
+    def first_event(self, request: RequestProfile, instance: str, now_s: float) -> None:
+        """Not used."""
+
+    def ended(self, request: RequestProfile, instance: str, outcome: Outcome, now_s: float) -> None:
+        """Count it as no longer in flight."""
+        self._in_flight[instance] -= 1
+        if self._in_flight[instance] <= 0:
+            del self._in_flight[instance]
+        started = self._started.pop(request.request, now_s)
+        demand = self._demand.setdefault((request.service, request.model, request.adapter), [0.0, 0.0, 0.0])
+        demand[1] += now_s - started
+
+    def load_reported(self, instance: str, running: int, waiting: int, slots: int, now_s: float) -> None:
+        """Not used."""
+
+    def market_round(self, now_s: float) -> None:
+        """There is no market."""
+
+    def take_demand(self, now_s: float) -> tuple[ClassDemand, ...]:
+        """Demand by class since the last call."""
+        demand, self._demand = self._demand, {}
+        return tuple(
+            ClassDemand(service, model, adapter, requests, workload, missing)
+            for (service, model, adapter), (requests, workload, missing) in demand.items()
+        )
+
+
+def _can_run(worker: WorkerRecord, request: RequestProfile) -> bool:
+    if worker.service != request.service or worker.state not in ("available", "silent"):
+        return False
+    if not request.model:
+        return True
+    return any(
+        held.name == request.model and (not request.adapter or request.adapter in held.adapters)
+        for held in worker.models
+    )
--- /dev/null
+++ b/arrowfold/dataplane/node.py
@@ -0,0 +1,131 @@
+"""An edge node: all parts of the data plane put together, and its life from start to end."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+
+from arrowfold.configuration.routes import Limits
+from arrowfold.dataplane.forwarding import RequestForwarder
+from arrowfold.dataplane.front import EdgeFront, ReadinessFront
+from arrowfold.dataplane.puller import ControlPuller
+from arrowfold.dataplane.reports import DemandReporter
+from arrowfold.dataplane.retry_budget import RetryBudget
+from arrowfold.dataplane.tables import FleetTables
+from arrowfold.dataplane.worker_connections import FEWEST_CONNECTIONS, WorkerConnections
+from arrowfold.internal.channel import ChannelClient
+from arrowfold.internal.messages import NodeIdentity
+from arrowfold.node.logs import RateLimitedLog
+from arrowfold.node.settings import NodeSettings
+from arrowfold.selection.interface import WorkerSelector
+
+ROUND_S = 0.5  # between market rounds, reports of demand and looks at idle connections
+PROBE_MISSES_S = 2.3  # after readiness ends until the platform sends no new connections
+END_MARGIN_S = 0.7  # of the grace time, left for the end itself
+DEFAULT_CONNECTIONS = 64  # to one worker, where the configuration has no bound
+
+
+class EdgeNode:
+    """One edge process."""
+
+    def __init__(self, settings: NodeSettings, selector: WorkerSelector, log: RateLimitedLog) -> None:
+        loop = asyncio.get_running_loop()
+        self._settings = settings
+        self._selector = selector
+        self._log = log
+        self._clock = loop.time
+        self._stopping = False
+        bounds = settings.bounds
+        self._budget = RetryBudget(
+            bounds.retryBudgetRatio, bounds.budgetExtra, bounds.budgetWindowS, loop.time()
+        )
+        self._tables = FleetTables()
+        self._connections = WorkerConnections()
+        self._forwarder = RequestForwarder(
+            self._connections, selector, self._budget, lambda: self._tables.snapshot, loop.time
+        )
+        self._front = EdgeFront(self._forwarder.forward, self._limits)
+        self._readiness = ReadinessFront(self.is_ready)
+        self._client = ChannelClient()
+        identity = NodeIdentity(
+            settings.nodeName,
+            secrets.token_hex(8),
+            settings.zone,
+            settings.internal_address,
+            settings.serves,
+        )
+        self._puller = ControlPuller(
+            self._client,
+            self._tables,
+            identity,
+            settings.seed_internal_addresses(),
+            self._apply_tables,
+            log,
+        )
+        self._reporter = DemandReporter(self._client, identity, selector)
+        self._rounds: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen, and begin to pull."""
+        addresses = self._settings.listenAddresses
+        if addresses.readiness is not None:
+            await self._readiness.start(addresses.readiness)
+        if addresses.front is not None:
+            await self._front.start(addresses.front)
+        self._puller.start()
+        self._rounds = asyncio.create_task(self._run_rounds())
+
+    def is_ready(self) -> bool:
+        """Whether the platform should send new connections here."""
+        return not self._stopping and self._tables.snapshot.configuration is not None
+
+    def apply_settings(self, settings: NodeSettings) -> None:
+        """Take a settings file that changed."""
+        self._puller.set_seeds(settings.seed_internal_addresses())
+
+    async def stop(self) -> None:
+        """Leave without losing a request: not ready first, then no new connections, then the end."""
+        if self._stopping:
+            return
+        self._stopping = True
+        self._front.begin_draining()
+        await asyncio.sleep(PROBE_MISSES_S)
+        await self._front.stop(self._settings.bounds.graceS - PROBE_MISSES_S - END_MARGIN_S)
+        self._puller.stop()
+        if self._rounds is not None:
+            self._rounds.cancel()
+
+    def _limits(self) -> Limits:
+        configuration = self._tables.snapshot.configuration
+        return configuration.routes.limits if configuration is not None else Limits()
+
+    def _apply_tables(self) -> None:
+        snapshot = self._tables.snapshot
+        now_s = self._clock()
+        self._selector.apply_workers(tuple(snapshot.workers.values()), now_s)
+        edges = snapshot.view.edges if snapshot.view is not None else 0
+        if edges > 0:
+            self._selector.apply_edges(edges)
+            self._budget.apply_edges(edges, now_s)
+        self._share_connections(max(1, edges))
+        self._forwarder.workers_changed()
+
+    def _share_connections(self, edges: int) -> None:
+        snapshot = self._tables.snapshot
+        services = snapshot.configuration.routes.services if snapshot.configuration is not None else {}
+        shares = {}
+        for instance, record in snapshot.workers.items():
+            if not snapshot.may_send(instance):
+                continue
+            service = services.get(record.service)
+            most = service.max_connections if service is not None else None
+            shares[instance] = max(FEWEST_CONNECTIONS, (most or DEFAULT_CONNECTIONS) // edges)
+        self._connections.set_shares(shares)
+        self._connections.keep_only(set(shares))
+
+    async def _run_rounds(self) -> None:
+        while True:
+            await asyncio.sleep(ROUND_S)
+            self._selector.market_round(self._clock())
+            self._connections.close_expired()
+            await self._reporter.report(self._tables.snapshot.view, ROUND_S, self._clock())
--- /dev/null
+++ b/arrowfold/dataplane/tables.py
@@ -0,0 +1,154 @@
+"""What an edge knows of the fleet, as immutable snapshots that are swapped whole.
+
+Nothing here goes back: a configuration only gives way to one at a higher position, a worker's record only to a
+later call of that worker, and a departure is final.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from arrowfold.configuration.diffs import apply_delta_value
+from arrowfold.configuration.json_text import JsonObject, read_object
+from arrowfold.configuration.routes import RouteTable
+from arrowfold.internal.messages import (
+    STATE_ORIGIN,
+    ClusterView,
+    ConfigurationDelta,
+    ConfigurationUpdate,
+    DepartureUpdate,
+    PullResponse,
+    WorkerRecord,
+    WorkerUpdate,
+)
+
+MOST_DEPARTURES = 20_000
+AVAILABLE, SILENT, DRAINING, GONE = "available", "silent", "draining", "gone"
+_SEVERITY = {AVAILABLE: 0, SILENT: 1, DRAINING: 2, GONE: 3}
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSnapshot:
+    """A configuration in force: its position in the replicated state, its document and its routes."""
+
+    sequence: int
+    version: int
+    document: JsonObject
+    routes: RouteTable
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSnapshot:
+    """All that requests are served by. `serving`: a current control node has spoken, and there are routes."""
+
+    configuration: ConfigurationSnapshot | None = None
+    workers: dict[str, WorkerRecord] = field(default_factory=dict)
+    view: ClusterView | None = None
+
+    def may_send(self, instance: str) -> bool:
+        """Whether requests may still be sent to this worker."""
+        record = self.workers.get(instance)
+        return record is not None and record.state in (AVAILABLE, SILENT)
+
+
+class FleetTables:
+    """Takes what control nodes answer and makes the snapshots."""
+
+    def __init__(self) -> None:
+        self.snapshot = FleetSnapshot()
+        self.vector: dict[str, int] = {}
+        self._departures: dict[str, DepartureUpdate] = {}
+
+    def take(self, response: PullResponse) -> bool:
+        """Apply an answer to a pull; True if the snapshot changed."""
+        if self.snapshot.configuration is None and not response.current:
+            return False
+        before = self.snapshot
+        workers = dict(before.workers)
+        configuration = before.configuration
+        missed_delta = False
+        for update in response.updates:
+            if isinstance(update, WorkerUpdate):
+                self._take_worker(workers, update.record)
+            elif isinstance(update, DepartureUpdate):
+                self._take_departure(workers, update)
+            elif isinstance(update, ConfigurationUpdate):
+                configuration = _whole(configuration, update)
+            else:
+                changed_configuration = _after_delta(configuration, update)
+                missed_delta = missed_delta or changed_configuration is None
+                configuration = changed_configuration or configuration
+        self._adopt(response.vector, missed_delta)
+        view = _newer_view(before.view, response.view)
+        changed = bool(response.updates) or view != before.view
+        if changed:
+            self.snapshot = FleetSnapshot(configuration, workers, view)
+        return changed
+
+    def _adopt(self, vector: dict[str, int], missed_delta: bool) -> None:
+        for origin, counter in vector.items():
+            if counter > self.vector.get(origin, -1):
+                self.vector[origin] = counter
+        if missed_delta:
+            self.vector.pop(STATE_ORIGIN, None)
+
+    def _take_worker(self, workers: dict[str, WorkerRecord], record: WorkerRecord) -> None:
+        known = workers.get(record.instance)
+        if known is not None and not _is_later(record, known):
+            return
+        departure = self._departures.get(record.instance)
+        if departure is not None and _SEVERITY[record.state] < _SEVERITY[departure.state]:
+            record = replace(record, state=departure.state, remaining_ms=departure.remaining_ms)
+        workers[record.instance] = record
+
+    def _take_departure(self, workers: dict[str, WorkerRecord], departure: DepartureUpdate) -> None:
+        known = self._departures.get(departure.instance)
+        if known is not None and _SEVERITY[known.state] >= _SEVERITY[departure.state]:
+            return
+        self._departures[departure.instance] = departure
+        while len(self._departures) > MOST_DEPARTURES:
+            del self._departures[next(iter(self._departures))]
+        record = workers.get(departure.instance)
+        if record is not None and _SEVERITY[record.state] < _SEVERITY[departure.state]:
+            workers[departure.instance] = replace(
+                record, state=departure.state, remaining_ms=departure.remaining_ms
+            )
+
+
+def _is_later(record: WorkerRecord, known: WorkerRecord) -> bool:
+    if known.state in (DRAINING, GONE) and _SEVERITY[record.state] < _SEVERITY[known.state]:
+        return False
+    if record.call_sequence != known.call_sequence:
+        return record.call_sequence > known.call_sequence
+    return _SEVERITY[record.state] >= _SEVERITY[known.state]
+
+
+def _whole(known: ConfigurationSnapshot | None, update: ConfigurationUpdate) -> ConfigurationSnapshot | None:
+    if known is not None and update.sequence <= known.sequence:
+        return known
+    read = read_object(update.document)
+    if read.is_err():
+        return known
+    document = read.unwrap()
+    return ConfigurationSnapshot(update.sequence, update.version, document, RouteTable.from_value(document))
+
+
+def _after_delta(
+    known: ConfigurationSnapshot | None, update: ConfigurationDelta
+) -> ConfigurationSnapshot | None:
+    """The configuration after a change; None if the change doesn't follow on what is known."""
+    if known is None:
+        return None
+    if update.sequence <= known.sequence:
+        return known
+    changed = apply_delta_value(known.document, update.patch)
+    if update.base_version != known.version or changed.is_err():
+        return None
+    document = changed.unwrap()
+    return ConfigurationSnapshot(update.sequence, update.version, document, RouteTable.from_value(document))
+
+
+def _newer_view(known: ClusterView | None, view: ClusterView) -> ClusterView:
+    if known is None or view.epoch >= known.epoch:
+        return view
+    return known
--- /dev/null
+++ b/arrowfold/dataplane/worker_connections.py
@@ -0,0 +1,246 @@
+"""Connections to workers: kept for reuse by instance, capped by this edge's share, parsed by aiohttp's parser.
+
+A request is written once and never again by itself; what its loss means is for the caller to judge.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from aiohttp import ClientError, http_exceptions
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import EMPTY_PAYLOAD, EofStream, StreamReader
+from result import Err, Ok, Result
+
+from arrowfold.dataplane import headers as names
+from arrowfold.dataplane.exchange import BodyLostError, SendFailure, WorkerAnswer, WorkerRequest
+from arrowfold.dataplane.headers import RawHeaders, find, parse_keep_alive_s
+
+CONNECT_TIMEOUT_S = 0.4
+UNACKNOWLEDGED_MS = 2_000  # TCP_USER_TIMEOUT
+LARGEST_HEAD = 64 * 1024  # bytes of one header line of an answer
+DEFAULT_KEEP_ALIVE_S = 4.0  # idle time after which a connection isn't reused, where the worker names none
+KEEP_ALIVE_MARGIN_S = 1.0  # closed this much before the worker would
+FRESH_IDLE_S = 2.0  # a request that can't be repeated prefers connections that rested no longer
+FEWEST_CONNECTIONS = 2  # of a worker, whatever the share
+MOST_FOREIGN_ANSWERS = 2  # late answers of other requests that are skipped before ours is given up
+READ_ERRORS = (ClientError, http_exceptions.HttpProcessingError, OSError, EofStream)
+
+
+class WorkerConnection:
+    """One connection to an instance of a worker."""
+
+    def __init__(self, protocol: ResponseHandler, now_s: float) -> None:
+        self.protocol = protocol
+        self.idle_since_s = now_s
+        self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
+
+    def is_clean(self) -> bool:
+        """Whether it is open and nothing came on it that no request asked for."""
+        return self.protocol.is_connected() and not self.protocol.should_close and not len(self.protocol)
+
+    def write(self, request: WorkerRequest) -> None:
+        """Write a whole request."""
+        transport = self.protocol.transport
+        assert transport is not None
+        transport.write(encode_request(request))
+
+    def drop(self) -> None:
+        """Close it at once."""
+        self.protocol.abort()
+
+
+def encode_request(request: WorkerRequest) -> bytes:
+    """The bytes of a request with its body's length."""
+    lines = [f"{request.method} {request.target} HTTP/1.1".encode("utf-8", "surrogateescape")]
+    lines.extend(name + b": " + value for name, value in request.headers)
+    if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(b"Content-Length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+class ConnectionAnswer:
+    """A worker's answer on a connection, as `WorkerAnswer` asks for it."""
+
+    def __init__(
+        self,
+        message: RawResponseMessage,
+        payload: StreamReader,
+        connection: WorkerConnection,
+        release: Callable[[WorkerConnection, bool], None],
+        reusable: bool,
+    ) -> None:
+        self.status = message.code
+        self.headers: RawHeaders = tuple(message.raw_headers)
+        self._payload = payload
+        self._connection: WorkerConnection | None = connection
+        self._release = release
+        self._reusable = reusable and not message.should_close
+        self._whole = payload is EMPTY_PAYLOAD
+
+    async def read_chunk(self) -> bytes:
+        """The next bytes of the body, empty at its end; raises BodyLostError when it breaks off."""
+        if self._whole:
+            return b""
+        try:
+            data = await self._payload.readany()
+        except READ_ERRORS as error:
+            raise BodyLostError(str(error)) from error
+        if not data:
+            self._whole = True
+        return data
+
+    def close(self) -> None:
+        """Keep the connection if the answer was read whole, else drop it."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        connection.keep_alive_s = _keep_alive_s(self.headers)
+        self._release(connection, self._reusable and self._whole)
+
+
+def _keep_alive_s(headers: RawHeaders) -> float:
+    told = parse_keep_alive_s(find(headers, names.KEEP_ALIVE))
+    return DEFAULT_KEEP_ALIVE_S if told is None else max(0.0, told - KEEP_ALIVE_MARGIN_S)
+
+
+@dataclass(slots=True)
+class _InstancePool:
+    """The connections to one instance."""
+
+    address: str
+    idle: deque[WorkerConnection] = field(default_factory=deque)
+    opened: int = 0
+
+
+class WorkerConnections:
+    """All connections to workers, kept by instance."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._pools: dict[str, _InstancePool] = {}
+        self._share_of: dict[str, int] = {}
+
+    def set_shares(self, shares: dict[str, int]) -> None:
+        """Take how many connections this edge may open to each instance."""
+        self._share_of = shares
+
+    def keep_only(self, instances: set[str]) -> None:
+        """Close the idle connections of all other instances."""
+        for instance in [name for name in self._pools if name not in instances]:
+            pool = self._pools[instance]
+            while pool.idle:
+                self._drop(pool, pool.idle.pop())
+            if pool.opened == 0:
+                del self._pools[instance]
+
+    def close_expired(self) -> None:
+        """Close connections that the worker would soon close, or has closed."""
+        now_s = self._loop.time()
+        for pool in self._pools.values():
+            for connection in [c for c in pool.idle if not _usable(c, now_s)]:
+                pool.idle.remove(connection)
+                self._drop(pool, connection)
+
+    async def send(
+        self, instance: str, address: str, request: WorkerRequest
+    ) -> Result[WorkerAnswer, SendFailure]:
+        """Send it over a connection to this instance and read the head of its answer."""
+        pool = self._pools.setdefault(instance, _InstancePool(address))
+        connection = self._take_idle(pool, request.repeatable)
+        if connection is None:
+            opened = await self._open(instance, pool)
+            if opened.is_err():
+                return Err(opened.unwrap_err())
+            connection = opened.unwrap()
+        try:
+            connection.write(request)
+            answer = await self._read_answer(pool, connection, request)
+        except READ_ERRORS:
+            self._drop(pool, connection)
+            return Err(SendFailure.LOST)
+        except BaseException:
+            self._drop(pool, connection)
+            raise
+        return Ok(answer)
+
+    def _take_idle(self, pool: _InstancePool, repeatable: bool) -> WorkerConnection | None:
+        now_s = self._loop.time()
+        while pool.idle:
+            connection = pool.idle.pop()
+            if not _usable(connection, now_s):
+                self._drop(pool, connection)
+            elif repeatable or now_s - connection.idle_since_s <= FRESH_IDLE_S:
+                return connection
+            else:
+                pool.idle.append(connection)
+                return None
+        return None
+
+    async def _open(self, instance: str, pool: _InstancePool) -> Result[WorkerConnection, SendFailure]:
+        if pool.opened >= max(FEWEST_CONNECTIONS, self._share_of.get(instance, FEWEST_CONNECTIONS)):
+            return Err(SendFailure.NO_CONNECTION_FREE)
+        host, port = pool.address.rsplit(":", 1)
+        pool.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, protocol = await self._loop.create_connection(
+                    lambda: ResponseHandler(self._loop), host, int(port)
+                )
+        except (OSError, TimeoutError):
+            pool.opened -= 1
+            return Err(SendFailure.UNREACHABLE)
+        except BaseException:
+            pool.opened -= 1
+            raise
+        _tune(protocol)
+        return Ok(WorkerConnection(protocol, self._loop.time()))
+
+    async def _read_answer(
+        self, pool: _InstancePool, connection: WorkerConnection, request: WorkerRequest
+    ) -> ConnectionAnswer:
+        reusable = request.method != "HEAD"
+        for _ in range(MOST_FOREIGN_ANSWERS + 1):
+            message, payload = await connection.protocol.read()
+            while message.code < 200:
+                message, payload = await connection.protocol.read()
+            if find(message.raw_headers, names.ATTEMPT_ID) == request.attempt_id:
+                return ConnectionAnswer(
+                    message, payload, connection, lambda c, keep: self._release(pool, c, keep), reusable
+                )
+            reusable = False
+            while await payload.readany():
+                pass
+        raise EofStream
+
+    def _release(self, pool: _InstancePool, connection: WorkerConnection, keep: bool) -> None:
+        if not keep or not connection.is_clean() or connection.keep_alive_s <= 0:
+            self._drop(pool, connection)
+            return
+        connection.idle_since_s = self._loop.time()
+        pool.idle.append(connection)
+
+    def _drop(self, pool: _InstancePool, connection: WorkerConnection) -> None:
+        pool.opened -= 1
+        connection.drop()
+
+
+def _usable(connection: WorkerConnection, now_s: float) -> bool:
+    return connection.is_clean() and now_s - connection.idle_since_s <= connection.keep_alive_s
+
+
+def _tune(protocol: ResponseHandler) -> None:
+    protocol.set_response_params(
+        auto_decompress=False,
+        max_line_size=LARGEST_HEAD,
+        max_field_size=LARGEST_HEAD,
+    )
+    transport = protocol.transport
+    connection = transport.get_extra_info("socket") if transport is not None else None
+    if connection is not None:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
