--- a/arrowfold/dataplane/front.py
+++ b/arrowfold/dataplane/front.py
@@ -1,4 +1,4 @@
-"""The HTTP front of an edge on aiohttp's low-level server: reads requests, writes answers, tells readiness."""
+"""The HTTP front of an edge on aiohttp's low-level server: reads requests, writes answers, is probed."""
 
 from __future__ import annotations
 
--- a/arrowfold/dataplane/puller.py
+++ b/arrowfold/dataplane/puller.py
@@ -1,4 +1,4 @@
-"""Long polls to every control node that is known, so that what one of them learns is here a round trip later."""
+"""Long polls to every control node, so that what one of them learns is here a round trip later."""
 
 from __future__ import annotations
 
--- a/arrowfold/dataplane/retry_budget.py
+++ b/arrowfold/dataplane/retry_budget.py
@@ -1,8 +1,8 @@
 """This edge's share of the fleet's retry budget, for each service over a sliding window.
 
 The fleet may send, in any window, `ratio` x requests + `extra` arrivals beyond the first of each request.
-Each edge spends at most SAFETY x `ratio` x its own requests of the window, and SAFETY x `extra` / edges. A life
-of a process spends nothing of `extra` in its first window, so that restarts can't add shares up.
+Each edge spends at most SAFETY x `ratio` x its own requests of the window, and SAFETY x `extra` / edges.
+A life of a process spends nothing of `extra` in its first window, so that restarts can't add shares up.
 """
 
 from __future__ import annotations
--- a/arrowfold/dataplane/tables.py
+++ b/arrowfold/dataplane/tables.py
@@ -1,7 +1,7 @@
 """What an edge knows of the fleet, as immutable snapshots that are swapped whole.
 
-Nothing here goes back: a configuration only gives way to one at a higher position, a worker's record only to a
-later call of that worker, and a departure is final.
+Nothing here goes back: a configuration only gives way to one at a higher position, a worker's record
+only to a later call of that worker, and a departure is final.
 """
 
 from __future__ import annotations
--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -1,4 +1,4 @@
-"""Connections to workers: kept for reuse by instance, capped by this edge's share, parsed by aiohttp's parser.
+"""Connections to workers: kept for reuse by instance, capped by this edge's share, parsed by aiohttp.
 
 A request is written once and never again by itself; what its loss means is for the caller to judge.
 """
