--- a/arrowfold/dataplane/forwarding.py
+++ b/arrowfold/dataplane/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from dataclasses import replace
@@ -180,7 +181,7 @@
         status = worker_answer.status
         if status == 421 or find(worker_answer.headers, names.NOT_EXECUTED) is not None:
             progress.may_have_run = run_before
-            await _read_body(worker_answer)
+            await _skip_body(worker_answer)
             return Outcome.MISDIRECTED if status == 421 else Outcome.REJECTED_FULL
         try:
             if 200 <= status < 300 and progress.route.kind == STREAMING:
@@ -259,6 +260,11 @@
     await answer.send_whole(own.status, own.headers(attempt_id), own.body())
 
 
+async def _skip_body(worker_answer: WorkerAnswer) -> None:
+    with contextlib.suppress(BodyLostError):
+        await _read_body(worker_answer)
+
+
 async def _read_body(worker_answer: WorkerAnswer) -> bytes:
     chunks = []
     size = 0
--- a/arrowfold/dataplane/front.py
+++ b/arrowfold/dataplane/front.py
@@ -105,12 +105,10 @@
         )
         self._listener: asyncio.Server | None = None
 
-    async def start(self, address: str) -> None:
-        """Listen at HOST:PORT."""
-        host, port = address.rsplit(":", 1)
-        self._listener = await asyncio.get_running_loop().create_server(
-            self._web, host, int(port), backlog=BACKLOG
-        )
+    async def start(self, address: str) -> str:
+        """Listen at HOST:PORT; tells the address, for port 0 the one that was given."""
+        self._listener = await _listen(self._web, address)
+        return _bound_address(self._listener)
 
     def begin_draining(self) -> None:
         """Tell clients to close their connections after the next answer."""
@@ -200,10 +198,26 @@
         self._web = web.Server(self._handle, access_log=None)
         self._listener: asyncio.Server | None = None
 
-    async def start(self, address: str) -> None:
-        """Listen at HOST:PORT."""
-        host, port = address.rsplit(":", 1)
-        self._listener = await asyncio.get_running_loop().create_server(self._web, host, int(port))
+    async def start(self, address: str) -> str:
+        """Listen at HOST:PORT; tells the address, for port 0 the one that was given."""
+        self._listener = await _listen(self._web, address)
+        return _bound_address(self._listener)
+
+    async def stop(self) -> None:
+        """Answer no more probes."""
+        if self._listener is not None:
+            self._listener.close()
+        await self._web.shutdown(0.1)
 
     async def _handle(self, request: BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if self._ready() else 503)
+
+
+async def _listen(server: web.Server, address: str) -> asyncio.Server:
+    host, port = address.rsplit(":", 1)
+    return await asyncio.get_running_loop().create_server(server, host, int(port), backlog=BACKLOG)
+
+
+def _bound_address(listener: asyncio.Server) -> str:
+    host, port = listener.sockets[0].getsockname()[:2]
+    return f"{host}:{port}"
--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -82,9 +82,12 @@
         self._release = release
         self._reusable = reusable and not message.should_close
         self._whole = payload is EMPTY_PAYLOAD
+        self._bounded = _is_bounded(message)
 
     async def read_chunk(self) -> bytes:
         """The next bytes of the body, empty at its end; raises BodyLostError when it breaks off."""
+        if not self._bounded:
+            raise BodyLostError("an answer without a length can't be known to be whole")
         if self._whole:
             return b""
         try:
@@ -101,7 +104,13 @@
         if connection is None:
             return
         connection.keep_alive_s = _keep_alive_s(self.headers)
-        self._release(connection, self._reusable and self._whole)
+        self._release(connection, self._reusable and self._whole and self._bounded)
+
+
+def _is_bounded(message: RawResponseMessage) -> bool:
+    if message.chunked or message.code in (204, 304):
+        return True
+    return find(message.raw_headers, names.CONTENT_LENGTH) is not None
 
 
 def _keep_alive_s(headers: RawHeaders) -> float:
--- /dev/null
+++ b/tests/system/edge_loopback.py
@@ -0,0 +1,230 @@
+"""An edge's HTTP front and worker connections on loopback, with workers and clients that speak raw bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from arrowfold.configuration.routes import Limits
+from arrowfold.dataplane.forwarding import RequestForwarder
+from arrowfold.dataplane.front import EdgeFront
+from arrowfold.dataplane.least_loaded import LeastLoadedSelector
+from arrowfold.dataplane.retry_budget import RetryBudget
+from arrowfold.dataplane.tables import FleetTables
+from arrowfold.dataplane.worker_connections import WorkerConnections
+from arrowfold.internal.messages import WorkerRecord, WorkerUpdate
+from tests.system.edge_stories import HOST, configuration, configuration_update, response
+
+SEAL = b"X-Server-Seal: seal\r\n"
+Serve = Callable[["RawExchange"], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class RawExchange:
+    """One request that a raw worker has read, and the way to answer it."""
+
+    head: bytes
+    body: bytes
+    attempt_id: bytes
+    writer: asyncio.StreamWriter
+    connection: int
+
+    async def write(self, data: bytes) -> None:
+        """Write bytes of the answer at once."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def answer(self, body: bytes = b"done", status: bytes = b"200 OK", headers: bytes = SEAL) -> None:
+        """Write a whole answer."""
+        await self.write(self.answer_bytes(body, status, headers))
+
+    def answer_bytes(self, body: bytes = b"done", status: bytes = b"200 OK", headers: bytes = SEAL) -> bytes:
+        """The bytes of a whole answer."""
+        return (
+            b"HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n"
+            % (status, self.attempt_id, headers, len(body))
+            + body
+        )
+
+    def reset(self) -> None:
+        """Break the connection."""
+        self.writer.transport.abort()
+
+
+class RawWorker:
+    """A worker that answers as its script says; scripts are taken in turn, the last one for good."""
+
+    def __init__(self, *scripts: Serve) -> None:
+        self._scripts = list(scripts)
+        self._server: asyncio.Server | None = None
+        self.address = ""
+        self.heads: list[bytes] = []
+        self.bodies: list[bytes] = []
+        self.connections = 0
+        self.closed = asyncio.Event()
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        number = self.connections
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                body = await reader.readexactly(int(field_of(head, b"content-length") or b"0"))
+                self.heads.append(head)
+                self.bodies.append(body)
+                script = self._scripts.pop(0) if len(self._scripts) > 1 else self._scripts[0]
+                attempt = field_of(head, b"x-attempt-id") or b""
+                await script(RawExchange(head, body, attempt, writer, number))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.closed.set()
+            writer.close()
+
+
+def field_of(head: bytes, name: bytes) -> bytes | None:
+    """The value of a header in the bytes of a head."""
+    for line in head.split(b"\r\n")[1:]:
+        key, _, value = line.partition(b":")
+        if key.strip().lower() == name:
+            return value.strip()
+    return None
+
+
+@dataclass(slots=True)
+class RawAnswer:
+    """What a raw client read: its head, body, and whether the body came whole."""
+
+    status: int
+    head: bytes
+    body: bytes
+    complete: bool
+
+
+class RawClient:
+    """One client connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def connect(cls, address: str) -> RawClient:
+        """Connect to an edge."""
+        host, port = address.rsplit(":", 1)
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    async def send(self, data: bytes) -> None:
+        """Write bytes."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def read(self) -> RawAnswer:
+        """Read one answer."""
+        async with asyncio.timeout(5):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            status = int(head.split(b" ", 2)[1])
+            if field_of(head, b"transfer-encoding") == b"chunked":
+                body, complete = await self._read_chunked()
+                return RawAnswer(status, head, body, complete)
+            length = int(field_of(head, b"content-length") or b"0")
+            try:
+                return RawAnswer(status, head, await self.reader.readexactly(length), True)
+            except asyncio.IncompleteReadError as error:
+                return RawAnswer(status, head, error.partial, False)
+
+    async def read_part(self) -> bytes:
+        """One chunk of a body."""
+        async with asyncio.timeout(5):
+            size = int((await self.reader.readuntil(b"\r\n")).strip(), 16)
+            return (await self.reader.readexactly(size + 2))[:-2]
+
+    async def _read_chunked(self) -> tuple[bytes, bool]:
+        body = b""
+        try:
+            while part := await self.read_part():
+                body += part
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return body, False
+        return body, True
+
+    def close(self) -> None:
+        """Leave."""
+        self.writer.transport.abort()
+
+
+def request_bytes(
+    path: str, attempt: str, *headers: str, body: bytes = b"", method: str = "POST", host: str = HOST
+) -> bytes:
+    """The bytes of a client's request."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", f"X-Attempt-Id: {attempt}", *headers]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+@dataclass(slots=True)
+class LoopbackEdge:
+    """A front and worker connections round a forwarder, without control nodes."""
+
+    routes: list[dict[str, Any]]
+    limits: dict[str, Any] = field(default_factory=dict)
+    workers: dict[str, tuple[str, RawWorker]] = field(default_factory=dict)
+    address: str = ""
+    front: EdgeFront | None = None
+    connections: WorkerConnections | None = None
+
+    async def start(self, **workers: tuple[str, RawWorker]) -> LoopbackEdge:
+        """Start workers, named by instance with their service, and the edge."""
+        loop = asyncio.get_running_loop()
+        self.workers = workers
+        updates: list[Any] = [configuration_update(configuration(self.routes, **self.limits))]
+        for instance, (service, raw) in workers.items():
+            if not raw.address:
+                await raw.start()
+            record = WorkerRecord(instance, service, raw.address, "z1", "v1", 8, "available", (), 1)
+            updates.append(WorkerUpdate("origin", 1, record))
+        tables = FleetTables()
+        tables.take(response(*updates))
+        selector = LeastLoadedSelector(random.Random(1))
+        selector.apply_workers(tuple(tables.snapshot.workers.values()), loop.time())
+        budget = RetryBudget(0.2, 50, 10, loop.time() - 100)
+        budget.apply_edges(1, loop.time())
+        self.connections = WorkerConnections()
+        self.connections.set_shares({instance: 4 for instance in workers})
+        forwarder = RequestForwarder(
+            self.connections, selector, budget, lambda: tables.snapshot, loop.time, random.Random(1)
+        )
+
+        def limits() -> Limits:
+            assert tables.snapshot.configuration is not None
+            return tables.snapshot.configuration.routes.limits
+
+        self.front = EdgeFront(forwarder.forward, limits)
+        self.address = await self.front.start("127.0.0.1:0")
+        return self
+
+    async def client(self) -> RawClient:
+        """A new client connection."""
+        return await RawClient.connect(self.address)
+
+    async def stop(self) -> None:
+        """End everything."""
+        assert self.front is not None and self.connections is not None
+        await self.front.stop(0.1)
+        self.connections.keep_only(set())
+        for _, raw in self.workers.values():
+            raw.stop()
--- /dev/null
+++ b/tests/system/test_edge_http.py
@@ -0,0 +1,367 @@
+"""The HTTP edges of an edge node, on loopback: bytes in every shape that clients and workers may send."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from tests.system.edge_loopback import SEAL, LoopbackEdge, RawExchange, RawWorker, field_of, request_bytes
+from tests.system.edge_stories import route
+
+ROUTES = [
+    route("pay", "/pay/", "cards", "non_idempotent"),
+    route("look", "/look/", "cards", "idempotent"),
+    route("talk", "/talk/", "cards", "streaming", resumable=True),
+    route("draft", "/draft/", "cards", "streaming"),
+]
+CHUNKED = SEAL + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: x\n\n" % number
+
+
+async def plain(exchange: RawExchange) -> None:
+    await exchange.answer()
+
+
+def stream_head(exchange: RawExchange) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\n" % (exchange.attempt_id, CHUNKED)
+
+
+def play(story: Callable[[], Awaitable[None]]) -> None:
+    """Run a story on loopback, with a bound on its time."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(10):
+            await story()
+
+    asyncio.run(bounded())
+
+
+async def edge_with(*scripts: Any, **limits: Any) -> tuple[LoopbackEdge, RawWorker]:
+    worker = RawWorker(*scripts)
+    edge = await LoopbackEdge(ROUTES, limits).start(w1=("cards", worker))
+    return edge, worker
+
+
+@pytest.mark.parametrize(
+    "path", ["/pay/a%2Fb//c?x=%20&y", "/pay/?", "/pay/%7e/~/..;x?q=%zz#f", "/pay/%C3%A9"]
+)
+def test_the_raw_target_and_the_body_reach_the_worker_byte_for_byte(path: str) -> None:
+    async def story() -> None:
+        edge, worker = await edge_with(plain)
+        client = await edge.client()
+        body = bytes(range(256)) * 40
+        await client.send(request_bytes(path, "a1", body=body))
+        answer = await client.read()
+        assert (answer.status, answer.body) == (200, b"done")
+        assert field_of(answer.head, b"x-server-seal") == b"seal"
+        assert worker.heads[0].split(b"\r\n")[0] == f"POST {path} HTTP/1.1".encode()
+        assert worker.bodies == [body]
+        await edge.stop()
+
+    play(story)
+
+
+def test_a_request_that_comes_byte_by_byte_is_served() -> None:
+    async def story() -> None:
+        edge, worker = await edge_with(plain)
+        client = await edge.client()
+        for byte in request_bytes("/pay/1", "a1", body=b"xyz"):
+            await client.send(bytes([byte]))
+        assert (await client.read()).status == 200
+        assert worker.bodies == [b"xyz"]
+        await edge.stop()
+
+    play(story)
+
+
+def test_a_chunked_request_arrives_whole() -> None:
+    async def story() -> None:
+        edge, worker = await edge_with(plain)
+        client = await edge.client()
+        head = b"POST /pay/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a1\r\n"
+        head += b"Transfer-Encoding: chunked\r\n\r\n"
+        await client.send(head + chunk(b"ab") + chunk(b"cd") + b"0\r\n\r\n")
+        assert (await client.read()).status == 200
+        assert worker.bodies == [b"abcd"]
+        await edge.stop()
+
+    play(story)
+
+
+def test_pipelined_requests_are_answered_in_turn() -> None:
+    async def story() -> None:
+        edge, worker = await edge_with(plain)
+        client = await edge.client()
+        await client.send(b"".join(request_bytes("/pay/1", f"a{n}") for n in range(5)))
+        for number in range(5):
+            answer = await client.read()
+            assert field_of(answer.head, b"x-attempt-id") == b"a%d" % number
+        assert len(worker.heads) == 5
+        await edge.stop()
+
+    play(story)
+
+
+def test_connections_to_a_worker_are_used_again() -> None:
+    async def story() -> None:
+        edge, worker = await edge_with(plain)
+        client = await edge.client()
+        for number in range(5):
+            await client.send(request_bytes("/pay/1", f"a{number}"))
+            await client.read()
+        assert worker.connections == 1
+        await edge.stop()
+
+    play(story)
+
+
+def test_a_late_second_answer_reaches_nobody() -> None:
+    async def twice(exchange: RawExchange) -> None:
+        await exchange.answer(b"first")
+        await exchange.answer(b"surplus")
+
+    async def story() -> None:
+        edge, worker = await edge_with(twice, plain)
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1"))
+        assert (await client.read()).body == b"first"
+        await asyncio.sleep(0.05)
+        await client.send(request_bytes("/pay/1", "a2"))
+        answer = await client.read()
+        assert (answer.body, field_of(answer.head, b"x-attempt-id")) == (b"done", b"a2")
+        assert worker.connections == 2
+        await edge.stop()
+
+    play(story)
+
+
+def test_a_surplus_answer_in_the_place_of_the_next_one_is_skipped() -> None:
+    async def late(exchange: RawExchange) -> None:
+        surplus = exchange.answer_bytes(b"surplus").replace(exchange.attempt_id, b"other")
+        await exchange.write(surplus + exchange.answer_bytes(b"own"))
+
+    async def story() -> None:
+        edge, worker = await edge_with(late, plain)
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1"))
+        assert (await client.read()).body == b"own"
+        await client.send(request_bytes("/pay/1", "a2"))
+        assert (await client.read()).body == b"done"
+        assert worker.connections == 2
+        await edge.stop()
+
+    play(story)
+
+
+@pytest.mark.parametrize("spoilt", [b"garbage\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Le", b""])
+def test_bytes_that_are_no_answer_never_reach_the_client(spoilt: bytes) -> None:
+    async def spoil(exchange: RawExchange) -> None:
+        await exchange.write(spoilt)
+        exchange.writer.close()
+
+    async def story() -> None:
+        edge, _ = await edge_with(spoil)
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1"))
+        answer = await client.read()
+        assert answer.status == 502
+        assert field_of(answer.head, b"x-server-seal") is None
+        await edge.stop()
+
+    play(story)
+
+
+def test_an_answer_without_a_length_is_no_whole_answer() -> None:
+    async def unbounded(exchange: RawExchange) -> None:
+        await exchange.write(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n" + SEAL + b"\r\npart")
+        exchange.writer.close()
+
+    async def story() -> None:
+        edge, _ = await edge_with(unbounded)
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1"))
+        assert (await client.read()).status == 502
+        await edge.stop()
+
+    play(story)
+
+
+def test_a_short_body_becomes_a_failure_without_seal() -> None:
+    async def short(exchange: RawExchange) -> None:
+        await exchange.write(exchange.answer_bytes(b"0123456789")[:-3])
+        exchange.writer.close()
+
+    async def story() -> None:
+        edge, _ = await edge_with(short)
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1"))
+        answer = await client.read()
+        assert answer.status == 502 and field_of(answer.head, b"x-server-seal") is None
+        await edge.stop()
+
+    play(story)
+
+
+@pytest.mark.parametrize("reset", [True, False])
+def test_a_stream_that_breaks_off_is_never_complete(reset: bool) -> None:
+    async def broken(exchange: RawExchange) -> None:
+        await exchange.write(stream_head(exchange) + chunk(event(1)) + chunk(b"id: 2\nda"))
+        await asyncio.sleep(0.05)
+        if reset:
+            exchange.reset()
+        else:
+            exchange.writer.close()
+
+    async def story() -> None:
+        edge, _ = await edge_with(broken)
+        client = await edge.client()
+        await client.send(request_bytes("/draft/1", "a1"))
+        answer = await client.read()
+        assert answer.status == 200
+        assert answer.body == event(1)
+        assert not answer.complete
+        await edge.stop()
+
+    play(story)
+
+
+def test_each_event_is_passed_on_before_the_next_comes() -> None:
+    turn = asyncio.Event()
+
+    async def stepwise(exchange: RawExchange) -> None:
+        await exchange.write(stream_head(exchange))
+        for number in range(1, 4):
+            await exchange.write(chunk(event(number)))
+            await turn.wait()
+            turn.clear()
+        await exchange.write(b"0\r\n\r\n")
+
+    async def story() -> None:
+        edge, _ = await edge_with(stepwise)
+        client = await edge.client()
+        await client.send(request_bytes("/talk/1", "a1"))
+        await client.reader.readuntil(b"\r\n\r\n")
+        for number in range(1, 4):
+            assert await client.read_part() == event(number)
+            turn.set()
+        assert await client.read_part() == b""
+        await edge.stop()
+
+    play(story)
+
+
+def test_a_client_that_leaves_closes_the_connection_to_the_worker() -> None:
+    async def endless(exchange: RawExchange) -> None:
+        await exchange.write(stream_head(exchange))
+        number = 0
+        while True:
+            number += 1
+            await exchange.write(chunk(event(number)))
+            await asyncio.sleep(0.01)
+
+    async def story() -> None:
+        edge, worker = await edge_with(endless)
+        client = await edge.client()
+        await client.send(request_bytes("/talk/1", "a1"))
+        await client.reader.readuntil(b"\r\n\r\n")
+        client.close()
+        await worker.closed.wait()
+        await edge.stop()
+
+    play(story)
+
+
+def test_limits_of_the_configuration_hold() -> None:
+    async def story() -> None:
+        edge, worker = await edge_with(plain, maxHeaderBytes=400, maxBodyBytes=10)
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1", body=b"x" * 11))
+        assert (await client.read()).status == 413
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1", "X-Long: " + "y" * 500))
+        assert (await client.read()).status == 431
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1", "X-Long: " + "y" * 200, body=b"x" * 10))
+        assert (await client.read()).status == 200
+        assert len(worker.heads) == 1
+        await edge.stop()
+
+    play(story)
+
+
+def test_after_draining_begins_answers_tell_clients_to_close() -> None:
+    async def story() -> None:
+        edge, _ = await edge_with(plain)
+        assert edge.front is not None
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1"))
+        assert field_of((await client.read()).head, b"connection") is None
+        edge.front.begin_draining()
+        await client.send(request_bytes("/pay/1", "a2"))
+        assert field_of((await client.read()).head, b"connection") == b"close"
+        newcomer = await edge.client()
+        await newcomer.send(request_bytes("/pay/1", "a3"))
+        assert (await newcomer.read()).status == 200
+        await edge.stop()
+
+    play(story)
+
+
+def test_stopping_waits_for_requests_in_flight() -> None:
+    async def slow(exchange: RawExchange) -> None:
+        await asyncio.sleep(0.3)
+        await exchange.answer()
+
+    async def story() -> None:
+        edge, _ = await edge_with(slow)
+        assert edge.front is not None
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1"))
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(edge.front.stop(5.0))
+        answer = await client.read()
+        assert answer.status == 200 and answer.complete
+        await stopping
+        await edge.stop()
+
+    play(story)
+
+
+def test_a_worker_that_closes_is_not_sent_more_on_that_connection() -> None:
+    async def last(exchange: RawExchange) -> None:
+        await exchange.answer(headers=SEAL + b"Connection: close\r\n")
+
+    async def story() -> None:
+        edge, worker = await edge_with(last, plain)
+        client = await edge.client()
+        for number in range(2):
+            await client.send(request_bytes("/pay/1", f"a{number}"))
+            assert (await client.read()).status == 200
+        assert worker.connections == 2
+        await edge.stop()
+
+    play(story)
+
+
+def test_a_worker_that_resets_new_connections_did_not_run_the_request() -> None:
+    async def story() -> None:
+        edge, worker = await edge_with(plain)
+        worker.stop()
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1"))
+        answer = await client.read()
+        assert answer.status == 503
+        assert field_of(answer.head, b"retry-after") is not None
+        await edge.stop()
+
+    play(story)
--- /dev/null
+++ b/tests/system/virtual_time.py
@@ -0,0 +1,46 @@
+"""An event loop whose clock jumps to the next timer instead of waiting."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Never waits: what it was to wait is added to the loop's clock."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is None:
+            raise RuntimeError("all tasks wait, and no timer is set")
+        if timeout > 0:
+            self.now_s += timeout
+        return []
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Runs timers in order of time, at once."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        """Virtual seconds since the start."""
+        return self._jumping.now_s
+
+
+def run_virtual(story: Coroutine[Any, Any, T]) -> T:
+    """Run a story to its end in virtual time."""
+    loop = VirtualTimeLoop()
+    try:
+        return loop.run_until_complete(story)
+    finally:
+        loop.close()
