--- a/arrowfold/configuration/diffs.py
+++ b/arrowfold/configuration/diffs.py
@@ -4,21 +4,20 @@
 
 from typing import Any
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from arrowfold.configuration.documents import ConfigurationDocument
 from arrowfold.configuration.faults import ConfigurationFault
-from arrowfold.configuration.json_text import JsonObject, read_object, same_value, write_canonical
-from arrowfold.configuration.patches import NAME, REMOVE, UPSERT, apply_patch
+from arrowfold.configuration.json_text import JsonObject, same_value, write_canonical
+from arrowfold.configuration.patches import NAME, REMOVE, REPLACE_WITH, UPSERT, apply_delta_value, apply_patch
 from arrowfold.configuration.validity import check_value
 
-_WHOLE = "replaceWith"  # a delta with this member alone holds the whole new configuration
 _NAMED_LISTS = ("routes", "services")
 
 
 def delta(old: ConfigurationDocument, new: ConfigurationDocument) -> bytes:
     """A patch (JSON) that leads from `old` to exactly `new`, or the whole of `new` where that is shorter."""
-    whole = write_canonical({_WHOLE: new.value})
+    whole = write_canonical({REPLACE_WITH: new.value})
     patch = _patch_between(old.value, new.value)
     applied = apply_patch(old.value, patch)
     if isinstance(applied, Err) or not same_value(applied.ok_value, new.value):
@@ -34,18 +33,6 @@
     return apply_delta_value(old.value, patch).and_then(check_value)
 
 
-def apply_delta_value(old: JsonObject, patch: bytes) -> Result[JsonObject, ConfigurationFault]:
-    """As `apply_delta`, on JSON values and unchecked: for an edge, which takes committed changes only."""
-    return read_object(patch).and_then(lambda change: _follow(old, change))
-
-
-def _follow(old: JsonObject, change: JsonObject) -> Result[JsonObject, ConfigurationFault]:
-    whole = change.get(_WHOLE)
-    if isinstance(whole, dict):
-        return Ok(whole)
-    return apply_patch(old, change)
-
-
 def _patch_between(old: JsonObject, new: JsonObject) -> JsonObject:
     patch: JsonObject = {}
     upsert: dict[str, list[Any]] = {}
--- a/arrowfold/configuration/patches.py
+++ b/arrowfold/configuration/patches.py
@@ -13,7 +13,7 @@
 from result import Err, Ok, Result
 
 from arrowfold.configuration.faults import ConfigurationFault
-from arrowfold.configuration.json_text import JsonObject
+from arrowfold.configuration.json_text import JsonObject, read_object
 from arrowfold.node.result_codes import ResultCode
 
 MemberChange = Callable[[Any, Any, str], Result[Any, ConfigurationFault]]
@@ -21,6 +21,20 @@
 UPSERT = "upsert"
 REMOVE = "remove"
 NAME = "name"
+REPLACE_WITH = "replaceWith"  # in a delta between nodes only: the whole new configuration
+
+
+def apply_delta_value(value: JsonObject, delta: bytes) -> Result[JsonObject, ConfigurationFault]:
+    """The configuration value to which a delta of `diffs.delta` leads, not checked as a whole.
+
+    For an edge, which takes committed changes only.
+    """
+    return read_object(delta).and_then(lambda change: _follow_delta(value, change))
+
+
+def _follow_delta(value: JsonObject, change: JsonObject) -> Result[JsonObject, ConfigurationFault]:
+    whole = change.get(REPLACE_WITH)
+    return Ok(whole) if isinstance(whole, dict) else apply_patch(value, change)
 
 
 def apply_patch(value: JsonObject, patch: JsonObject) -> Result[JsonObject, ConfigurationFault]:
--- /dev/null
+++ b/tests/system/test_configuration_validity.py
@@ -0,0 +1,131 @@
+"""Which configurations may come into force, and how a fault is told."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+
+from arrowfold.configuration.faults import ConfigurationFault, fault_status
+from arrowfold.configuration.validity import parse_configuration
+from arrowfold.node.result_codes import ResultCode
+
+from .configurations import configuration, route, text_of, valid_configurations
+
+
+def fault_of(value: Any) -> ConfigurationFault:
+    return parse_configuration(text_of(value)).unwrap_err()
+
+
+def test_a_valid_configuration_keeps_what_the_models_do_not_know() -> None:
+    value = configuration(xOwner={"team": [1, 1.0, None]}, routes=[route(xNote="kept")])
+    document = parse_configuration(text_of(value)).unwrap()
+    assert document.value == value
+    assert json.loads(document.to_json()) == value
+
+
+def test_a_configuration_without_routes_or_limits_is_valid() -> None:
+    assert parse_configuration(b'{"version":1,"routes":[],"services":[]}').is_ok()
+
+
+@given(valid_configurations())
+def test_what_is_read_back_is_what_was_sent(value: dict[str, Any]) -> None:
+    document = parse_configuration(text_of(value)).unwrap()
+    assert json.dumps(json.loads(document.to_json()), sort_keys=True) == json.dumps(value, sort_keys=True)
+
+
+UNREADABLE = {
+    "cut short": text_of(configuration())[:-20],
+    "empty": b"",
+    "no object": b"[]",
+    "more after the end": text_of(configuration()) + b"}",
+    "not UTF-8": b'{"version":1,"routes":[],"services":[],"x":"\xff"}',
+    "a key twice": b'{"version":1,"version":2,"routes":[],"services":[]}',
+    "an infinite number": b'{"version":1,"routes":[],"services":[],"x":1e999}',
+    "a constant that is no JSON": b'{"version":1,"routes":[],"services":[],"x":NaN}',
+    "nested without end": b'{"version":1,"routes":' + b"[" * 100_000,
+}
+
+
+@pytest.mark.parametrize("body", UNREADABLE.values(), ids=UNREADABLE.keys())
+def test_what_cannot_be_read_whole_is_refused(body: bytes) -> None:
+    fault = parse_configuration(body).unwrap_err()
+    assert fault.code is ResultCode.CONFIGURATION_UNREADABLE
+    assert fault_status(fault) == 400
+
+
+INVALID = {
+    "version missing": ({"routes": [], "services": []}, "version"),
+    "version as text": (configuration(version="7"), "version"),  # type: ignore[arg-type]
+    "version as truth value": (configuration(version=True), "version"),
+    "version with a fraction": (configuration(version=7.5), "version"),  # type: ignore[arg-type]
+    "version 0": (configuration(version=0), "version"),
+    "routes missing": ({"version": 1, "services": []}, "routes"),
+    "services missing": ({"version": 1, "routes": []}, "services"),
+    "routes no list": (configuration(routes={}), "routes"),
+    "route no object": (configuration(routes=["r"]), "routes[0]"),
+    "unknown service": (
+        configuration(routes=[route("q"), route(targetService="u")]),
+        "routes[1].targetService",
+    ),
+    "unknown service in a split": (
+        configuration(routes=[route(trafficSplit=[{"targetService": "u", "weight": 0}])]),
+        "routes[0].trafficSplit[0].targetService",
+    ),
+    "no service": (configuration(routes=[route(targetService=None)]), "routes[0]"),
+    "same place": (configuration(routes=[route("q"), route(pathPrefix="/q/")]), "routes[1].pathPrefix"),
+    "same place in other letters": (
+        configuration(routes=[route("q"), route(pathPrefix="/q/", hostname="A.EXAMPLE")]),
+        "routes[1].pathPrefix",
+    ),
+    "same name": (configuration(routes=[route(), route(pathPrefix="/q/")]), "routes[1].name"),
+    "same service name": (configuration(services=[{"name": "s"}, {"name": "s"}]), "services[1].name"),
+    "no weight": (
+        configuration(routes=[route(trafficSplit=[{"targetService": "s", "weight": 0}])]),
+        "routes[0].trafficSplit",
+    ),
+    "no parts": (configuration(routes=[route(trafficSplit=[])]), "routes[0].trafficSplit"),
+    "negative weight": (
+        configuration(routes=[route(trafficSplit=[{"targetService": "s", "weight": -1}])]),
+        "routes[0].trafficSplit[0].weight",
+    ),
+    "no timeout": (configuration(routes=[route(timeoutMs=0)]), "routes[0].timeoutMs"),
+    "negative timeout": (configuration(routes=[route(timeoutMs=-5)]), "routes[0].timeoutMs"),
+    "timeout as text": (configuration(routes=[route(timeoutMs="5")]), "routes[0].timeoutMs"),
+    "no attempts": (configuration(routes=[route(maxAttempts=0)]), "routes[0].maxAttempts"),
+    "prefix without first slash": (
+        configuration(routes=[route(pathPrefix="a/")]),
+        "routes[0].pathPrefix",
+    ),
+    "prefix without last slash": (configuration(routes=[route(pathPrefix="/a")]), "routes[0].pathPrefix"),
+    "engine without slots": (
+        configuration(services=[{"name": "s", "engine": {"kvCacheTokens": 1}}]),
+        "services[0].engine.capacitySlots",
+    ),
+}
+
+
+@pytest.mark.parametrize(("value", "path"), INVALID.values(), ids=INVALID.keys())
+def test_what_is_invalid_is_refused_with_the_path_of_the_fault(value: Any, path: str) -> None:
+    fault = fault_of(value)
+    assert fault.code is ResultCode.CONFIGURATION_INVALID
+    assert fault.path == path
+    assert path in str(fault)
+    assert fault_status(fault) == 400
+
+
+def test_a_body_over_the_limit_is_refused() -> None:
+    body = text_of(configuration())
+    assert parse_configuration(body, max_body_bytes=len(body)).is_ok()
+    fault = parse_configuration(body, max_body_bytes=len(body) - 1).unwrap_err()
+    assert fault.code is ResultCode.CONFIGURATION_TOO_LARGE
+    assert fault_status(fault) == 413
+
+
+@given(valid_configurations())
+def test_a_text_cut_anywhere_is_refused(value: dict[str, Any]) -> None:
+    body = text_of(value)
+    for length in range(0, len(body), max(1, len(body) // 10)):
+        assert parse_configuration(body[:length]).is_err()
