--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -4,9 +4,9 @@
 Usage: known_red.py LIST PYTEST-ARGUMENT...
 
 Each line of LIST is `TEST | CAUSE | ISSUE`, TEST being pytest's whole id; lines that begin with # are
-comments. Every test is run, also the listed ones, and each listed one is printed with its outcome. Exit code 0:
-nothing failed but listed tests; 1: another test failed, or a listed one was not run; 2: LIST is at fault; else
-pytest's own.
+comments. Every test is run, also the listed ones, and each listed one is printed with its outcome.
+Exit code 0: nothing failed but listed tests; 1: another test failed, or a listed one was not run;
+2: LIST is at fault; else pytest's own.
 """
 
 from __future__ import annotations
