--- a/arrowfold/dataplane/attempts.py
+++ b/arrowfold/dataplane/attempts.py
@@ -38,6 +38,7 @@
     last_event: int | None = None
     events_passed: int = 0
     stream_versions: str | None = None
+    broken_s: float | None = None  # when the last worker broke off
 
     @property
     def may_send_again(self) -> bool:
--- a/arrowfold/dataplane/forwarding.py
+++ b/arrowfold/dataplane/forwarding.py
@@ -8,10 +8,8 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from arrowfold.configuration.routes import STREAMING
 from arrowfold.dataplane import headers as names
 from arrowfold.dataplane.attempts import RequestProgress, begin
-from arrowfold.dataplane.events import EventSplitter, EventTooLargeError
 from arrowfold.dataplane.exchange import (
     BodyLostError,
     ClientAnswer,
@@ -21,9 +19,16 @@
     WorkerRequest,
     WorkerTransport,
 )
-from arrowfold.dataplane.headers import REWRITTEN_IN_REQUESTS, end_to_end, find, parse_load
-from arrowfold.dataplane.own_answers import OwnAnswer, may_have_run, not_executed
+from arrowfold.dataplane.headers import (
+    REWRITTEN_IN_ANSWERS,
+    REWRITTEN_IN_REQUESTS,
+    end_to_end,
+    find,
+    parse_load,
+)
+from arrowfold.dataplane.own_answers import OVERLOAD_RETRY_S, OwnAnswer, may_have_run, not_executed
 from arrowfold.dataplane.retry_budget import RetryBudget
+from arrowfold.dataplane.streams import relay_stream
 from arrowfold.dataplane.tables import FleetSnapshot
 from arrowfold.node.result_codes import ResultCode
 from arrowfold.selection.interface import (
@@ -35,10 +40,10 @@
 )
 
 PROMISE_STATUSES = frozenset({408, 421, 429, 503})  # of an answer: the request has not run and never will
-REWRITTEN_IN_ANSWERS = frozenset({names.CONTENT_LENGTH})
 LARGEST_BUFFERED_BODY = 8 * 1024 * 1024  # bytes of an answer that is no stream
-SHORTEST_SEND_S = 0.002  # with less time left a request isn't sent
-MOST_CHOICES = 12  # choices of a worker for one request, those included that could not be reached
+MOST_CHOICES = 24  # choices of a worker for one request, those included that could not be reached
+LONGEST_RESUME_WAIT_S = 1.2  # a stream that broke off waits this long for a worker to go on at
+RESUME_PAUSE_S = 0.1
 
 
 class RequestForwarder:
@@ -86,20 +91,36 @@
             await self._end_without_worker(progress, answer, ResultCode.DEADLINE_PASSED, None)
 
     async def _run(self, progress: RequestProgress, answer: ClientAnswer) -> None:
+        refusal = RefusedRequest(ResultCode.OVERLOADED, OVERLOAD_RETRY_S)
         for _ in range(MOST_CHOICES):
             choice = await self._choose(progress)
             if isinstance(choice, RefusedRequest):
-                await self._end_without_worker(
-                    progress, answer, ResultCode(choice.code), choice.retry_after_s
-                )
-                return
-            if progress.sends and not self._budget.take(progress.service, self._clock()):
+                refusal = choice
+                if not answer.started or not await self._wait_to_resume(progress):
+                    break
+                continue
+            repeated = progress.sends > 0
+            if repeated and not self._budget.take(progress.service, self._clock()):
                 break
+            sends_before = progress.sends
             if await self._attempt(progress, choice, answer):
                 return
+            if repeated and progress.sends == sends_before:
+                self._budget.give_back(progress.service)
             if not progress.may_send_again:
                 break
-        await self._end_without_worker(progress, answer, ResultCode.OVERLOADED, 0.25)
+        await self._end_without_worker(progress, answer, ResultCode(refusal.code), refusal.retry_after_s)
+
+    async def _wait_to_resume(self, progress: RequestProgress) -> bool:
+        """A stream that broke off waits a little for a worker; False if it has waited long enough."""
+        now_s = self._clock()
+        if progress.broken_s is None or now_s - progress.broken_s >= LONGEST_RESUME_WAIT_S:
+            return False
+        progress.tried.clear()  # the worker that broke off may be the only one that holds the model
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RESUME_PAUSE_S):
+                await self._changed.wait()
+        return True
 
     async def _choose(self, progress: RequestProgress) -> ChosenWorker | RefusedRequest:
         while True:
@@ -108,43 +129,49 @@
             choice = self._selector.choose(profile, progress.tried, now_s)
             if not isinstance(choice, WaitForWorker):
                 return choice
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(max(0.0, min(choice.wait_s, progress.deadline_s - now_s))):
                     await self._changed.wait()
-            except TimeoutError:
-                pass
 
     async def _attempt(self, progress: RequestProgress, choice: ChosenWorker, answer: ClientAnswer) -> bool:
         """Send it to one worker; True once the client's answer has ended."""
+        progress.tried.add(choice.instance)
         if not self._snapshot().may_send(choice.instance):
-            progress.tried.add(choice.instance)
             return False
         self._selector.sent(progress.profile, choice.instance, self._clock())
         outcome = Outcome.CANCELLED
-        progress.tried.add(choice.instance)
-        run_before, progress.may_have_run = progress.may_have_run, True
-        progress.sends += 1
         try:
-            sent = await self._transport.send(
-                choice.instance, choice.address, self._worker_request(progress, choice)
-            )
-            if sent.is_err():
-                failure = sent.unwrap_err()
+            outcome = await self._exchange(progress, choice, answer)
+        except asyncio.CancelledError:
+            if self._clock() >= progress.deadline_s:
                 outcome = Outcome.LOST
-                if failure is not SendFailure.LOST:
-                    outcome = Outcome.UNREACHABLE
-                    progress.sends -= 1
-                    progress.may_have_run = run_before
-                return False
-            worker_answer = sent.unwrap()
-            try:
-                outcome = await self._judge(progress, choice, worker_answer, answer, run_before)
-            finally:
-                worker_answer.close()
+            raise
         finally:
             self._selector.ended(progress.profile, choice.instance, outcome, self._clock())
+        if outcome is Outcome.LOST:
+            progress.broken_s = self._clock()
         return outcome in (Outcome.SUCCEEDED, Outcome.FAILED)
 
+    async def _exchange(
+        self, progress: RequestProgress, choice: ChosenWorker, answer: ClientAnswer
+    ) -> Outcome:
+        """One send and what came of it."""
+        run_before, progress.may_have_run = progress.may_have_run, True
+        progress.sends += 1
+        request = self._worker_request(progress, choice)
+        sent = await self._transport.send(choice.instance, choice.address, request)
+        if sent.is_err():
+            if sent.unwrap_err() is SendFailure.LOST:
+                return Outcome.LOST
+            progress.sends -= 1
+            progress.may_have_run = run_before
+            return Outcome.UNREACHABLE
+        worker_answer = sent.unwrap()
+        try:
+            return await self._judge(progress, choice, worker_answer, answer, run_before)
+        finally:
+            worker_answer.close()
+
     def _worker_request(self, progress: RequestProgress, choice: ChosenWorker) -> WorkerRequest:
         request = progress.request
         dropped = REWRITTEN_IN_REQUESTS
@@ -184,12 +211,19 @@
             await _skip_body(worker_answer)
             return Outcome.MISDIRECTED if status == 421 else Outcome.REJECTED_FULL
         try:
-            if 200 <= status < 300 and progress.route.kind == STREAMING:
-                await self._pass_stream(progress, choice, worker_answer, answer)
+            if 200 <= status < 300 and _is_event_stream(worker_answer):
+                await relay_stream(
+                    progress,
+                    worker_answer,
+                    answer,
+                    lambda: self._selector.first_event(progress.profile, choice.instance, self._clock()),
+                )
                 return Outcome.SUCCEEDED
             body = await _read_body(worker_answer)
-        except (BodyLostError, EventTooLargeError):
+        except BodyLostError:
             return Outcome.LOST
+        if answer.started:
+            return Outcome.LOST  # no stream where a broken one should go on
         if not 200 <= status < 300:
             return await self._pass_failure(progress, worker_answer, body, answer)
         self._selector.first_event(progress.profile, choice.instance, self._clock())
@@ -200,47 +234,13 @@
         self, progress: RequestProgress, worker_answer: WorkerAnswer, body: bytes, answer: ClientAnswer
     ) -> Outcome:
         status = worker_answer.status
-        if status in PROMISE_STATUSES or answer.started:
-            return (
-                Outcome.LOST
-            )  # a promise that the worker did not prove, or a failure in place of a resumed stream
+        if status in PROMISE_STATUSES:
+            return Outcome.LOST  # a promise that the worker did not prove
+        if status >= 500 and progress.may_send_again:
+            return Outcome.LOST  # another worker may do better
         await answer.send_whole(status, end_to_end(worker_answer.headers, REWRITTEN_IN_ANSWERS), body)
         return Outcome.FAILED
 
-    async def _pass_stream(
-        self,
-        progress: RequestProgress,
-        choice: ChosenWorker,
-        worker_answer: WorkerAnswer,
-        answer: ClientAnswer,
-    ) -> None:
-        """Pass on whole events as they come; raises BodyLostError when the stream breaks off."""
-        splitter = EventSplitter()
-        first = True
-        while chunk := await worker_answer.read_chunk():
-            events = splitter.feed(chunk)
-            if not events:
-                continue
-            if first:
-                first = False
-                self._selector.first_event(progress.profile, choice.instance, self._clock())
-            for event in events:
-                if event.identity is not None:
-                    if progress.last_event is not None and event.identity <= progress.last_event:
-                        raise BodyLostError("the stream's ids don't rise")
-                    progress.last_event = event.identity
-                progress.events_passed += 1
-            if not answer.started:
-                await answer.start(
-                    worker_answer.status, end_to_end(worker_answer.headers, REWRITTEN_IN_ANSWERS)
-                )
-            await answer.write(b"".join(event.data for event in events))
-        if splitter.pending:
-            raise BodyLostError("the stream ended within an event")
-        if not answer.started:
-            await answer.start(worker_answer.status, end_to_end(worker_answer.headers, REWRITTEN_IN_ANSWERS))
-        await answer.finish()
-
     async def _end_without_worker(
         self, progress: RequestProgress, answer: ClientAnswer, code: ResultCode, retry_after_s: float | None
     ) -> None:
@@ -256,6 +256,11 @@
         await _send_own(answer, own, progress.attempt_id)
 
 
+def _is_event_stream(worker_answer: WorkerAnswer) -> bool:
+    content_type = find(worker_answer.headers, names.CONTENT_TYPE) or ""
+    return content_type.partition(";")[0].strip().lower() == "text/event-stream"
+
+
 async def _send_own(answer: ClientAnswer, own: OwnAnswer, attempt_id: str | None) -> None:
     await answer.send_whole(own.status, own.headers(attempt_id), own.body())
 
--- a/arrowfold/dataplane/headers.py
+++ b/arrowfold/dataplane/headers.py
@@ -22,7 +22,7 @@
 PROMPT_PREFIX = b"x-prompt-prefix"
 RETRY_AFTER = b"retry-after"
 CONTENT_LENGTH = b"content-length"
-CONTENT_ENCODING = b"content-encoding"
+CONTENT_TYPE = b"content-type"
 CONNECTION = b"connection"
 KEEP_ALIVE = b"keep-alive"
 
@@ -41,6 +41,7 @@
     }
 )
 # Headers of a request that the edge writes itself.
+REWRITTEN_IN_ANSWERS = frozenset({CONTENT_LENGTH})
 REWRITTEN_IN_REQUESTS = frozenset({CONTENT_LENGTH, b"expect", DEADLINE_MS, TARGET_INSTANCE, PRIORITY})
 
 
--- a/arrowfold/dataplane/puller.py
+++ b/arrowfold/dataplane/puller.py
@@ -12,7 +12,8 @@
 
 POLL_S = 1.0  # how long a control node may hold a pull
 ANSWER_SLACK_S = 0.7  # beyond POLL_S: the connection is given up and dialled anew
-RETRY_PAUSE_S = 0.2
+RETRY_PAUSE_S = 0.1  # after the first failure; grows with each
+LONGEST_RETRY_PAUSE_S = 0.5
 
 
 class ControlPuller:
@@ -64,13 +65,19 @@
                 self._tasks[address] = asyncio.create_task(self._pull_from(address))
 
     async def _pull_from(self, address: str) -> None:
+        failures = 0
         while True:
             request = PullRequest(self._identity, dict(self._tables.vector), POLL_S)
             answer = await self._client.call(address, request, POLL_S + ANSWER_SLACK_S)
             if answer.is_err() or not isinstance(answer.unwrap(), PullResponse):
-                self._log.info("pull_failed", address=address, reason=str(answer))
-                await asyncio.sleep(RETRY_PAUSE_S)
+                failures += 1
+                if failures == 1:
+                    self._log.info("control_node_lost", address=address, reason=str(answer))
+                await asyncio.sleep(min(LONGEST_RETRY_PAUSE_S, RETRY_PAUSE_S * failures))
                 continue
+            if failures:
+                self._log.info("control_node_back", address=address, failures=failures)
+                failures = 0
             if self._tables.take(answer.unwrap()):
                 self._changed()
                 self._follow()
--- a/arrowfold/dataplane/retry_budget.py
+++ b/arrowfold/dataplane/retry_budget.py
@@ -22,6 +22,10 @@
     def add(self, now_s: float) -> None:
         self._times.append(now_s)
 
+    def drop_last(self) -> None:
+        if self._times:
+            self._times.pop()
+
     def count(self, now_s: float) -> int:
         oldest = now_s - self._length_s
         while self._times and self._times[0] <= oldest:
@@ -65,6 +69,10 @@
         repeats.add(now_s)
         return True
 
+    def give_back(self, service: str) -> None:
+        """Return what was taken last, since nothing was sent."""
+        self._repeats[service].drop_last()
+
     def _allowance(self, service: str, now_s: float) -> float:
         requests = self._requests.get(service)
         own = requests.count(now_s) if requests is not None else 0
--- a/tests/system/edge_stories.py
+++ b/tests/system/edge_stories.py
@@ -158,7 +158,15 @@
 ) -> ScriptedAnswer:
     """A stream with the events from `first` to `last`."""
     chunks = tuple((pause_s, event(number)) for number in range(first, last + 1))
-    return ScriptedAnswer(200, ((b"X-Server-Seal", seal),), chunks, breaks)
+    return stream(chunks, breaks, seal)
+
+
+def stream(
+    chunks: tuple[tuple[float, bytes], ...], breaks: bool = False, seal: bytes = b"seal"
+) -> ScriptedAnswer:
+    """A stream with these chunks."""
+    headers = ((b"X-Server-Seal", seal), (b"Content-Type", b"text/event-stream"))
+    return ScriptedAnswer(200, headers, chunks, breaks)
 
 
 @dataclass(slots=True)
