--- /dev/null
+++ b/arrowfold/controlplane/changes.py
@@ -0,0 +1,135 @@
+"""The operator's calls: decided and committed by the primary, passed on to it by every other member."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from result import Err, Ok
+
+from arrowfold.configuration.changes import change_digest, prepare_patch, prepare_put
+from arrowfold.configuration.diffs import delta
+from arrowfold.configuration.documents import ConfigurationDocument
+from arrowfold.configuration.faults import ConfigurationFault, fault_status
+from arrowfold.configuration.validity import parse_configuration
+from arrowfold.internal.messages import ReadConfiguration, SubmitChange, SubmitResult
+from arrowfold.node.result_codes import ResultCode
+from arrowfold.replication.ports import Caller
+from arrowfold.replication.proposals import Proposal, ReplicaPort, ReplicationFault
+from arrowfold.replication.state import ConfigurationStep, ControlState
+
+LOCAL_TIMEOUT_S = 0.9  # for the primary's answer; a caller moves on after a second of silence
+FORWARD_TIMEOUT_S = 0.85  # for an answer of the primary to another member
+PUT = "PUT"
+
+
+def fault_body(code: ResultCode, text: str, path: str = "") -> bytes:
+    """The JSON body of a refusal."""
+    body: dict[str, Any] = {"code": int(code), "error": code.name, "text": text}
+    if path:
+        body["path"] = path
+    return json.dumps(body).encode()
+
+
+def unavailable(code: ResultCode, text: str) -> SubmitResult:
+    """The answer that sends the caller to another node."""
+    return SubmitResult(503, fault_body(code, text))
+
+
+class ConfigurationService:
+    """Takes, acknowledges and reads configurations, whichever member it runs on."""
+
+    def __init__(self, replica: ReplicaPort, caller: Caller) -> None:
+        self._replica = replica
+        self._caller = caller
+        self._parsed: tuple[bytes, ConfigurationDocument] | None = None
+
+    # At the member that the operator called
+
+    async def submit(self, change: SubmitChange) -> SubmitResult:
+        """The answer to PUT or PATCH, within a second."""
+        return await self._in_time(self.on_submit if self._replica.is_primary() else self._forward, change)
+
+    async def read(self) -> SubmitResult:
+        """The answer to GET."""
+        request = ReadConfiguration()
+        return await self._in_time(self.on_read if self._replica.is_primary() else self._forward, request)
+
+    async def _in_time(self, answer: Callable[[Any], Awaitable[SubmitResult]], request: Any) -> SubmitResult:
+        try:
+            async with asyncio.timeout(LOCAL_TIMEOUT_S):
+                return await answer(request)
+        except TimeoutError:
+            return unavailable(ResultCode.REPLICATION_TIMEOUT, "not committed in time")
+
+    async def _forward(self, request: SubmitChange | ReadConfiguration) -> SubmitResult:
+        primary = self._replica.primary()
+        if primary is None or primary.member == self._replica.member:
+            return unavailable(ResultCode.NO_QUORUM, "no primary")
+        answer = await self._caller.call(primary.address, request, FORWARD_TIMEOUT_S)
+        found = answer.ok()
+        if isinstance(found, SubmitResult):
+            return found
+        return unavailable(ResultCode.REPLICATION_TIMEOUT, "the primary did not answer")
+
+    # At the primary
+
+    async def on_submit(self, change: SubmitChange) -> SubmitResult:
+        """Decide on a change, commit it, and answer."""
+        digest = change_digest(change.kind, change.if_match, change.body)
+        result = await self._replica.propose(lambda state: self._decide(state, change, digest))
+        if isinstance(result, Err):
+            return _not_committed(result.err_value)
+        return result.ok_value
+
+    async def on_read(self, _: ReadConfiguration) -> SubmitResult:
+        """The newest committed configuration, under a lease."""
+        result = await self._replica.propose(_decide_read)
+        return _not_committed(result.err_value) if isinstance(result, Err) else result.ok_value
+
+    def _decide(self, state: ControlState, change: SubmitChange, digest: bytes) -> Proposal[SubmitResult]:
+        taken = state.accepted.get(digest)
+        if taken is not None:
+            return Proposal(_accepted(taken))
+        current = self._parse(state.configuration)
+        prepare = prepare_put if change.kind == PUT else prepare_patch
+        prepared = prepare(current, change.if_match, change.body)
+        if isinstance(prepared, Err):
+            return Proposal(_refused(prepared.err_value))
+        document = prepared.ok_value
+        text = document.to_json()
+        patch = delta(current, document) if current is not None else None
+        self._parsed = (text, document)
+        step = ConfigurationStep(document.version, digest, text, patch)
+        return Proposal(_accepted(document.version), step)
+
+    def _parse(self, text: bytes | None) -> ConfigurationDocument | None:
+        if text is None:
+            return None
+        if self._parsed is None or self._parsed[0] != text:
+            parsed = parse_configuration(text)
+            assert isinstance(parsed, Ok)
+            self._parsed = (text, parsed.ok_value)
+        return self._parsed[1]
+
+
+def _decide_read(state: ControlState) -> Proposal[SubmitResult]:
+    if state.configuration is None:
+        return Proposal(
+            SubmitResult(404, fault_body(ResultCode.CONFIGURATION_ABSENT, "no configuration yet"))
+        )
+    return Proposal(SubmitResult(200, state.configuration))
+
+
+def _accepted(version: int) -> SubmitResult:
+    return SubmitResult(200, json.dumps({"version": version}).encode())
+
+
+def _refused(fault: ConfigurationFault) -> SubmitResult:
+    return SubmitResult(fault_status(fault), fault_body(fault.code, fault.text, fault.path))
+
+
+def _not_committed(fault: ReplicationFault) -> SubmitResult:
+    return unavailable(fault.code, str(fault))
--- /dev/null
+++ b/arrowfold/controlplane/http_interface.py
@@ -0,0 +1,79 @@
+"""The HTTP interface of a control node, for workers and the operator (Sanic inside the running event loop)."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from result import Err
+from sanic import HTTPResponse, Request, Sanic
+from sanic.response import raw
+from sanic.server import AsyncioServer
+
+from arrowfold.controlplane.changes import ConfigurationService, fault_body
+from arrowfold.controlplane.registration import RegistrationFault, RegistrationService, parse_registration
+from arrowfold.internal.messages import SubmitChange, SubmitDeparture, SubmitResult
+from arrowfold.node.result_codes import ResultCode
+from arrowfold.registry.workers import GONE
+
+LARGEST_BODY = 8 * 1024 * 1024  # bytes of a configuration
+JSON = "application/json"
+
+
+def _json(status: int, body: bytes) -> HTTPResponse:
+    return raw(body, status=status, content_type=JSON)
+
+
+def _submitted(result: SubmitResult) -> HTTPResponse:
+    return _json(result.status, result.body)
+
+
+def _registration_refused(fault: RegistrationFault) -> HTTPResponse:
+    status = 400 if fault.code == ResultCode.REGISTRATION_INVALID else 503
+    return _json(status, fault_body(fault.code, str(fault)))
+
+
+def build_application(
+    name: str, configurations: ConfigurationService, registrations: RegistrationService
+) -> Sanic[Any, Any]:
+    """The routes of the control API."""
+    application: Sanic[Any, Any] = Sanic(f"arrowfold-{name}", configure_logging=False)
+    application.config.ACCESS_LOG = False
+    application.config.REQUEST_MAX_SIZE = LARGEST_BODY
+    application.config.MOTD = False
+    application.config.KEEP_ALIVE_TIMEOUT = 60
+
+    async def change_configuration(request: Request) -> HTTPResponse:
+        change = SubmitChange(request.method, request.headers.get("if-match"), request.body)
+        return _submitted(await configurations.submit(change))
+
+    async def read_configuration(_: Request) -> HTTPResponse:
+        return _submitted(await configurations.read())
+
+    async def register(request: Request, instance: str) -> HTTPResponse:
+        parsed = parse_registration(instance, request.body)
+        if isinstance(parsed, Err):
+            return _registration_refused(parsed.err_value)
+        taken = await registrations.heard(parsed.ok_value)
+        return _registration_refused(taken.err_value) if isinstance(taken, Err) else _json(200, b"{}")
+
+    async def deregister(_: Request, instance: str) -> HTTPResponse:
+        taken = await registrations.depart(SubmitDeparture(instance, GONE))
+        return _registration_refused(taken.err_value) if isinstance(taken, Err) else _json(200, b"{}")
+
+    application.add_route(change_configuration, "/configuration", methods=["PUT", "PATCH"])
+    application.add_route(read_configuration, "/configuration", methods=["GET"], name="read_configuration")
+    application.add_route(register, "/instances/<instance:str>", methods=["PUT"])
+    application.add_route(deregister, "/instances/<instance:str>", methods=["DELETE"], name="deregister")
+    return application
+
+
+async def serve(application: Sanic[Any, Any], address: str) -> AsyncioServer:
+    """Listen at HOST:PORT in the running event loop."""
+    host, port = address.rsplit(":", 1)
+    server = await application.create_server(
+        host=host, port=int(port), backlog=512, access_log=False, return_asyncio_server=True
+    )
+    assert server is not None
+    await server.startup()
+    await server.start_serving()
+    return server
--- /dev/null
+++ b/arrowfold/controlplane/node.py
@@ -0,0 +1,186 @@
+"""One control node: storage, replication, registry and both interfaces, put together."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from arrowfold.controlplane.changes import ConfigurationService
+from arrowfold.controlplane.distribution import Distributor
+from arrowfold.controlplane.http_interface import build_application, serve
+from arrowfold.controlplane.messages import EdgeSightings
+from arrowfold.controlplane.peers import PeerPulls
+from arrowfold.controlplane.presence import EdgePresence
+from arrowfold.controlplane.registration import RegistrationService
+from arrowfold.internal.channel import ChannelClient, ChannelServer
+from arrowfold.internal.messages import (
+    Acknowledgement,
+    DemandReport,
+    MemberInfo,
+    NodeIdentity,
+    PullRequest,
+    ReadConfiguration,
+    RoleOwner,
+    SubmitChange,
+    SubmitDeparture,
+)
+from arrowfold.node.logs import RateLimitedLog
+from arrowfold.node.settings import NodeSettings
+from arrowfold.registry.workers import WorkerRegistry
+from arrowfold.replication.durable import DurableImage, image_of
+from arrowfold.replication.identity import Identity, draw_identity, read_identity
+from arrowfold.replication.member import GroupMember
+from arrowfold.replication.records import MemberImage
+from arrowfold.replication.replica import Replica
+from arrowfold.replication.timings import Timings
+from arrowfold.storage.folders import Folder, OsFolder
+from arrowfold.storage.log import SegmentedLog
+from arrowfold.storage.worker import ThreadDiskWorker
+
+SWEEP_INTERVAL_S = 0.5
+OPEN_RETRY_S = 0.3  # after a disk refused the first writes of a start
+
+
+def _open_storage(folder: Folder, settings: NodeSettings) -> tuple[Identity, SegmentedLog, MemberImage]:
+    """Blocking: read or draw the identity, and recover the log."""
+    identity = read_identity(folder)
+    if identity is None:
+        identity = draw_identity(folder, settings.firstStart, settings.seed_internal_addresses())
+    log = SegmentedLog(folder)
+    return identity, log, image_of(log.recover())
+
+
+class ControlNode:
+    """A running control node; `start` builds it, `stop` hands over what it leads."""
+
+    def __init__(self, settings: NodeSettings, log: RateLimitedLog) -> None:
+        self._settings = settings
+        self._log = log
+        self._disk = ThreadDiskWorker()
+        self._calls = ChannelClient()  # replication: short calls
+        self._passed_on = ChannelClient()  # calls passed on to the primary, and long pulls
+        self._tasks: list[asyncio.Task[None]] = []
+        self._server: ChannelServer | None = None
+        self._replica: Replica | None = None
+        self._pulls: PeerPulls | None = None
+
+    async def start(self) -> None:
+        """Recover the state, listen, and take part in the group."""
+        settings = self._settings
+        clock = asyncio.get_running_loop().time
+        identity, durable = await self._recover(clock)
+        info = MemberInfo(
+            identity.member,
+            settings.nodeName,
+            settings.internal_address,
+            settings.listenAddresses.control or "",
+            settings.zone,
+        )
+        member = GroupMember(info, identity.founder, durable, clock, Timings(), self._log)
+        replica = self._replica = Replica(
+            member,
+            self._calls,
+            identity.seeds,
+            settings.faultTolerance.machineLosses,
+            self._log,
+            random.Random(identity.member),
+        )
+        replica.set_addresses(settings.seed_internal_addresses())
+        origin = f"{identity.member}.{secrets.token_hex(3)}"
+        registry = WorkerRegistry(origin, clock, settings.beatIntervalMs / 1000)
+        presence = EdgePresence(clock, settings.bounds.budgetWindowS)
+        distributor = Distributor(replica, registry, presence, lambda: _role_owners(replica))
+        configurations = ConfigurationService(replica, self._passed_on)
+        registrations = RegistrationService(replica, registry, self._passed_on, distributor.wake)
+        node = NodeIdentity(
+            settings.nodeName, identity.member, settings.zone, settings.internal_address, settings.serves
+        )
+        pulls = self._pulls = PeerPulls(
+            node, replica, registry, presence, self._passed_on, clock, distributor.wake
+        )
+        replica.add_listener(distributor.wake)
+        replica.add_listener(pulls.follow_members)
+        handlers = {
+            **replica.handlers(),
+            **_plane_handlers(distributor, configurations, registrations, presence),
+        }
+        self._server = ChannelServer(handlers)
+        await self._server.start(settings.internal_address)
+        if settings.listenAddresses.control is not None:
+            application = build_application(settings.nodeName, configurations, registrations)
+            await serve(application, settings.listenAddresses.control)
+        self._tasks.append(asyncio.create_task(replica.run()))
+        self._tasks.append(asyncio.create_task(_sweep(registry, pulls, distributor)))
+        self._log.info(
+            "control.started", member=identity.member, founder=identity.founder, epoch=replica.epoch
+        )
+
+    async def _recover(self, clock: Callable[[], float]) -> tuple[Identity, DurableImage]:
+        folder = OsFolder(Path(self._settings.dataDirectory or "/tmp/arrowfold-control"))
+        while True:
+            try:
+                identity, log, image = await self._disk.run(lambda: _open_storage(folder, self._settings))
+                return identity, DurableImage(log, self._disk, clock, image)
+            except OSError as error:
+                self._log.warning("storage.open_failed", reason=str(error))
+                await asyncio.sleep(OPEN_RETRY_S)
+
+    def take_settings(self, settings: NodeSettings) -> None:
+        """Take changed settings: other seeds."""
+        self._settings = settings
+        if self._replica is not None:
+            self._replica.set_addresses(settings.seed_internal_addresses())
+
+    async def stop(self) -> None:
+        """Hand over what this node leads, and stop."""
+        if self._replica is not None:
+            await self._replica.stop()
+        for task in self._tasks:
+            task.cancel()
+        if self._pulls is not None:
+            self._pulls.close()
+        if self._server is not None:
+            await self._server.close()
+        self._calls.close()
+        self._passed_on.close()
+        self._disk.close()
+
+
+def _role_owners(replica: Replica) -> tuple[RoleOwner, ...]:
+    return tuple(
+        RoleOwner(role, tenure.member, tenure.token) for role, tenure in replica.committed.roles.items()
+    )
+
+
+def _plane_handlers(
+    distributor: Distributor,
+    configurations: ConfigurationService,
+    registrations: RegistrationService,
+    presence: EdgePresence,
+) -> dict[type[Any], Callable[[Any], Awaitable[Any]]]:
+    async def sightings(message: EdgeSightings) -> Acknowledgement:
+        presence.learn(message.ages_s)
+        return Acknowledgement()
+
+    async def demand(_: DemandReport) -> Acknowledgement:
+        return Acknowledgement()
+
+    return {
+        PullRequest: distributor.pull,
+        SubmitChange: configurations.on_submit,
+        ReadConfiguration: configurations.on_read,
+        SubmitDeparture: registrations.on_departure,
+        EdgeSightings: sightings,
+        DemandReport: demand,
+    }
+
+
+async def _sweep(registry: WorkerRegistry, pulls: PeerPulls, distributor: Distributor) -> None:
+    while True:
+        await asyncio.sleep(SWEEP_INTERVAL_S)
+        if registry.sweep(pulls.is_live):
+            distributor.wake()
--- /dev/null
+++ b/arrowfold/controlplane/registration.py
@@ -0,0 +1,158 @@
+"""Calls of workers: heartbeats are taken by any control node, notices of departure are committed first."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+from arrowfold.internal.messages import (
+    Acknowledgement,
+    CallFailed,
+    HeldModel,
+    SubmitDeparture,
+    WorkerRecord,
+)
+from arrowfold.node.result_codes import ResultCode
+from arrowfold.registry.workers import AVAILABLE, DRAINING, GONE, WorkerRegistry
+from arrowfold.replication.ports import Caller
+from arrowfold.replication.proposals import Proposal, ReplicaPort
+from arrowfold.replication.state import ControlState, DepartureNotice
+
+LOCAL_TIMEOUT_S = 0.85
+FORWARD_TIMEOUT_S = 0.8
+_STAGES = {AVAILABLE: 0, DRAINING: 1, GONE: 2}
+
+
+class HeldModelBody(BaseModel):
+    """An item of `models` in a registration."""
+
+    model_config = ConfigDict(extra="ignore")
+    name: str
+    version: int = 1
+    adapters: tuple[str, ...] = ()
+
+
+class RegistrationBody(BaseModel):
+    """The body of `PUT /instances/ID`."""
+
+    model_config = ConfigDict(extra="ignore")
+    targetService: str
+    address: str
+    zone: str = ""
+    version: str = ""
+    capacitySlots: int = Field(default=1, ge=0)
+    state: str = AVAILABLE
+    coldLeftMs: float = 0
+    stage: str = "both"
+    models: tuple[HeldModelBody, ...] = ()
+    callSeq: int = 0
+    remainingMs: float | None = None
+
+    def record(self, instance: str) -> WorkerRecord:
+        """The worker's record."""
+        return WorkerRecord(
+            instance=instance,
+            service=self.targetService,
+            address=self.address,
+            zone=self.zone,
+            version=self.version,
+            capacity_slots=self.capacitySlots,
+            state=self.state,
+            models=tuple(HeldModel(model.name, model.version, model.adapters) for model in self.models),
+            call_sequence=self.callSeq,
+            remaining_ms=self.remainingMs,
+            cold_left_ms=self.coldLeftMs,
+            stage=self.stage,
+        )
+
+
+class RegistrationFault(Exception):
+    """A worker's call is not taken, and why."""
+
+    def __init__(self, code: ResultCode, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+def parse_registration(instance: str, body: bytes) -> Result[WorkerRecord, RegistrationFault]:
+    """The record that the body of a registration tells."""
+    try:
+        return Ok(RegistrationBody.model_validate_json(body).record(instance))
+    except ValidationError as error:
+        first = error.errors()[0]
+        path = ".".join(str(part) for part in first["loc"])
+        return Err(RegistrationFault(ResultCode.REGISTRATION_INVALID, f"{path}: {first['msg']}"))
+
+
+def already_committed(state: ControlState, instance: str, wanted: str) -> bool:
+    """Whether this notice, or a later one, is in the replicated state."""
+    departure = state.departures.get(instance)
+    return departure is not None and _STAGES.get(departure.state, 0) >= _STAGES.get(wanted, 0)
+
+
+class RegistrationService:
+    """Takes what workers say, whichever member it runs on."""
+
+    def __init__(
+        self,
+        replica: ReplicaPort,
+        registry: WorkerRegistry,
+        caller: Caller,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._replica = replica
+        self._registry = registry
+        self._caller = caller
+        self._on_change = on_change
+
+    async def heard(self, record: WorkerRecord) -> Result[None, RegistrationFault]:
+        """Take a registration; Ok may be acknowledged."""
+        if record.state != AVAILABLE:
+            notice = SubmitDeparture(record.instance, record.state, record.remaining_ms)
+            committed = await self.depart(notice)
+            if isinstance(committed, Err):
+                return Err(committed.err_value)
+        if self._registry.heard(record):
+            self._on_change()
+        return Ok(None)
+
+    async def depart(self, notice: SubmitDeparture) -> Result[None, RegistrationFault]:
+        """Have a notice of departure committed, within a second; Ok may be acknowledged."""
+        if already_committed(self._replica.committed, notice.instance, notice.state):
+            return Ok(None)
+        try:
+            async with asyncio.timeout(LOCAL_TIMEOUT_S):
+                answer = await self._at_primary(notice)
+        except TimeoutError:
+            answer = CallFailed(ResultCode.REGISTRATION_NOT_DURABLE, "not committed in time")
+        if isinstance(answer, Acknowledgement):
+            return Ok(None)
+        return Err(RegistrationFault(ResultCode.REGISTRATION_NOT_DURABLE, answer.text))
+
+    async def _at_primary(self, notice: SubmitDeparture) -> Acknowledgement | CallFailed:
+        if self._replica.is_primary():
+            return await self.on_departure(notice)
+        primary = self._replica.primary()
+        if primary is None or primary.member == self._replica.member:
+            return CallFailed(ResultCode.NO_QUORUM, "no primary")
+        answer = await self._caller.call(primary.address, notice, FORWARD_TIMEOUT_S)
+        if isinstance(answer, Ok) and isinstance(answer.ok_value, Acknowledgement):
+            return answer.ok_value
+        return CallFailed(ResultCode.REGISTRATION_NOT_DURABLE, "the primary did not acknowledge")
+
+    async def on_departure(self, notice: SubmitDeparture) -> Acknowledgement | CallFailed:
+        """As the primary: commit a notice of departure."""
+
+        def decide(state: ControlState) -> Proposal[Acknowledgement]:
+            if already_committed(state, notice.instance, notice.state):
+                return Proposal(Acknowledgement())
+            entry = DepartureNotice(notice.instance, notice.state, notice.remaining_ms)
+            return Proposal(Acknowledgement(), entry)
+
+        result = await self._replica.propose(decide)
+        if isinstance(result, Err):
+            return CallFailed(result.err_value.code, str(result.err_value))
+        return result.ok_value
--- /dev/null
+++ b/arrowfold/replication/identity.py
@@ -0,0 +1,62 @@
+"""The identity of a member: drawn once for a disk, and never used again once that disk is lost."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass
+
+from arrowfold.internal.codec import CodecError, decode, encode, message
+from arrowfold.storage.faults import DamagedStorage
+from arrowfold.storage.folders import Folder
+from arrowfold.storage.frames import encode_frame, scan
+
+IDENTITY_FILE = "identity"
+TEMPORARY_FILE = "identity.new"
+FORMAT_VERSION = 1
+
+
+@message(56)
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who this disk is. `founder`: it was empty when the whole system started for the first time.
+
+    `seeds` are the addresses that the founders were told; only their majority may form the first group.
+    """
+
+    format_version: int
+    member: str
+    founder: bool
+    seeds: tuple[str, ...]
+
+
+def read_identity(folder: Folder) -> Identity | None:
+    """The identity on this disk, or None where the disk is empty; raises DamagedStorage."""
+    names = folder.names()
+    if IDENTITY_FILE not in names:
+        leftovers = [name for name in names if name != TEMPORARY_FILE]
+        if leftovers:
+            raise DamagedStorage(IDENTITY_FILE, 0, f"missing beside {leftovers[0]}")
+        return None
+    payloads = scan(folder.read(IDENTITY_FILE), IDENTITY_FILE).payloads
+    try:
+        identity = decode(payloads[0]) if payloads else None
+    except CodecError as error:
+        raise DamagedStorage(IDENTITY_FILE, 0, str(error)) from error
+    if not isinstance(identity, Identity) or identity.format_version != FORMAT_VERSION:
+        raise DamagedStorage(IDENTITY_FILE, 0, "not an identity of this version")
+    return identity
+
+
+def draw_identity(folder: Folder, founder: bool, seeds: tuple[str, ...]) -> Identity:
+    """Draw and store an identity; durable when this returns."""
+    identity = Identity(FORMAT_VERSION, secrets.token_hex(8), founder, seeds)
+    file = folder.open(TEMPORARY_FILE)
+    try:
+        file.truncate(0)
+        file.append(encode_frame(encode(identity), 0))
+        file.sync()
+    finally:
+        file.close()
+    folder.rename(TEMPORARY_FILE, IDENTITY_FILE)
+    folder.sync()
+    return identity
--- /dev/null
+++ b/arrowfold/replication/member.py
@@ -0,0 +1,263 @@
+"""One member's part in epochs decided elsewhere: promises, accepted records, installed states, appended entries.
+
+Everything here answers a message. What an answer claims is on the disk before it is given.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from arrowfold.internal.messages import MemberInfo
+from arrowfold.replication.durable import DurableImage
+from arrowfold.replication.messages import (
+    AcceptEpoch,
+    AppendEntries,
+    Departing,
+    FetchState,
+    Heartbeat,
+    HeartbeatAnswer,
+    InstallState,
+    PrepareAnswer,
+    PrepareEpoch,
+    StateImage,
+    Verdict,
+)
+from arrowfold.replication.ports import Clock, EventLog
+from arrowfold.replication.records import (
+    EntriesAppended,
+    LogRecord,
+    MemberImage,
+    PromiseStored,
+    RecordAccepted,
+    RecordConfirmed,
+    StateInstalled,
+)
+from arrowfold.replication.state import ControlState
+from arrowfold.replication.timings import Timings
+from arrowfold.storage.faults import StorageFault
+
+Decision = Result[LogRecord, StorageFault]
+
+
+def _refuse(reason: str) -> Decision:
+    return Err(StorageFault(reason))
+
+
+class GroupMember:
+    """Witness and, where the record has it in the group, backup."""
+
+    def __init__(
+        self,
+        info: MemberInfo,
+        founder: bool,
+        durable: DurableImage,
+        clock: Clock,
+        timings: Timings,
+        log: EventLog,
+    ) -> None:
+        self.info = info
+        self.founder = founder
+        self.durable = durable
+        self.timings = timings
+        self.clock = clock
+        self._log = log
+        self._promising = 0  # the epoch of a promise that is being written
+        # A lease may have been granted just before the process ended: it is waited out.
+        has_record = durable.image.record is not None
+        self._lease_until = clock() + timings.lease_s if has_record else 0.0
+        self._lease_holder = ""
+        self.heard_at = clock()  # when the primary's last heartbeat came
+        self.committed_known = -1  # how far the primary's last message said that the log is committed
+        self._authority_until = 0.0
+        self.published = ControlState()
+        self.on_change: Callable[[], None] = lambda: None
+
+    @property
+    def image(self) -> MemberImage:
+        """What is on the disk."""
+        return self.durable.image
+
+    @property
+    def highest_epoch(self) -> int:
+        """The highest epoch promised, or being promised."""
+        return max(self.image.promised, self._promising)
+
+    def is_witness(self) -> bool:
+        """Whether the newest record known has this member among its witnesses."""
+        record = self.image.record
+        return record is not None and record.find(self.info.member) is not None
+
+    def grant_lease(self, holder: str) -> None:
+        """Promise nothing to others for the length of a lease."""
+        self._lease_until = self.clock() + self.timings.lease_s
+        self._lease_holder = holder
+
+    def authority_until(self) -> float:
+        """Until when this member, not the primary, may act under a role that it holds."""
+        return self._authority_until
+
+    def _refusal(self, request: PrepareEpoch) -> str | None:
+        image = self.image
+        again = request.epoch == image.promised and request.candidate.member == image.promised_to
+        if request.epoch <= self.highest_epoch and not again:
+            return f"epoch {self.highest_epoch} is promised"
+        if self.clock() < self._lease_until and self._lease_holder != request.candidate.member:
+            return f"the lease of {self._lease_holder or 'an earlier life'} holds"
+        if not self.durable.is_healthy(self.timings.disk_s):
+            return "the disk is in trouble"
+        return None
+
+    def _prepare_answer(self, reason: str | None) -> PrepareAnswer:
+        image = self.image
+        return PrepareAnswer(
+            granted=reason is None,
+            member=self.info,
+            founder=self.founder,
+            promised=self.highest_epoch,
+            record=image.record,
+            confirmed=image.confirmed,
+            state_epoch=image.state_epoch,
+            position=image.position,
+            reason=reason or "",
+        )
+
+    async def prepare(self, request: PrepareEpoch) -> PrepareAnswer:
+        """Promise an epoch to a candidate, or say why not."""
+        reason = self._refusal(request)
+        if reason is not None or request.trial:
+            return self._prepare_answer(reason)
+
+        def decide(image: MemberImage) -> Decision:
+            again = request.epoch == image.promised and request.candidate.member == image.promised_to
+            if request.epoch <= image.promised and not again:
+                return _refuse(f"epoch {image.promised} is promised")
+            return Ok(PromiseStored(request.epoch, request.candidate.member))
+
+        def abandoned() -> None:
+            if self._promising == request.epoch:
+                self._promising = 0
+
+        self._promising = request.epoch
+        written = await self.durable.change(decide, self.timings.disk_s, abandoned)
+        return self._prepare_answer(str(written.err_value) if isinstance(written, Err) else None)
+
+    async def fetch(self, request: FetchState) -> StateImage:
+        """The whole stored state, for the candidate of the epoch that this member promised."""
+        image = self.image
+        if request.epoch != image.promised:
+            raise StorageFault(f"epoch {image.promised} is promised")
+        return StateImage(image.promised, image.state_epoch, image.position_epoch, image.state)
+
+    async def _durably(self, decide: Callable[[MemberImage], Decision]) -> Verdict:
+        written = await self.durable.change(decide, self.timings.disk_s)
+        if isinstance(written, Err):
+            return Verdict(False, self.highest_epoch, str(written.err_value))
+        return Verdict(True, self.highest_epoch)
+
+    async def install(self, request: InstallState) -> Verdict:
+        """Store the state with which the promised epoch starts."""
+
+        def decide(image: MemberImage) -> Decision:
+            if (image.promised, image.promised_to) != (request.epoch, request.candidate):
+                return _refuse(f"epoch {image.promised} is promised to {image.promised_to}")
+            if request.state is None and image.position != request.position:
+                return _refuse(f"the state here is at {image.position}")
+            return Ok(StateInstalled(request.epoch, request.position.epoch, request.state))
+
+        return await self._durably(decide)
+
+    async def accept(self, request: AcceptEpoch) -> Verdict:
+        """Accept the record of an epoch, and grant its primary a lease."""
+        record = request.record
+
+        def decide(image: MemberImage) -> Decision:
+            if record.epoch < max(image.promised, self._promising):
+                return _refuse(f"epoch {image.promised} is promised")
+            if record.epoch == image.promised and record.primary != image.promised_to:
+                return _refuse(f"epoch {image.promised} is promised to {image.promised_to}")
+            return Ok(RecordAccepted(record))
+
+        known = self.image.record
+        if known is not None and known.epoch == record.epoch and self.highest_epoch == record.epoch:
+            verdict = Verdict(True, self.highest_epoch)
+        else:
+            verdict = await self._durably(decide)
+        if verdict.done and self.highest_epoch == record.epoch:
+            self.grant_lease(record.primary)
+            self.heard_at = self.clock()
+            self.on_change()
+        return verdict
+
+    async def append(self, request: AppendEntries) -> Verdict:
+        """Store the primary's entries."""
+        self._learn_committed(request.epoch, request.committed)
+
+        def decide(image: MemberImage) -> Decision:
+            record = image.record
+            if record is None or record.epoch != request.epoch or self.highest_epoch != request.epoch:
+                return _refuse(f"epoch {self.highest_epoch} is promised")
+            if image.state_epoch != request.epoch or image.position != request.previous:
+                return _refuse(f"the state here is at {image.position}")
+            return Ok(EntriesAppended(request.epoch, request.entries))
+
+        return await self._durably(decide)
+
+    async def heartbeat(self, request: Heartbeat) -> HeartbeatAnswer:
+        """Grant the primary its lease, unless a higher epoch is promised."""
+        now = self.clock()
+        image = self.image
+        granted = request.epoch >= self.highest_epoch
+        if granted:
+            self.grant_lease(request.primary.member)
+            self.heard_at = now
+            if request.echo is not None:
+                self._authority_until = request.echo + self.timings.lease_s
+            self._learn_committed(request.epoch, request.committed)
+        return HeartbeatAnswer(
+            granted=granted,
+            member=self.info,
+            promised=self.highest_epoch,
+            record_epoch=image.record.epoch if image.record is not None else 0,
+            state_epoch=image.state_epoch,
+            sequence=image.state.sequence,
+            disk_healthy=self.durable.is_healthy(self.timings.disk_s),
+            clock=now,
+        )
+
+    def _learn_committed(self, epoch: int, committed: int) -> None:
+        """Publish the stored state if the active primary of its epoch says that all of it is committed."""
+        image = self.image
+        if image.record is None or image.record.epoch != epoch or self.highest_epoch != epoch:
+            return
+        if not image.confirmed:
+            self.durable.note(RecordConfirmed(epoch))
+        self.committed_known = committed
+        if image.state_epoch == epoch and image.state.sequence == committed:
+            self.publish(image.state)
+
+    def publish(self, state: ControlState) -> None:
+        """Make a committed state visible to readers; it never goes back."""
+        if state.sequence > self.published.sequence:
+            self.published = state
+            self.on_change()
+
+    def is_current(self) -> bool:
+        """Whether the published state was confirmed by the primary within the length of a lease."""
+        record = self.image.record
+        return (
+            record is not None
+            and self.clock() - self.heard_at <= self.timings.lease_s
+            and self.image.state_epoch == record.epoch
+            and self.published.sequence == self.committed_known
+        )
+
+    def departing(self, request: Departing) -> None:
+        """The primary hands its lease over: another member may stand at once."""
+        record = self.image.record
+        if record is not None and request.was_primary and request.epoch == record.epoch:
+            if self._lease_holder == request.member:
+                self._lease_until = 0.0
+            self.heard_at = self.clock() - self.timings.suspicion_s
+            self._log.info("primary.handed_over", epoch=request.epoch, member=request.member)
--- /dev/null
+++ b/arrowfold/replication/primary.py
@@ -0,0 +1,406 @@
+"""The term of a primary: heartbeats and lease, writes in batches, and the care for its group."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Err, Ok, Result
+
+from arrowfold.internal.messages import MemberInfo
+from arrowfold.node.result_codes import ResultCode
+from arrowfold.replication.epochs import Composition, EpochChange, EpochFault, Found
+from arrowfold.replication.member import GroupMember
+from arrowfold.replication.membership import Membership, PeerView, copies_required, next_membership
+from arrowfold.replication.messages import AcceptEpoch, AppendEntries, Heartbeat, HeartbeatAnswer, Verdict
+from arrowfold.replication.ports import Caller, EventLog
+from arrowfold.replication.proposals import Decide, ReplicationFault
+from arrowfold.replication.records import EpochRecord, RecordConfirmed, has_majorities
+from arrowfold.replication.state import Entry, apply_entry
+
+LARGEST_BATCH = 64  # proposals that share one sync
+CHANGE_ATTEMPTS = 3  # at a new epoch, before the term ends
+
+
+@dataclass(slots=True)
+class _Peer:
+    """What the primary knows of one witness."""
+
+    answered_at: float  # when its last answer came
+    granted_at: float = -math.inf  # when the last heartbeat was sent that it answered with a grant
+    clock: float | None = None  # its own clock reading in its last answer
+    healthy: bool = True
+    left_out_at: float = -math.inf  # when it last left the group
+    calling: bool = False
+
+    def is_fit(self, in_group: bool) -> bool:
+        """Whether its disk takes writes; of one outside the group only its own answer tells that."""
+        return self.healthy and (in_group or self.clock is not None)
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """A proposal and who waits for its answer."""
+
+    decide: Decide[Any]
+    future: asyncio.Future[Result[Any, ReplicationFault]] = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+
+
+class PrimaryTerm:
+    """The work of a primary from the epoch that made it one until it loses its lease or resigns."""
+
+    def __init__(
+        self,
+        record: EpochRecord,
+        member: GroupMember,
+        caller: Caller,
+        change: EpochChange,
+        machine_losses: int,
+        log: EventLog,
+    ) -> None:
+        self.record = record
+        self._member = member
+        self._caller = caller
+        self._change = change
+        self._losses = machine_losses
+        self._log = log
+        self._timings = member.timings
+        self._clock = member.clock
+        self._started_at = self._leased_at = member.clock()
+        self._peers: dict[str, _Peer] = {}
+        self._newcomers: dict[str, tuple[MemberInfo, float]] = {}
+        self._queue: list[_Waiting] = []
+        self._work = asyncio.Event()
+        self._wanted: Membership | None = None
+        self._heartbeats: set[asyncio.Task[None]] = set()
+        self._committed = member.image.state.sequence
+        self._ever_active = False
+        self.ended = False
+        self.on_active: Callable[[], None] = lambda: None
+
+    @property
+    def committed(self) -> int:
+        """How far the log is committed."""
+        return self._committed
+
+    # Lease
+
+    def _lease_start(self) -> float:
+        """The latest moment at which a majority of the witnesses is known to have granted the lease."""
+        own = self._member.info.member
+        grants = {member: peer.granted_at for member, peer in self._peers.items()}
+        grants[own] = self._clock()
+        for start in sorted(set(grants.values()), reverse=True):
+            votes = {member for member, granted_at in grants.items() if granted_at >= start}
+            if has_majorities(self.record.quorums[-1:], votes):
+                return start
+        return -math.inf
+
+    def has_lease(self) -> bool:
+        """Whether no other primary can be active at this moment."""
+        if self.ended or self._member.image.promised_to != self._member.info.member:
+            return False
+        length_s = self._timings.lease_s * self._timings.lease_margin
+        return self._clock() < self._lease_start() + length_s
+
+    def is_complete(self) -> bool:
+        """Whether the group has the members that the losses to be borne ask for, as far as they exist."""
+        if len(self.record.group) < copies_required(self._losses, len(self.record.witnesses)):
+            return False
+        wanted = 2 * self._losses + 1
+        waited_s = self._clock() - self._started_at
+        return len(self.record.witnesses) >= wanted or waited_s >= self._timings.complete_group_s
+
+    def is_active(self) -> bool:
+        """Whether this term may commit, acknowledge and answer reads."""
+        return self.has_lease() and self.is_complete()
+
+    # Heartbeats
+
+    def _peer(self, member: str) -> _Peer:
+        return self._peers.setdefault(member, _Peer(answered_at=self._clock()))
+
+    def send_heartbeats(self) -> None:
+        """Send one to every witness that does not still owe an answer to the last."""
+        own = self._member.info.member
+        self._member.grant_lease(own)
+        for witness in self.record.witnesses:
+            if witness.member != own and not self._peer(witness.member).calling:
+                task = asyncio.create_task(self._heartbeat(witness))
+                self._heartbeats.add(task)
+                task.add_done_callback(self._heartbeats.discard)
+
+    async def _heartbeat(self, witness: MemberInfo) -> None:
+        peer = self._peer(witness.member)
+        peer.calling = True
+        sent_at = self._clock()
+        record = self.record
+        request = Heartbeat(
+            record.epoch,
+            self._member.info,
+            self._committed,
+            witness.member in record.group,
+            peer.clock if self.has_lease() else None,
+        )
+        try:
+            answer = await self._caller.call(witness.address, request, self._timings.call_s)
+        finally:
+            peer.calling = False
+        found = answer.ok()
+        if not isinstance(found, HeartbeatAnswer) or found.member.member != witness.member or self.ended:
+            return
+        peer.answered_at = self._clock()
+        peer.healthy = found.disk_healthy
+        peer.clock = found.clock
+        if found.granted:
+            had_lease = self.is_active()
+            peer.granted_at = max(peer.granted_at, sent_at)
+            if not had_lease and self.is_active():
+                self._activated()
+            if found.record_epoch < record.epoch:
+                await self._caller.call(witness.address, AcceptEpoch(record), self._timings.durable_call_s)
+        elif found.promised > self._member.highest_epoch:
+            self._end(f"epoch {found.promised} is promised")
+
+    def _end(self, reason: str) -> None:
+        if not self.ended:
+            self._log.warning("primary.ended", epoch=self.record.epoch, reason=reason)
+        self.ended = True
+        self._work.set()
+
+    def _activated(self) -> None:
+        if not self._ever_active:
+            self._ever_active = True
+            self._log.info(
+                "primary.active",
+                epoch=self.record.epoch,
+                group=len(self.record.group),
+                witnesses=len(self.record.witnesses),
+            )
+        self._publish()
+        self.on_active()
+
+    def _publish(self) -> None:
+        """Make the committed state visible here; the others learn it by the next heartbeat."""
+        state = self._member.image.state
+        if not self._member.image.confirmed:
+            self._member.durable.note(RecordConfirmed(self.record.epoch))
+        if state.sequence == self._committed:
+            self._member.committed_known = self._committed
+            self._member.heard_at = self._clock()
+            self._member.publish(state)
+
+    def resign(self) -> None:
+        """End the term; what waits is answered as not known to be committed."""
+        self._end("resigned")
+
+    # Members
+
+    def join(self, newcomer: MemberInfo) -> None:
+        """A core machine asks to be taken in."""
+        if self.record.find(newcomer.member) is None:
+            self._newcomers[newcomer.member] = (newcomer, self._clock())
+
+    def leave(self, member: str) -> None:
+        """A backup stops: writes need not wait for it."""
+        peer = self._peer(member)
+        peer.answered_at = self._clock() - self._timings.silent_s - self._timings.heartbeat_s
+        peer.granted_at = -math.inf
+
+    def heard_lately(self, member: str) -> bool:
+        """Whether a member answered within the length of a lease; the primary itself always did."""
+        if member == self._member.info.member:
+            return True
+        peer = self._peers.get(member)
+        return peer is not None and self._clock() - peer.answered_at <= self._timings.lease_s
+
+    def silence_s(self, member: str) -> float:
+        """How long a member has not answered; unlimited for one that is no witness."""
+        if member == self._member.info.member:
+            return 0.0
+        if self.record.find(member) is None:
+            return self._clock() - self._started_at
+        return self._clock() - self._peer(member).answered_at
+
+    def tick(self) -> None:
+        """The regular work: heartbeats, members that came or went, the own disk."""
+        self.send_heartbeats()
+        if self.ended:
+            return
+        now = self._clock()
+        if self.has_lease():
+            self._leased_at = self._member.heard_at = now
+        elif now - self._leased_at > self._timings.leaderless_s:
+            self._end("no lease")
+            return
+        if not self._member.durable.is_healthy(self._timings.disk_s):
+            self._end("the own disk is in trouble")
+            return
+        wanted = self._wanted_membership()
+        if self.has_lease() and wanted != Membership(self.record.group, self.record.witnesses):
+            self._wanted = wanted
+            self._work.set()
+
+    def _wanted_membership(self) -> Membership:
+        now = self._clock()
+        views = {
+            witness.member: PeerView(
+                silence_s=now - self._peer(witness.member).answered_at,
+                healthy=self._peer(witness.member).is_fit(witness.member in self.record.group),
+                rested=now - self._peer(witness.member).left_out_at > self._timings.rejoin_s,
+            )
+            for witness in self.record.witnesses
+        }
+        recent_s = 3 * self._timings.join_retry_s
+        newcomers = tuple(info for info, at in self._newcomers.values() if now - at <= recent_s)
+        own = self._member.info.member
+        wanted = next_membership(self.record, own, views, newcomers, self._losses, self._timings)
+        if len(wanted.group) < copies_required(self._losses, len(wanted.witnesses)):
+            return Membership(self.record.group, self.record.witnesses)
+        return wanted
+
+    # Writes
+
+    async def propose(self, decide: Decide[Any]) -> Result[Any, ReplicationFault]:
+        """Queue a proposal; its answer is given once the batch that it belongs to is committed."""
+        if not self.is_active():
+            return Err(ReplicationFault(ResultCode.NO_QUORUM, "no lease, or too few members"))
+        waiting = _Waiting(decide)
+        self._queue.append(waiting)
+        self._work.set()
+        return await waiting.future
+
+    async def serve(self) -> None:
+        """Commit proposals and change members until the term ends."""
+        try:
+            while not self.ended:
+                await self._work.wait()
+                self._work.clear()
+                if self.ended:
+                    break
+                if self._wanted is not None:
+                    await self._change_members()
+                while self._queue and not self.ended:
+                    await self._commit_batch()
+        finally:
+            self.ended = True
+            for task in list(self._heartbeats):
+                task.cancel()
+            for waiting in self._queue:
+                _settle(waiting, Err(ReplicationFault(ResultCode.NOT_PRIMARY, "the term ended")))
+            self._queue.clear()
+
+    async def _commit_batch(self) -> None:
+        batch, self._queue = self._queue[:LARGEST_BATCH], self._queue[LARGEST_BATCH:]
+        state = self._member.image.state
+        entries: list[Entry] = []
+        answers: list[Any] = []
+        for waiting in batch:
+            proposal = waiting.decide(state)
+            answers.append(proposal.answer)
+            if proposal.entry is not None:
+                entries.append(proposal.entry)
+                state = apply_entry(state, proposal.entry)
+        committed = await self._commit(tuple(entries)) if entries else True
+        for waiting, answer in zip(batch, answers, strict=True):
+            if committed and self.is_active():
+                _settle(waiting, Ok(answer))
+            else:
+                fault = ReplicationFault(ResultCode.REPLICATION_TIMEOUT, "not known to be committed")
+                _settle(waiting, Err(fault))
+
+    async def _commit(self, entries: tuple[Entry, ...]) -> bool:
+        """Store entries at every member of the group; a member that does not answer is left out."""
+        request = AppendEntries(self.record.epoch, self._member.image.position, entries, self._committed)
+        missing = await self._append_everywhere(request)
+        if self._member.info.member in missing:
+            self._end("the own disk did not take the entries")
+            return False
+        if missing and not await self._leave_out(missing):
+            return False
+        self._committed = self._member.image.state.sequence
+        self._publish()
+        self.send_heartbeats()
+        return True
+
+    async def _append_everywhere(self, request: AppendEntries) -> set[str]:
+        """The members of the group that did not store the entries."""
+
+        async def append_at(member: str) -> str | None:
+            if member == self._member.info.member:
+                verdict: object = await self._member.append(request)
+            else:
+                info = self.record.find(member)
+                assert info is not None
+                answer = await self._caller.call(info.address, request, self._timings.durable_call_s)
+                verdict = answer.ok()
+            return None if isinstance(verdict, Verdict) and verdict.done else member
+
+        results = await asyncio.gather(*(append_at(member) for member in self.record.group))
+        return {member for member in results if member is not None}
+
+    async def _leave_out(self, missing: set[str]) -> bool:
+        """Go on without some backups, under a new epoch."""
+        for member in missing:
+            self._peer(member).left_out_at = self._clock()
+        group = tuple(member for member in self.record.group if member not in missing)
+        self._log.warning("group.members_missing", epoch=self.record.epoch, missing=sorted(missing))
+        return await self._new_epoch(Membership(group, self.record.witnesses))
+
+    async def _change_members(self) -> None:
+        wanted, self._wanted = self._wanted, None
+        assert wanted is not None
+        if wanted == Membership(self.record.group, self.record.witnesses):
+            return
+        now = self._clock()
+        for member in set(self.record.group) - set(wanted.group):
+            self._peer(member).left_out_at = now
+        await self._new_epoch(wanted)
+
+    async def _new_epoch(self, wanted: Membership) -> bool:
+        """Bring a new membership about; the state with all that was appended is committed by it."""
+        copies = copies_required(self._losses, len(wanted.witnesses))
+
+        def compose(found: Found) -> Result[Composition, EpochFault]:
+            group = tuple(member for member in wanted.group if member in found.granted)
+            if found.record is None or found.record.epoch != self.record.epoch:
+                return Err(EpochFault("another epoch came first"))
+            if len(group) < copies or self._member.info.member not in group:
+                return Err(EpochFault("too few members promised"))
+            return Ok(Composition(group, wanted.witnesses, copies))
+
+        newcomers = [witness for witness in wanted.witnesses if self.record.find(witness.member) is None]
+        for _ in range(CHANGE_ATTEMPTS):
+            epoch = self._member.highest_epoch + 1
+            result = await self._change.run(epoch, compose, newcomers)
+            if isinstance(result, Ok):
+                self._adopt(result.ok_value)
+                return True
+            self._log.warning("epoch.change_failed", epoch=epoch, reason=str(result.err_value))
+        self._end("no new epoch came about")
+        return False
+
+    def _adopt(self, record: EpochRecord) -> None:
+        self._log.info(
+            "epoch.changed",
+            epoch=record.epoch,
+            group=len(record.group),
+            witnesses=[witness.name for witness in record.witnesses],
+        )
+        self.record = record
+        self._newcomers = {
+            member: entry for member, entry in self._newcomers.items() if record.find(member) is None
+        }
+        self._committed = self._member.image.state.sequence
+        self._publish()
+        self.send_heartbeats()
+
+
+def _settle(waiting: _Waiting, result: Result[Any, ReplicationFault]) -> None:
+    if not waiting.future.done():
+        waiting.future.set_result(result)
--- /dev/null
+++ b/arrowfold/replication/replica.py
@@ -0,0 +1,320 @@
+"""One member of the replicated control state: it joins, witnesses, backs up, stands for election, and leads."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from arrowfold.internal.messages import Acknowledgement, MemberInfo
+from arrowfold.node.result_codes import ResultCode
+from arrowfold.replication.epochs import Composition, EpochChange, EpochFault, Found
+from arrowfold.replication.member import GroupMember
+from arrowfold.replication.membership import copies_required
+from arrowfold.replication.messages import (
+    AcceptEpoch,
+    AppendEntries,
+    Departing,
+    FetchState,
+    Heartbeat,
+    InstallState,
+    JoinAnswer,
+    JoinRequest,
+    PrepareEpoch,
+)
+from arrowfold.replication.ports import Caller, EventLog
+from arrowfold.replication.primary import PrimaryTerm
+from arrowfold.replication.proposals import AnswerT, Decide, ReplicationFault
+from arrowfold.replication.records import EpochRecord
+from arrowfold.replication.state import ControlState
+
+FOUNDING_STEP_S = 0.25  # between the moments at which the seeds offer to found the first group
+
+
+class Replica:
+    """A member's whole part in replication; `run` drives it."""
+
+    def __init__(
+        self,
+        member: GroupMember,
+        caller: Caller,
+        founding_seeds: tuple[str, ...],
+        machine_losses: int,
+        log: EventLog,
+        draw: random.Random,
+    ) -> None:
+        self._member = member
+        self._caller = caller
+        self._seeds = founding_seeds
+        self._addresses = founding_seeds  # where to ask to be taken in
+        self._losses = machine_losses
+        self._log = log
+        self._draw = draw
+        self._timings = member.timings
+        self._clock = member.clock
+        self._change = EpochChange(member, caller, founding_seeds)
+        self._term: PrimaryTerm | None = None
+        self._started_at = member.clock()
+        self._next_attempt = 0.0
+        self._next_join = 0.0
+        self._next_epoch = 0
+        self._newest_seen: EpochRecord | None = None
+        self._stopping = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._listeners: list[Callable[[], None]] = []
+        member.on_change = self._notify
+
+    # What the control plane sees
+
+    @property
+    def committed(self) -> ControlState:
+        """The newest state that is known to be committed."""
+        return self._member.published
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of the newest record known."""
+        record = self._member.image.record
+        return record.epoch if record is not None else 0
+
+    @property
+    def member(self) -> str:
+        """This member's identity."""
+        return self._member.info.member
+
+    @property
+    def term(self) -> PrimaryTerm | None:
+        """The term that this member leads, if it leads one."""
+        return self._term
+
+    @property
+    def group_member(self) -> GroupMember:
+        """This member's part as witness and backup."""
+        return self._member
+
+    def members(self) -> tuple[MemberInfo, ...]:
+        """The witnesses of the newest record known."""
+        record = self._member.image.record
+        return record.witnesses if record is not None else ()
+
+    def primary(self) -> MemberInfo | None:
+        """The primary of the newest record known, whether or not it is alive."""
+        record = self._member.image.record
+        return record.find(record.primary) if record is not None else None
+
+    def is_primary(self) -> bool:
+        """Whether this member is the active primary at this moment."""
+        return self._term is not None and self._term.is_active()
+
+    def is_current(self) -> bool:
+        """Whether `committed` was confirmed by the primary lately."""
+        if self._term is not None and not self._term.is_active():
+            return False
+        return self._member.is_current()
+
+    async def propose(self, decide: Decide[AnswerT]) -> Result[AnswerT, ReplicationFault]:
+        """As the primary: decide on the newest state, commit, and answer under a lease that holds."""
+        if self._term is None or self._stopping:
+            return Err(ReplicationFault(ResultCode.NOT_PRIMARY, "not the primary"))
+        return await self._term.propose(decide)
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call `listener` whenever the committed state or the epoch changed."""
+        self._listeners.append(listener)
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+    def set_addresses(self, addresses: tuple[str, ...]) -> None:
+        """Where else to look for the group: the seeds of the settings, as they are now."""
+        self._addresses = addresses
+
+    # Calls from other members
+
+    def handlers(self) -> dict[type[Any], Callable[[Any], Awaitable[Any]]]:
+        """The handler of each message of replication."""
+        return {
+            PrepareEpoch: self._member.prepare,
+            FetchState: self._member.fetch,
+            InstallState: self._member.install,
+            AcceptEpoch: self._member.accept,
+            AppendEntries: self._member.append,
+            Heartbeat: self._member.heartbeat,
+            JoinRequest: self._on_join,
+            Departing: self._on_departing,
+        }
+
+    async def _on_join(self, request: JoinRequest) -> JoinAnswer:
+        if self._term is not None:
+            self._term.join(request.member)
+        return JoinAnswer(self._member.image.record)
+
+    async def _on_departing(self, request: Departing) -> Acknowledgement:
+        if self._term is not None:
+            self._term.leave(request.member)
+        self._member.departing(request)
+        return Acknowledgement()
+
+    # The life of the member
+
+    async def run(self) -> None:
+        """Do the regular work until `stop`."""
+        while not self._stopping:
+            await self._step()
+            leading = self._term is not None
+            await asyncio.sleep(self._timings.heartbeat_s if leading else self._timings.watch_s)
+
+    async def _step(self) -> None:
+        self._spawn(self._member.durable.repair())
+        if self._term is not None:
+            self._term.tick()
+            if self._term.ended:
+                self._end_term()
+            return
+        record = self._newest_record()
+        if record is None and self._may_found():
+            await self._found_group()
+        elif record is not None and record.find(self.member) is not None:
+            await self._stand_if_leaderless()
+        else:
+            self._ask_to_join()
+
+    def _newest_record(self) -> EpochRecord | None:
+        """The newest record that this member accepted, or was told of."""
+        known = [record for record in (self._member.image.record, self._newest_seen) if record is not None]
+        return max(known, key=lambda record: record.epoch, default=None)
+
+    def _note_record(self, record: EpochRecord | None) -> None:
+        newest = self._newest_record()
+        if record is not None and (newest is None or record.epoch > newest.epoch):
+            self._newest_seen = record
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _end_term(self) -> None:
+        self._term = None
+        self._next_attempt = self._clock() + self._timings.suspicion_s
+        self._notify()
+
+    # Founding
+
+    def _may_found(self) -> bool:
+        return self._member.founder and self._member.info.address in self._seeds
+
+    async def _found_group(self) -> None:
+        rank = self._seeds.index(self._member.info.address)
+        if self._clock() < max(self._next_attempt, self._started_at + rank * FOUNDING_STEP_S):
+            return
+        await self._attempt(self._compose_first_group)
+
+    def _compose_first_group(self, found: Found) -> Result[Composition, EpochFault]:
+        if found.record is not None:
+            return self._compose_same_witnesses(found)
+        founders = {
+            answer.member.address: answer.member for answer in found.granted.values() if answer.founder
+        }
+        witnesses = tuple(founders[seed] for seed in self._seeds if seed in founders)
+        copies = copies_required(self._losses, len(witnesses))
+        return Ok(Composition(tuple(witness.member for witness in witnesses), witnesses, copies))
+
+    # Election
+
+    async def _stand_if_leaderless(self) -> None:
+        record = self._newest_record()
+        assert record is not None
+        order = [*record.group, *(name for name in record.witness_ids() if name not in record.group)]
+        order = [name for name in order if name != record.primary] + [record.primary]
+        rank = order.index(self._member.info.member)
+        patience_s = self._timings.suspicion_s + rank * self._timings.suspicion_step_s
+        now = self._clock()
+        if now - self._member.heard_at < patience_s or now < self._next_attempt:
+            return
+        await self._attempt(self._compose_same_witnesses)
+
+    def _compose_same_witnesses(self, found: Found) -> Result[Composition, EpochFault]:
+        record = found.record
+        assert record is not None
+        if record.find(self._member.info.member) is None:
+            return Err(EpochFault("no longer a witness"))
+        group = tuple(member for member in record.witness_ids() if member in found.granted)
+        copies = copies_required(self._losses, len(record.witnesses))
+        if len(group) < copies:
+            return Err(EpochFault(f"{len(group)} members promised, {copies} are needed"))
+        return Ok(Composition(group, record.witnesses, copies))
+
+    async def _attempt(self, compose: Callable[[Found], Result[Composition, EpochFault]]) -> None:
+        """Stand for the next epoch: first on trial, so that a futile candidate disturbs nobody."""
+        epoch = max(self._member.highest_epoch, self._next_epoch) + 1
+        result = await self._change.run(epoch, compose, trial=True)
+        if isinstance(result, Ok):
+            result = await self._change.run(epoch, compose)
+        if isinstance(result, Err):
+            self._next_epoch = max(self._next_epoch, result.err_value.promised)
+            self._note_record(result.err_value.newest)
+            pause_s = self._timings.election_retry_s * (0.5 + self._draw.random())
+            self._next_attempt = self._clock() + pause_s
+            self._log.info("election.failed", epoch=epoch, reason=str(result.err_value))
+            return
+        self._log.info(
+            "election.won",
+            epoch=epoch,
+            group=len(result.ok_value.group),
+            sequence=self._member.image.state.sequence,
+        )
+        self._lead(result.ok_value)
+
+    def _lead(self, record: EpochRecord) -> None:
+        term = PrimaryTerm(record, self._member, self._caller, self._change, self._losses, self._log)
+        term.on_active = self._notify
+        self._term = term
+        self._spawn(term.serve())
+        term.send_heartbeats()
+        self._notify()
+
+    # Joining
+
+    def _ask_to_join(self) -> None:
+        if self._clock() < self._next_join:
+            return
+        self._next_join = self._clock() + self._timings.join_retry_s
+        newest = self._newest_record()
+        known = [witness.address for witness in newest.witnesses] if newest is not None else []
+        for address in dict.fromkeys([*known, *self._addresses]):
+            if address != self._member.info.address:
+                self._spawn(self._join_at(address))
+
+    async def _join_at(self, address: str) -> None:
+        answer = await self._caller.call(address, JoinRequest(self._member.info), self._timings.call_s)
+        found = answer.ok()
+        if not isinstance(found, JoinAnswer) or found.record is None:
+            return
+        self._note_record(found.record)
+        primary = found.record.find(found.record.primary)
+        if primary is not None and primary.address not in (address, self._member.info.address):
+            await self._caller.call(primary.address, JoinRequest(self._member.info), self._timings.call_s)
+
+    # The end
+
+    async def stop(self) -> None:
+        """Hand over what this member leads, leave the group, and stop."""
+        self._stopping = True
+        term, self._term = self._term, None
+        record = self._member.image.record
+        if term is not None:
+            term.resign()
+        if record is None:
+            return
+        notice = Departing(record.epoch, self.member, term is not None)
+        calls = [
+            self._caller.call(witness.address, notice, self._timings.call_s)
+            for witness in record.witnesses
+            if witness.member != self.member
+        ]
+        await asyncio.gather(*calls)
--- /dev/null
+++ b/arrowfold/replication/state.py
@@ -0,0 +1,144 @@
+"""The replicated control state as an immutable value, and the log entries that change it.
+
+Every member applies the same entries in the same order, so `apply` is deterministic: it reads no clock and draws
+no random numbers.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import TypeVar
+
+from arrowfold.internal.codec import message
+
+KeyT = TypeVar("KeyT")
+ValueT = TypeVar("ValueT")
+REMEMBERED_CHANGES = 2_048  # digests of accepted changes, kept to acknowledge a change that is sent again
+REMEMBERED_DEPARTURES = 4_096  # workers that said that they leave; identifiers are never used twice
+REMEMBERED_DELTAS = 128  # steps between configurations, kept for pullers that lack only these
+
+
+@message(40)
+@dataclass(frozen=True, slots=True)
+class ConfigurationStep:
+    """Log entry: the operator's change. `patch`, where there is one, leads from the document before it."""
+
+    version: int
+    digest: bytes
+    document: bytes
+    patch: bytes | None = None
+
+
+@message(41)
+@dataclass(frozen=True, slots=True)
+class DepartureNotice:
+    """Log entry: a worker said that it drains or is gone."""
+
+    instance: str
+    state: str
+    remaining_ms: float | None = None
+
+
+@message(42)
+@dataclass(frozen=True, slots=True)
+class RoleGrant:
+    """Log entry: a fenced role passes to a member, under the next fencing token."""
+
+    role: str
+    member: str
+
+
+Entry = ConfigurationStep | DepartureNotice | RoleGrant
+
+
+@message(43)
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """What a departing worker last said, and the position at which it was committed."""
+
+    sequence: int
+    state: str
+    remaining_ms: float | None = None
+
+
+@message(44)
+@dataclass(frozen=True, slots=True)
+class RoleTenure:
+    """Who holds a fenced role, and under which token."""
+
+    member: str
+    token: int
+
+
+@message(45)
+@dataclass(frozen=True, slots=True)
+class ConfigurationPatch:
+    """One step between two configurations, kept for distribution."""
+
+    sequence: int
+    base_version: int
+    version: int
+    patch: bytes
+
+
+@message(46)
+@dataclass(frozen=True, slots=True)
+class ControlState:
+    """Everything that replication protects, at position `sequence` of the log."""
+
+    sequence: int = 0
+    configuration: bytes | None = None
+    configuration_version: int = 0
+    configuration_sequence: int = 0
+    accepted: dict[bytes, int] = field(default_factory=dict)
+    departures: dict[str, Departure] = field(default_factory=dict)
+    roles: dict[str, RoleTenure] = field(default_factory=dict)
+    last_token: int = 0
+    patches: tuple[ConfigurationPatch, ...] = ()
+
+
+def _with_newest(items: dict[KeyT, ValueT], key: KeyT, value: ValueT, limit: int) -> dict[KeyT, ValueT]:
+    """A copy in which `key` is the newest item, and the oldest beyond `limit` are gone."""
+    copy = {other: kept for other, kept in items.items() if other != key}
+    copy[key] = value
+    while len(copy) > limit:
+        del copy[next(iter(copy))]
+    return copy
+
+
+def _apply_configuration(state: ControlState, entry: ConfigurationStep, sequence: int) -> ControlState:
+    patches: tuple[ConfigurationPatch, ...] = ()
+    if entry.patch is not None:
+        step = ConfigurationPatch(sequence, state.configuration_version, entry.version, entry.patch)
+        patches = (*state.patches, step)[-REMEMBERED_DELTAS:]
+    return replace(
+        state,
+        sequence=sequence,
+        configuration=entry.document,
+        configuration_version=entry.version,
+        configuration_sequence=sequence,
+        accepted=_with_newest(state.accepted, entry.digest, entry.version, REMEMBERED_CHANGES),
+        patches=patches,
+    )
+
+
+def _apply_departure(state: ControlState, entry: DepartureNotice, sequence: int) -> ControlState:
+    departure = Departure(sequence, entry.state, entry.remaining_ms)
+    departures = _with_newest(state.departures, entry.instance, departure, REMEMBERED_DEPARTURES)
+    return replace(state, sequence=sequence, departures=departures)
+
+
+def _apply_grant(state: ControlState, entry: RoleGrant, sequence: int) -> ControlState:
+    token = state.last_token + 1
+    roles = {**state.roles, entry.role: RoleTenure(entry.member, token)}
+    return replace(state, sequence=sequence, roles=roles, last_token=token)
+
+
+def apply_entry(state: ControlState, entry: Entry) -> ControlState:
+    """The state after one more log entry."""
+    sequence = state.sequence + 1
+    if isinstance(entry, ConfigurationStep):
+        return _apply_configuration(state, entry, sequence)
+    if isinstance(entry, DepartureNotice):
+        return _apply_departure(state, entry, sequence)
+    return _apply_grant(state, entry, sequence)
--- /dev/null
+++ b/arrowfold/replication/timings.py
@@ -0,0 +1,34 @@
+"""The time-outs of replication, in seconds by the steady clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Timings:
+    """How long members wait for one another.
+
+    A witness that answered a heartbeat promises nothing to others for `lease_s`. The primary counts its lease from
+    when it sent the heartbeat, and only for `lease_s` x `lease_margin`, so that clocks may run at slightly
+    different speeds.
+    """
+
+    heartbeat_s: float = 0.2
+    watch_s: float = 0.1  # between a backup's looks at the primary's silence
+    lease_s: float = 0.8
+    lease_margin: float = 0.9
+    suspicion_s: float = 0.85  # without a heartbeat, before a backup stands for election
+    suspicion_step_s: float = 0.12  # more for each further member, so that they do not stand at once
+    leaderless_s: float = 1.0  # without its lease, before a primary gives up its term
+    election_retry_s: float = 0.25
+    call_s: float = 0.5  # for an answer that needs no disk
+    disk_s: float = 0.45  # for a write and sync, at the member that does it
+    durable_call_s: float = 0.6  # for an answer that needs a write and sync
+    founding_wait_s: float = 0.4  # for further seeds, once a majority of them has answered
+    join_retry_s: float = 0.4
+    silent_s: float = 0.9  # without an answer to heartbeats, before a member leaves the group
+    replaced_s: float = 1.3  # silent for this long, a witness gives way to a newcomer
+    removed_s: float = 2.5  # silent for this long, a witness that is not needed is removed
+    rejoin_s: float = 1.0  # after a member was left out, before it is taken into the group again
+    complete_group_s: float = 6.0  # how long a new group waits for as many members as the losses ask for
--- /dev/null
+++ b/arrowfold/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable storage: a log in segments with checksums, and snapshots beside them."""
--- /dev/null
+++ b/arrowfold/storage/log.py
@@ -0,0 +1,124 @@
+"""A log in numbered segments, each with the snapshot that it starts from beside it.
+
+`snapshot-N` holds the image of everything before `segment-N`. Compaction writes the next snapshot under a
+temporary name, syncs it, renames it, syncs the folder, and only then removes what it replaces. At any moment
+the highest whole snapshot and the segment of its number are the state.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from arrowfold.storage.faults import DamagedStorage
+from arrowfold.storage.folders import AppendFile, Folder
+from arrowfold.storage.frames import encode_frame, scan
+
+SNAPSHOT_PREFIX = "snapshot-"
+SEGMENT_PREFIX = "segment-"
+TEMPORARY_SUFFIX = ".new"
+
+
+@dataclass(frozen=True, slots=True)
+class RecoveredLog:
+    """What the folder held: the image of the last snapshot, if there is one, and the records after it."""
+
+    snapshot: bytes | None
+    records: tuple[bytes, ...]
+    cut_bytes: int = 0  # of a torn tail
+
+
+def _numbers(names: list[str], prefix: str) -> list[int]:
+    found = [name.removeprefix(prefix) for name in names if name.startswith(prefix)]
+    return sorted(int(number) for number in found if number.isdigit())
+
+
+def _name(prefix: str, number: int) -> str:
+    return f"{prefix}{number:08d}"
+
+
+def _read_snapshot(folder: Folder, number: int) -> bytes:
+    name = _name(SNAPSHOT_PREFIX, number)
+    payloads = scan(folder.read(name), name).payloads
+    if len(payloads) != 1:
+        raise DamagedStorage(name, 0, "a snapshot that was synced does not read back")
+    return payloads[0]
+
+
+class SegmentedLog:
+    """Appends records durably. All methods block; an OSError leaves the log to be started anew by `compact`."""
+
+    def __init__(self, folder: Folder) -> None:
+        self._folder = folder
+        self._number = 0
+        self._file: AppendFile | None = None
+        self._end = 0
+        self._synced = 0
+
+    @property
+    def segment_bytes(self) -> int:
+        """The size of the segment that is being written."""
+        return self._end
+
+    def recover(self) -> RecoveredLog:
+        """Read the folder; cut a torn tail; raises DamagedStorage if synced bytes do not read back."""
+        names = self._folder.names()
+        snapshots = _numbers(names, SNAPSHOT_PREFIX)
+        self._number = snapshots[-1] if snapshots else 0
+        snapshot = _read_snapshot(self._folder, self._number) if snapshots else None
+        segment = _name(SEGMENT_PREFIX, self._number)
+        data = self._folder.read(segment) if segment in names else b""
+        scanned = scan(data, segment)
+        self._file = self._folder.open(segment)
+        if scanned.end < len(data):
+            self._file.truncate(scanned.end)
+        self._file.sync()
+        self._folder.sync()
+        self._end = self._synced = scanned.end
+        self._remove_others()
+        return RecoveredLog(snapshot, scanned.payloads, len(data) - scanned.end)
+
+    def append(self, records: list[bytes]) -> None:
+        """Write records and return when they are durable."""
+        assert self._file is not None
+        data = b"".join(encode_frame(record, self._synced) for record in records)
+        self._file.append(data)
+        self._file.sync()
+        self._end += len(data)
+        self._synced = self._end
+
+    def compact(self, image: bytes) -> None:
+        """Start the next segment from `image`; also the way back after a failed append."""
+        number = self._number + 1
+        snapshot = _name(SNAPSHOT_PREFIX, number)
+        self._write_new(snapshot, image)
+        file = self._folder.open(_name(SEGMENT_PREFIX, number))
+        file.truncate(0)
+        file.sync()
+        self._folder.rename(snapshot + TEMPORARY_SUFFIX, snapshot)
+        self._folder.sync()
+        if self._file is not None:
+            self._file.close()
+        self._number, self._file = number, file
+        self._end = self._synced = 0
+        self._remove_others()
+
+    def _write_new(self, snapshot: str, image: bytes) -> None:
+        file = self._folder.open(snapshot + TEMPORARY_SUFFIX)
+        try:
+            file.truncate(0)
+            file.append(encode_frame(image, 0))
+            file.sync()
+        finally:
+            file.close()
+
+    def _remove_others(self) -> None:
+        kept = {_name(SNAPSHOT_PREFIX, self._number), _name(SEGMENT_PREFIX, self._number)}
+        for name in self._folder.names():
+            if name.startswith((SNAPSHOT_PREFIX, SEGMENT_PREFIX)) and name not in kept:
+                self._folder.remove(name)
+
+    def close(self) -> None:
+        """Give the file up."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
