--- a/arrowfold/controlplane/http_interface.py
+++ b/arrowfold/controlplane/http_interface.py
@@ -1,4 +1,4 @@
-"""The HTTP interface of a control node, for workers and the operator (Sanic inside the running event loop)."""
+"""The HTTP interface of a control node for workers and the operator: Sanic in the running event loop."""
 
 from __future__ import annotations
 
@@ -74,6 +74,6 @@
         host=host, port=int(port), backlog=512, access_log=False, return_asyncio_server=True
     )
     assert server is not None
-    await server.startup()
-    await server.start_serving()
+    await server.startup()  # type: ignore[no-untyped-call]
+    await server.start_serving()  # type: ignore[no-untyped-call]
     return server
--- a/arrowfold/controlplane/peers.py
+++ b/arrowfold/controlplane/peers.py
@@ -1,4 +1,4 @@
-"""Pulls of one control node from the others: worker records by version vector, and sightings of edge nodes."""
+"""Pulls from other control nodes: worker records by version vector, and sightings of edge nodes."""
 
 from __future__ import annotations
 
--- a/arrowfold/registry/workers.py
+++ b/arrowfold/registry/workers.py
@@ -1,8 +1,9 @@
 """The workers that control nodes heard, kept by origin and handed on by version vectors.
 
-An *origin* is one life of a control node. It numbers the records that it makes; a record is made when a worker
-says something new, when it starts to call this node, or when it has been silent. Ordinary heartbeats that repeat
-what is known make none. Of several records of one worker, the one with the higher `call_sequence` is in force.
+An *origin* is one life of a control node. It numbers the records that it makes; a record is made when a
+worker says something new, when it starts to call this node, or when it has been silent. Ordinary heartbeats
+that repeat what is known make none. Of several records of one worker, the one with the higher
+`call_sequence` is in force.
 """
 
 from __future__ import annotations
@@ -118,8 +119,8 @@
     def sweep(self, is_live: Callable[[str], bool]) -> bool:
         """Announce workers that have been silent; call it about once a second. True if there were any.
 
-        This node answers for the workers that it heard last, and for those whose origin is not live. After a pause
-        of its own (a freeze) every worker gets its whole time again.
+        This node answers for the workers that it heard last, and for those whose origin is not live. After
+        a pause of its own (a freeze) every worker gets its whole time again.
         """
         now = self._clock()
         paused = self._last_sweep is not None and now - self._last_sweep > self._silence_s / 2
--- a/arrowfold/replication/__init__.py
+++ b/arrowfold/replication/__init__.py
@@ -1,1 +1,4 @@
-"""Primary-backup replication of the control state under epochs that witnesses decide; see docs/control-state.md."""
+"""Primary-backup replication of the control state under epochs that witnesses decide.
+
+See docs/control-state.md.
+"""
--- a/arrowfold/replication/durable.py
+++ b/arrowfold/replication/durable.py
@@ -33,8 +33,9 @@
 class DurableImage:
     """A `MemberImage` and the log that keeps it.
 
-    `change` holds the lock while the disk works, also beyond the caller's time-out: a late change is as a late
-    message. After a failed write the log is started anew from the image in memory before anything else is written.
+    `change` holds the lock while the disk works, also beyond the caller's time-out: a late change is as a
+    late message. After a failed write the log is started anew from the image in memory before anything else
+    is written.
     """
 
     def __init__(self, log: SegmentedLog, worker: DiskWorker, clock: Clock, image: MemberImage) -> None:
--- a/arrowfold/replication/epochs.py
+++ b/arrowfold/replication/epochs.py
@@ -27,6 +27,7 @@
     Quorum,
     has_majorities,
     merged_quorums,
+    newest_record,
     voter_names,
 )
 from arrowfold.replication.state import ControlState
@@ -35,7 +36,7 @@
 
 
 class EpochFault(Exception):
-    """The change of epoch did not come about; `promised` is the highest epoch met, `newest` the newest record."""
+    """No new epoch; `promised` is the highest epoch met, `newest` the newest record."""
 
     def __init__(self, text: str, promised: int = 0) -> None:
         super().__init__(text)
@@ -90,8 +91,7 @@
 
     def newest_record(self) -> EpochRecord | None:
         """The newest record that anyone told."""
-        records = [answer.record for answer in self.answers.values() if answer.record is not None]
-        return max(records, key=lambda record: record.epoch, default=None)
+        return newest_record(answer.record for answer in self.answers.values())
 
     def is_confirmed(self, record: EpochRecord) -> bool:
         """Whether anyone knows the record to be chosen."""
@@ -114,7 +114,7 @@
     async def run(
         self, epoch: int, compose: Compose, newcomers: Iterable[MemberInfo] = (), trial: bool = False
     ) -> Result[EpochRecord, EpochFault]:
-        """The record of the new epoch, once it is chosen; with `trial`, only whether promises would be given."""
+        """The record of the new epoch, once chosen; with `trial`, only whether promises would be given."""
         inquiry = _Inquiry()
         try:
             result = await self._attempt(epoch, compose, tuple(newcomers), trial, inquiry)
@@ -218,6 +218,7 @@
     def _found(self, inquiry: _Inquiry) -> Found | None:
         """What the promises told, if they are enough."""
         record = inquiry.newest_record()
+        quorums: tuple[Quorum, ...]
         if record is None:
             quorums = (Quorum(tuple(SEED_PREFIX + seed for seed in self._seeds)),)
         else:
--- a/arrowfold/replication/member.py
+++ b/arrowfold/replication/member.py
@@ -1,4 +1,4 @@
-"""One member's part in epochs decided elsewhere: promises, accepted records, installed states, appended entries.
+"""A member's part in epochs: promises, accepted records, installed states, appended entries.
 
 Everything here answers a message. What an answer claims is on the disk before it is given.
 """
--- a/arrowfold/replication/membership.py
+++ b/arrowfold/replication/membership.py
@@ -14,7 +14,8 @@
 class PeerView:
     """What the primary sees of one witness.
 
-    `silence_s`: since its last answer; `healthy`: its disk takes writes; `rested`: it was not left out lately.
+    `silence_s`: since its last answer; `healthy`: its disk takes writes; `rested`: it was not left out
+    lately.
     """
 
     silence_s: float
@@ -68,7 +69,7 @@
     machine_losses: int,
     timings: Timings,
 ) -> Membership:
-    """The witnesses and the group that the primary should bring about; equal to the record's if all is well."""
+    """The witnesses and the group that the primary wants; equal to the record's if all is well."""
 
     def silence_s(member: str) -> float:
         return peers[member].silence_s if member in peers else 0.0
--- a/arrowfold/replication/messages.py
+++ b/arrowfold/replication/messages.py
@@ -61,7 +61,7 @@
 @message(64)
 @dataclass(frozen=True, slots=True)
 class InstallState:
-    """Store the state with which `epoch` starts; `state` is None where the receiver holds `position` already."""
+    """Store the state with which `epoch` starts; `state` is None where `position` is held."""
 
     epoch: int
     candidate: str
@@ -101,7 +101,7 @@
 @message(68)
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """The primary lives. `echo`: the receiver's clock reading that its last answer told, for its authority."""
+    """The primary lives. `echo`: the clock reading that the receiver told last, for its authority."""
 
     epoch: int
     primary: MemberInfo
--- a/arrowfold/replication/records.py
+++ b/arrowfold/replication/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field, replace
 
 from arrowfold.internal.codec import message
@@ -28,10 +28,10 @@
 @message(47)
 @dataclass(frozen=True, slots=True)
 class EpochRecord:
-    """One epoch: its primary, the group that holds the whole state, and the witnesses that decide what follows.
+    """One epoch: its primary, the group that holds the state, the witnesses that decide what follows.
 
-    It is chosen once a majority of each of `quorums` has accepted it, and it takes the promise of a majority of
-    each to supersede it while it is not known to be chosen. The last set are its witnesses.
+    It is chosen once a majority of each of `quorums` has accepted it, and it takes the promise of a
+    majority of each to supersede it while it is not known to be chosen. The last set are its witnesses.
     """
 
     epoch: int
@@ -49,6 +49,12 @@
         return next((witness for witness in self.witnesses if witness.member == member), None)
 
 
+def newest_record(records: Iterable[EpochRecord | None]) -> EpochRecord | None:
+    """The record of the highest epoch, if there is any."""
+    known = [record for record in records if record is not None]
+    return max(known, key=lambda record: record.epoch) if known else None
+
+
 def voter_names(member: MemberInfo, founder: bool) -> tuple[str, ...]:
     """The names under which a member counts in quorums: its identity and, for a founder, its address."""
     return (member.member, SEED_PREFIX + member.address) if founder else (member.member,)
@@ -82,8 +88,9 @@
 class MemberImage:
     """Everything that a member must not forget.
 
-    `promised` and `promised_to`: the highest epoch promised, and to which candidate. `state_epoch`: the epoch at
-    whose start, or in which, this member stored the whole state; `position_epoch`: when its last entry was written.
+    `promised` and `promised_to`: the highest epoch promised, and to which candidate. `state_epoch`: the
+    epoch at whose start, or in which, this member stored the whole state; `position_epoch`: when its last
+    entry was written.
     """
 
     promised: int = NO_EPOCH
--- a/arrowfold/replication/replica.py
+++ b/arrowfold/replication/replica.py
@@ -1,4 +1,4 @@
-"""One member of the replicated control state: it joins, witnesses, backs up, stands for election, and leads."""
+"""One member of the replicated control state: it joins, witnesses, backs up, stands and leads."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 from arrowfold.replication.ports import Caller, EventLog
 from arrowfold.replication.primary import PrimaryTerm
 from arrowfold.replication.proposals import AnswerT, Decide, ReplicationFault
-from arrowfold.replication.records import EpochRecord
+from arrowfold.replication.records import EpochRecord, newest_record
 from arrowfold.replication.state import ControlState
 
 FOUNDING_STEP_S = 0.25  # between the moments at which the seeds offer to found the first group
@@ -185,8 +185,7 @@
 
     def _newest_record(self) -> EpochRecord | None:
         """The newest record that this member accepted, or was told of."""
-        known = [record for record in (self._member.image.record, self._newest_seen) if record is not None]
-        return max(known, key=lambda record: record.epoch, default=None)
+        return newest_record((self._member.image.record, self._newest_seen))
 
     def _note_record(self, record: EpochRecord | None) -> None:
         newest = self._newest_record()
--- a/arrowfold/replication/state.py
+++ b/arrowfold/replication/state.py
@@ -1,7 +1,7 @@
 """The replicated control state as an immutable value, and the log entries that change it.
 
-Every member applies the same entries in the same order, so `apply` is deterministic: it reads no clock and draws
-no random numbers.
+Every member applies the same entries in the same order, so `apply` is deterministic: it reads no clock and
+draws no random numbers.
 """
 
 from __future__ import annotations
--- a/arrowfold/replication/timings.py
+++ b/arrowfold/replication/timings.py
@@ -9,9 +9,9 @@
 class Timings:
     """How long members wait for one another.
 
-    A witness that answered a heartbeat promises nothing to others for `lease_s`. The primary counts its lease from
-    when it sent the heartbeat, and only for `lease_s` x `lease_margin`, so that clocks may run at slightly
-    different speeds.
+    A witness that answered a heartbeat promises nothing to others for `lease_s`. The primary counts its
+    lease from when it sent the heartbeat, and only for `lease_s` x `lease_margin`, so that clocks may run
+    at slightly different speeds.
     """
 
     heartbeat_s: float = 0.2
--- a/arrowfold/storage/frames.py
+++ b/arrowfold/storage/frames.py
@@ -1,8 +1,8 @@
 """Frames of a log file: a fixed head with length, checksum and how far the file was synced, then the payload.
 
-The `synced` field of a frame tells up to which offset the file had been synced when the frame was written. A bad
-frame at or beyond every such offset is a torn tail: it was never acknowledged, and is cut. A bad frame below one
-is damage to acknowledged data.
+The `synced` field of a frame tells up to which offset the file had been synced when the frame was written.
+A bad frame at or beyond every such offset is a torn tail: it was never acknowledged, and is cut. A bad
+frame below one is damage to acknowledged data.
 """
 
 from __future__ import annotations
--- a/arrowfold/storage/log.py
+++ b/arrowfold/storage/log.py
@@ -45,7 +45,7 @@
 
 
 class SegmentedLog:
-    """Appends records durably. All methods block; an OSError leaves the log to be started anew by `compact`."""
+    """Appends records durably. All methods block; after an OSError, `compact` starts anew."""
 
     def __init__(self, folder: Folder) -> None:
         self._folder = folder
--- a/arrowfold/storage/worker.py
+++ b/arrowfold/storage/worker.py
@@ -1,4 +1,4 @@
-"""Runs blocking disk work beside the event loop, one piece at a time, so that a hung disk blocks nothing else."""
+"""Runs blocking disk work beside the event loop, one piece at a time."""
 
 from __future__ import annotations
 
