--- a/arrowfold/programs/edge.py
+++ b/arrowfold/programs/edge.py
@@ -17,6 +17,7 @@
 import sys
 from pathlib import Path
 
+import uvloop
 from docopt import docopt
 from result import Err
 
@@ -89,7 +90,8 @@
     if isinstance(loaded, Err):
         print(f"error {ResultCode.SETTINGS_INVALID}: {loaded.unwrap_err()}", file=sys.stderr)
         return 2
-    asyncio.run(run(path, loaded.unwrap()))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run(path, loaded.unwrap()))
     return 0
 
 
