--- a/arrowfold/dataplane/tables.py
+++ b/arrowfold/dataplane/tables.py
@@ -8,8 +8,8 @@
 
 from dataclasses import dataclass, field, replace
 
-from arrowfold.configuration.diffs import apply_delta_value
 from arrowfold.configuration.json_text import JsonObject, read_object
+from arrowfold.configuration.patches import apply_delta_value
 from arrowfold.configuration.routes import RouteTable
 from arrowfold.internal.messages import (
     STATE_ORIGIN,
