--- a/arrowfold/dataplane/forwarding.py
+++ b/arrowfold/dataplane/forwarding.py
@@ -136,6 +136,8 @@
     async def _attempt(self, progress: RequestProgress, choice: ChosenWorker, answer: ClientAnswer) -> bool:
         """Send it to one worker; True once the client's answer has ended."""
         progress.tried.add(choice.instance)
+        if self._clock() >= progress.deadline_s:
+            raise TimeoutError
         if not self._snapshot().may_send(choice.instance):
             return False
         self._selector.sent(progress.profile, choice.instance, self._clock())
--- a/arrowfold/dataplane/front.py
+++ b/arrowfold/dataplane/front.py
@@ -20,6 +20,9 @@
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
 IDLE_CLOSE_S = 600.0  # longer than any client may rest a connection
 BACKLOG = 1024
+CLOSING_LOOK_S = 0.05  # between looks at what is left while the front ends
+QUIET_S = 0.1  # without a byte: no request is just being read
+_LOGGER = logging.getLogger("arrowfold.front")
 Forward = Callable[[ClientRequest, ClientAnswer], Awaitable[None]]
 
 
@@ -82,58 +85,75 @@
         return "Unknown"
 
 
+class ClientConnection(web.RequestHandler):
+    """A client's connection that knows when bytes last came on it."""
+
+    received_s = 0.0
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of the client."""
+        self.received_s = self._loop.time()
+        super().data_received(data)
+
+
 class EdgeFront:
     """Serves clients at one address."""
 
     def __init__(self, forward: Forward, limits: Callable[[], Limits]) -> None:
+        self._loop = asyncio.get_running_loop()
         self._forward = forward
         self._limits = limits
         self._draining = False
-        self._in_flight = 0
-        self._idle = asyncio.Event()
-        self._idle.set()
-        self._web = web.Server(
-            self._handle,
-            handler_cancellation=True,
-            access_log=None,
-            logger=logging.getLogger("arrowfold.front"),
+        self._busy: set[object] = set()  # connections whose request is not answered yet
+        self._web = web.Server(self._handle, handler_cancellation=True)
+        self._listener: asyncio.Server | None = None
+
+    async def start(self, address: str) -> str:
+        """Listen at HOST:PORT; tells the address, for port 0 the one that was given."""
+        self._listener = await _listen(self._connection, address)
+        return _bound_address(self._listener)
+
+    def _connection(self) -> ClientConnection:
+        return ClientConnection(
+            self._web,
+            loop=self._loop,
+            access_log=None,  # type: ignore[arg-type]
+            logger=_LOGGER,
             auto_decompress=False,
             keepalive_timeout=IDLE_CLOSE_S,
             max_line_size=DEFAULT_HEADER_BYTES,
             max_field_size=DEFAULT_HEADER_BYTES,
             lingering_time=1.0,
         )
-        self._listener: asyncio.Server | None = None
-
-    async def start(self, address: str) -> str:
-        """Listen at HOST:PORT; tells the address, for port 0 the one that was given."""
-        self._listener = await _listen(self._web, address)
-        return _bound_address(self._listener)
 
     def begin_draining(self) -> None:
         """Tell clients to close their connections after the next answer."""
         self._draining = True
 
     async def stop(self, grace_s: float) -> None:
-        """Take no new connections, wait until all requests are answered, then end."""
+        """Take no new connections, answer every request that was read, then end."""
         if self._listener is not None:
             self._listener.close()
-        try:
-            async with asyncio.timeout(grace_s):
-                await self._idle.wait()
-        except TimeoutError:
-            pass
+        deadline_s = self._loop.time() + grace_s
+        while self._web.connections and self._loop.time() < deadline_s:
+            self._close_idle()
+            await asyncio.sleep(CLOSING_LOOK_S)
         await self._web.shutdown(0.1)
 
+    def _close_idle(self) -> None:
+        """Close connections on which no request is under way, not even one that has just come."""
+        now_s = self._loop.time()
+        for connection in self._web.connections:
+            quiet = isinstance(connection, ClientConnection) and now_s - connection.received_s > QUIET_S
+            if quiet and connection not in self._busy:
+                connection.force_close()
+
     async def _handle(self, request: BaseRequest) -> web.StreamResponse:
-        self._in_flight += 1
-        self._idle.clear()
+        self._busy.add(request.protocol)
         try:
             return await self._serve(request)
         finally:
-            self._in_flight -= 1
-            if not self._in_flight:
-                self._idle.set()
+            self._busy.discard(request.protocol)
 
     async def _serve(self, request: BaseRequest) -> web.StreamResponse:
         arrived_s = asyncio.get_running_loop().time()
@@ -213,7 +233,7 @@
         return web.Response(status=200 if self._ready() else 503)
 
 
-async def _listen(server: web.Server, address: str) -> asyncio.Server:
+async def _listen(server: Callable[[], asyncio.BaseProtocol], address: str) -> asyncio.Server:
     host, port = address.rsplit(":", 1)
     return await asyncio.get_running_loop().create_server(server, host, int(port), backlog=BACKLOG)
 
--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -6,6 +6,7 @@
 import secrets
 
 from arrowfold.configuration.routes import Limits
+from arrowfold.dataplane.dark_workers import DarkWorkerWatch
 from arrowfold.dataplane.forwarding import RequestForwarder
 from arrowfold.dataplane.front import EdgeFront, ReadinessFront
 from arrowfold.dataplane.puller import ControlPuller
@@ -63,7 +64,8 @@
             log,
         )
         self._reporter = DemandReporter(self._client, identity, selector)
-        self._rounds: asyncio.Task[None] | None = None
+        self._dark_workers = DarkWorkerWatch(self._connections, log)
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Listen, and begin to pull."""
@@ -73,7 +75,10 @@
         if addresses.front is not None:
             await self._front.start(addresses.front)
         self._puller.start()
-        self._rounds = asyncio.create_task(self._run_rounds())
+        self._tasks = [
+            asyncio.create_task(self._run_rounds()),
+            asyncio.create_task(self._dark_workers.run()),
+        ]
 
     def is_ready(self) -> bool:
         """Whether the platform should send new connections here."""
@@ -92,8 +97,8 @@
         await asyncio.sleep(PROBE_MISSES_S)
         await self._front.stop(self._settings.bounds.graceS - PROBE_MISSES_S - END_MARGIN_S)
         self._puller.stop()
-        if self._rounds is not None:
-            self._rounds.cancel()
+        for task in self._tasks:
+            task.cancel()
 
     def _limits(self) -> Limits:
         configuration = self._tables.snapshot.configuration
--- a/arrowfold/dataplane/tables.py
+++ b/arrowfold/dataplane/tables.py
@@ -97,8 +97,13 @@
         if known is not None and not _is_later(record, known):
             return
         departure = self._departures.get(record.instance)
+        if departure is not None and departure.state == GONE:
+            return
         if departure is not None and _SEVERITY[record.state] < _SEVERITY[departure.state]:
             record = replace(record, state=departure.state, remaining_ms=departure.remaining_ms)
+        if record.state == GONE:
+            self._take_departure(workers, DepartureUpdate(0, record.instance, GONE))
+            return
         workers[record.instance] = record
 
     def _take_departure(self, workers: dict[str, WorkerRecord], departure: DepartureUpdate) -> None:
@@ -108,6 +113,9 @@
         self._departures[departure.instance] = departure
         while len(self._departures) > MOST_DEPARTURES:
             del self._departures[next(iter(self._departures))]
+        if departure.state == GONE:
+            workers.pop(departure.instance, None)
+            return
         record = workers.get(departure.instance)
         if record is not None and _SEVERITY[record.state] < _SEVERITY[departure.state]:
             workers[departure.instance] = replace(
--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -38,6 +38,8 @@
     def __init__(self, protocol: ResponseHandler, now_s: float) -> None:
         self.protocol = protocol
         self.idle_since_s = now_s
+        self.heard_s = now_s  # when bytes last came, or a request was written
+        self.repeatable = False  # whether the request under way may run again elsewhere
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
 
     def is_clean(self) -> bool:
@@ -54,6 +56,11 @@
         """Close it at once."""
         self.protocol.abort()
 
+    def break_off(self) -> None:
+        """Close it as if the network had, so that who waits for the answer learns of it."""
+        if self.protocol.transport is not None:
+            self.protocol.transport.abort()
+
 
 def encode_request(request: WorkerRequest) -> bytes:
     """The bytes of a request with its body's length."""
@@ -64,6 +71,17 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
 
 
+@dataclass(slots=True)
+class InstancePool:
+    """The connections to one instance."""
+
+    address: str
+    idle: deque[WorkerConnection] = field(default_factory=deque)
+    active: set[WorkerConnection] = field(default_factory=set)
+    opened: int = 0
+    heard_s: float = 0.0  # when an answer's bytes last came from the instance
+
+
 class ConnectionAnswer:
     """A worker's answer on a connection, as `WorkerAnswer` asks for it."""
 
@@ -72,13 +90,16 @@
         message: RawResponseMessage,
         payload: StreamReader,
         connection: WorkerConnection,
-        release: Callable[[WorkerConnection, bool], None],
+        pool: InstancePool,
+        release: Callable[[InstancePool, WorkerConnection, bool], None],
         reusable: bool,
     ) -> None:
         self.status = message.code
         self.headers: RawHeaders = tuple(message.raw_headers)
         self._payload = payload
         self._connection: WorkerConnection | None = connection
+        self._pool = pool
+        self._loop = asyncio.get_running_loop()
         self._release = release
         self._reusable = reusable and not message.should_close
         self._whole = payload is EMPTY_PAYLOAD
@@ -96,15 +117,20 @@
             raise BodyLostError(str(error)) from error
         if not data:
             self._whole = True
+        self._note_heard()
         return data
 
+    def _note_heard(self) -> None:
+        if self._connection is not None:
+            self._connection.heard_s = self._pool.heard_s = self._loop.time()
+
     def close(self) -> None:
         """Keep the connection if the answer was read whole, else drop it."""
         connection, self._connection = self._connection, None
         if connection is None:
             return
         connection.keep_alive_s = _keep_alive_s(self.headers)
-        self._release(connection, self._reusable and self._whole and self._bounded)
+        self._release(self._pool, connection, self._reusable and self._whole and self._bounded)
 
 
 def _is_bounded(message: RawResponseMessage) -> bool:
@@ -118,21 +144,12 @@
     return DEFAULT_KEEP_ALIVE_S if told is None else max(0.0, told - KEEP_ALIVE_MARGIN_S)
 
 
-@dataclass(slots=True)
-class _InstancePool:
-    """The connections to one instance."""
-
-    address: str
-    idle: deque[WorkerConnection] = field(default_factory=deque)
-    opened: int = 0
-
-
 class WorkerConnections:
     """All connections to workers, kept by instance."""
 
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
-        self._pools: dict[str, _InstancePool] = {}
+        self._pools: dict[str, InstancePool] = {}
         self._share_of: dict[str, int] = {}
 
     def set_shares(self, shares: dict[str, int]) -> None:
@@ -143,8 +160,7 @@
         """Close the idle connections of all other instances."""
         for instance in [name for name in self._pools if name not in instances]:
             pool = self._pools[instance]
-            while pool.idle:
-                self._drop(pool, pool.idle.pop())
+            self.drop_idle(pool)
             if pool.opened == 0:
                 del self._pools[instance]
 
@@ -160,13 +176,16 @@
         self, instance: str, address: str, request: WorkerRequest
     ) -> Result[WorkerAnswer, SendFailure]:
         """Send it over a connection to this instance and read the head of its answer."""
-        pool = self._pools.setdefault(instance, _InstancePool(address))
+        pool = self._pools.setdefault(instance, InstancePool(address))
         connection = self._take_idle(pool, request.repeatable)
         if connection is None:
             opened = await self._open(instance, pool)
             if opened.is_err():
                 return Err(opened.unwrap_err())
             connection = opened.unwrap()
+        connection.heard_s = self._loop.time()
+        connection.repeatable = request.repeatable
+        pool.active.add(connection)
         try:
             connection.write(request)
             answer = await self._read_answer(pool, connection, request)
@@ -178,7 +197,7 @@
             raise
         return Ok(answer)
 
-    def _take_idle(self, pool: _InstancePool, repeatable: bool) -> WorkerConnection | None:
+    def _take_idle(self, pool: InstancePool, repeatable: bool) -> WorkerConnection | None:
         now_s = self._loop.time()
         while pool.idle:
             connection = pool.idle.pop()
@@ -191,7 +210,7 @@
                 return None
         return None
 
-    async def _open(self, instance: str, pool: _InstancePool) -> Result[WorkerConnection, SendFailure]:
+    async def _open(self, instance: str, pool: InstancePool) -> Result[WorkerConnection, SendFailure]:
         if pool.opened >= max(FEWEST_CONNECTIONS, self._share_of.get(instance, FEWEST_CONNECTIONS)):
             return Err(SendFailure.NO_CONNECTION_FREE)
         host, port = pool.address.rsplit(":", 1)
@@ -211,7 +230,7 @@
         return Ok(WorkerConnection(protocol, self._loop.time()))
 
     async def _read_answer(
-        self, pool: _InstancePool, connection: WorkerConnection, request: WorkerRequest
+        self, pool: InstancePool, connection: WorkerConnection, request: WorkerRequest
     ) -> ConnectionAnswer:
         reusable = request.method != "HEAD"
         for _ in range(MOST_FOREIGN_ANSWERS + 1):
@@ -219,22 +238,33 @@
             while message.code < 200:
                 message, payload = await connection.protocol.read()
             if find(message.raw_headers, names.ATTEMPT_ID) == request.attempt_id:
-                return ConnectionAnswer(
-                    message, payload, connection, lambda c, keep: self._release(pool, c, keep), reusable
-                )
+                pool.heard_s = connection.heard_s = self._loop.time()
+                return ConnectionAnswer(message, payload, connection, pool, self._release, reusable)
             reusable = False
             while await payload.readany():
                 pass
         raise EofStream
 
-    def _release(self, pool: _InstancePool, connection: WorkerConnection, keep: bool) -> None:
+    @property
+    def pools(self) -> dict[str, InstancePool]:
+        """The connections by instance."""
+        return self._pools
+
+    def drop_idle(self, pool: InstancePool) -> None:
+        """Close the connections to an instance on which nothing is under way."""
+        while pool.idle:
+            self._drop(pool, pool.idle.pop())
+
+    def _release(self, pool: InstancePool, connection: WorkerConnection, keep: bool) -> None:
         if not keep or not connection.is_clean() or connection.keep_alive_s <= 0:
             self._drop(pool, connection)
             return
+        pool.active.discard(connection)
         connection.idle_since_s = self._loop.time()
         pool.idle.append(connection)
 
-    def _drop(self, pool: _InstancePool, connection: WorkerConnection) -> None:
+    def _drop(self, pool: InstancePool, connection: WorkerConnection) -> None:
+        pool.active.discard(connection)
         pool.opened -= 1
         connection.drop()
 
--- a/tests/system/test_edge_http.py
+++ b/tests/system/test_edge_http.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from arrowfold.dataplane.dark_workers import DarkWorkerWatch
+from arrowfold.node.logs import RateLimitedLog
 from tests.system.edge_loopback import SEAL, LoopbackEdge, RawExchange, RawWorker, field_of, request_bytes
 from tests.system.edge_stories import route
 
@@ -365,3 +367,97 @@
         await edge.stop()
 
     play(story)
+
+
+def test_stopping_closes_connections_that_rest() -> None:
+    async def story() -> None:
+        edge, _ = await edge_with(plain)
+        assert edge.front is not None
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1"))
+        assert (await client.read()).status == 200
+        await edge.front.stop(5.0)
+        assert await client.reader.read() == b""
+
+    play(story)
+
+
+def test_a_request_that_comes_while_the_front_ends_is_answered() -> None:
+    async def story() -> None:
+        edge, worker = await edge_with(plain)
+        assert edge.front is not None
+        client = await edge.client()
+        data = request_bytes("/pay/1", "a1", body=b"xy")
+        await client.send(data[:-1])
+        await asyncio.sleep(0.02)
+        stopping = asyncio.create_task(edge.front.stop(5.0))
+        await asyncio.sleep(0.2)
+        await client.send(data[-1:])
+        assert (await client.read()).status == 200
+        await stopping
+        assert len(worker.heads) == 1
+
+    play(story)
+
+
+@pytest.mark.parametrize(("path", "broken_off"), [("/talk/1", True), ("/draft/1", False)])
+def test_only_what_may_run_again_is_broken_off_at_a_dark_worker(path: str, broken_off: bool) -> None:
+    async def stalls(exchange: RawExchange) -> None:
+        await exchange.write(stream_head(exchange) + chunk(event(1)))
+        await asyncio.sleep(5)
+
+    async def goes_on(exchange: RawExchange) -> None:
+        assert field_of(exchange.head, b"last-event-id") == b"1"
+        await exchange.write(stream_head(exchange) + chunk(event(2)) + b"0\r\n\r\n")
+
+    async def dark(address: str) -> bool:
+        return False
+
+    async def story() -> None:
+        edge, worker = await edge_with(stalls, goes_on)
+        assert edge.connections is not None
+        client = await edge.client()
+        await client.send(request_bytes(path, "a1"))
+        await client.reader.readuntil(b"\r\n\r\n")
+        assert await client.read_part() == event(1)
+        watch = DarkWorkerWatch(edge.connections, RateLimitedLog("edge"), dark)
+        for pool in edge.connections.pools.values():
+            pool.heard_s -= 1
+            for connection in pool.active:
+                connection.heard_s -= 1
+        watch.look()
+        await asyncio.sleep(0.1)
+        assert len(worker.heads) == (2 if broken_off else 1)
+        if broken_off:
+            assert await client.read_part() == event(2)
+            assert await client.read_part() == b""
+        client.close()
+        await edge.stop()
+
+    play(story)
+
+
+def test_a_silent_worker_that_accepts_connections_is_left_alone() -> None:
+    async def stalls(exchange: RawExchange) -> None:
+        await exchange.write(stream_head(exchange) + chunk(event(1)))
+        await asyncio.sleep(5)
+
+    async def story() -> None:
+        edge, worker = await edge_with(stalls)
+        assert edge.connections is not None
+        client = await edge.client()
+        await client.send(request_bytes("/talk/1", "a1"))
+        await client.reader.readuntil(b"\r\n\r\n")
+        watch = DarkWorkerWatch(edge.connections, RateLimitedLog("edge"))
+        for pool in edge.connections.pools.values():
+            pool.heard_s -= 1
+            for connection in pool.active:
+                connection.heard_s -= 1
+        watch.look()
+        await asyncio.sleep(0.1)
+        assert worker.connections == 2
+        assert len(edge.connections.pools["w1"].active) == 1
+        client.close()
+        await edge.stop()
+
+    play(story)
