--- a/arrowfold/__main__.py
+++ b/arrowfold/__main__.py
@@ -16,6 +16,10 @@
 
         assert signals is not None
         return run_node(None, signals)
+    if arguments[0] == "system":
+        from arrowfold.programs import system
+
+        return system.main(arguments[1:])
     from arrowfold.program import commands
 
     return commands.main(arguments, signals)
--- a/arrowfold/program/commands.py
+++ b/arrowfold/program/commands.py
@@ -36,7 +36,8 @@
     """A multi-protocol edge: takes jobs, sends each to a backend server, gives each one final answer.
 
     With no command at all, a node starts as the platform starts it, from EDGE_CONFIG alone. `arrowfold try`
-    shows a node at work and needs no configuration.
+    shows a node at work and needs no configuration. `arrowfold system --help` is about the whole
+    system of edge and control nodes.
     """
 
 
--- /dev/null
+++ b/arrowfold/standins/model_workers.py
@@ -0,0 +1,240 @@
+"""Stand-in model workers: they answer and stream as workers do, take orders, and send heartbeats.
+
+Each listens on an address of its own on loopback. Tokens are words, an answer names its worker, and each
+worker remembers which requests it ran, so that a trial can tell whether one ran twice or after a drain.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+ATTEMPT_HEADER = "X-Attempt-Id"
+INSTANCE_HEADER = "X-Instance-Id"
+TARGET_HEADER = "X-Target-Instance"
+SEAL_HEADER = "X-Server-Seal"
+NOT_EXECUTED_HEADER = "X-Not-Executed"
+LAST_EVENT_HEADER = "Last-Event-Id"
+MODEL_HEADER = "X-Model"
+LOAD_HEADER = "X-Server-Load"
+HEARTBEAT_TIMEOUT_S = 1.0
+STREAM_EVENTS = 8
+
+
+@dataclass
+class RequestRun:
+    """A request that a worker began to work on, at a time of the event loop's clock (seconds)."""
+
+    attempt: str
+    path: str
+    started_at: float
+
+
+@dataclass
+class WorkerProfile:
+    """What a stand-in worker is. `event_pause_s`: between the events of a stream."""
+
+    instance: str
+    service: str
+    zone: str
+    streams: bool
+    models: list[str] = field(default_factory=list)
+    capacity_slots: int = 8
+    work_s: float = 0.01
+    event_pause_s: float = 0.02
+
+
+class StandInWorker:
+    """One worker: an HTTP server and a loop of heartbeats."""
+
+    def __init__(
+        self, profile: WorkerProfile, control_addresses: Sequence[str], beat_interval_s: float
+    ) -> None:
+        self.profile = profile
+        self.address = ""
+        self.runs: list[RequestRun] = []
+        self.orders: list[dict[str, Any]] = []
+        self.state = "available"
+        self.drained_at: float | None = None
+        self._control_addresses = list(control_addresses)
+        self._beat_interval_s = beat_interval_s
+        self._call_sequence = 0
+        self._active = 0
+        self._runner: web.AppRunner | None = None
+        self._beats: asyncio.Task[None] | None = None
+        self._client: aiohttp.ClientSession | None = None
+
+    async def start(self, host: str) -> None:
+        """Listen on a free port of `host` and begin to send heartbeats."""
+        application = web.Application()
+        application.router.add_get("/healthz", self._answer_health)
+        application.router.add_get("/report", self._answer_report)
+        application.router.add_post("/order", self._answer_order)
+        application.router.add_route("*", "/{path:.*}", self._answer_request)
+        self._runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, 0).start()
+        port = self._runner.addresses[0][1]
+        self.address = f"{host}:{port}"
+        self._client = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=HEARTBEAT_TIMEOUT_S))
+        self._beats = asyncio.create_task(self._send_heartbeats())
+
+    async def stop(self) -> None:
+        """End at once, without a word to the control nodes."""
+        if self._beats is not None:
+            self._beats.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._beats
+        if self._client is not None:
+            await self._client.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def drain(self) -> None:
+        """Say `draining` until a control node has acknowledged it; `drained_at` is when that was."""
+        self.state = "draining"
+        while not await self._call("PUT"):
+            await asyncio.sleep(self._beat_interval_s / 2)
+        self.drained_at = asyncio.get_running_loop().time()
+
+    async def leave(self) -> None:
+        """Say that this worker is gone, until it is acknowledged; heartbeats end first."""
+        if self._beats is not None:
+            self._beats.cancel()
+        while not await self._call("DELETE"):
+            await asyncio.sleep(self._beat_interval_s / 2)
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            acknowledged = await self._call("PUT")
+            await asyncio.sleep(self._beat_interval_s if acknowledged else self._beat_interval_s / 4)
+
+    async def _call(self, method: str) -> bool:
+        assert self._client is not None
+        self._call_sequence += 1
+        body = self._registration() if method == "PUT" else None
+        url = f"http://{self._control_addresses[0]}/instances/{self.profile.instance}"
+        try:
+            async with self._client.request(method, url, json=body) as answer:
+                await answer.read()
+                acknowledged = 200 <= answer.status < 300
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            acknowledged = False
+        if not acknowledged:
+            self._control_addresses.append(self._control_addresses.pop(0))
+        return acknowledged
+
+    def _registration(self) -> dict[str, Any]:
+        return {
+            "targetService": self.profile.service,
+            "address": self.address,
+            "zone": self.profile.zone,
+            "version": "v1",
+            "capacitySlots": self.profile.capacity_slots,
+            "state": self.state,
+            "coldLeftMs": 0,
+            "stage": "both",
+            "models": self._held_models(),
+            "callSeq": self._call_sequence,
+        }
+
+    def _held_models(self) -> list[dict[str, Any]]:
+        return [{"name": name, "version": 1, "adapters": []} for name in self.profile.models]
+
+    async def _answer_health(self, _: web.Request) -> web.Response:
+        status = 200 if self.state == "available" else 503
+        return web.Response(status=status, headers={INSTANCE_HEADER: self.profile.instance})
+
+    async def _answer_report(self, _: web.Request) -> web.Response:
+        report = {
+            "stage": "both",
+            "models": self._held_models(),
+            "busy": False,
+            "callSeq": len(self.orders),
+            "queued": 0,
+            "active": self._active,
+            "kvUsed": 0,
+            "kvTotal": 100_000,
+            "handles": 0,
+        }
+        return web.json_response(report)
+
+    async def _answer_order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if "holder" not in order or "fenceToken" not in order:
+            return web.Response(status=400)
+        self.orders.append(order)
+        model = order.get("model")
+        if order.get("operation") == "load" and model not in self.profile.models:
+            self.profile.models.append(model)
+        elif order.get("operation") == "unload" and model in self.profile.models:
+            self.profile.models.remove(model)
+        return web.Response(status=202)
+
+    async def _answer_request(self, request: web.Request) -> web.StreamResponse:
+        refusal = self._refusal(request)
+        if refusal is not None:
+            return refusal
+        attempt = request.headers[ATTEMPT_HEADER]
+        await request.read()
+        self.runs.append(RequestRun(attempt, request.path, asyncio.get_running_loop().time()))
+        self._active += 1
+        try:
+            return await (self._stream(request) if self.profile.streams else self._answer_at_once(request))
+        finally:
+            self._active -= 1
+
+    def _refusal(self, request: web.Request) -> web.Response | None:
+        target = request.headers.get(TARGET_HEADER)
+        model = request.headers.get(MODEL_HEADER, "").partition("/")[0]
+        if target not in (None, self.profile.instance) or (model and model not in self.profile.models):
+            return web.Response(status=421, headers=self._headers(request))
+        if ATTEMPT_HEADER not in request.headers:
+            return web.Response(status=400, headers={NOT_EXECUTED_HEADER: "1"})
+        if self._active >= self.profile.capacity_slots:
+            return web.Response(status=503, headers={**self._headers(request), NOT_EXECUTED_HEADER: "1"})
+        return None
+
+    def _headers(self, request: web.Request) -> dict[str, str]:
+        return {
+            ATTEMPT_HEADER: request.headers.get(ATTEMPT_HEADER, ""),
+            INSTANCE_HEADER: self.profile.instance,
+            LOAD_HEADER: f"{self._active},0,{self.profile.capacity_slots}",
+        }
+
+    def _answer_headers(self, request: web.Request) -> dict[str, str]:
+        return {**self._headers(request), SEAL_HEADER: f"{self.profile.instance}.{len(self.runs)}"}
+
+    async def _answer_at_once(self, request: web.Request) -> web.Response:
+        headers = self._answer_headers(request)
+        await asyncio.sleep(self.profile.work_s)
+        return web.Response(text=answer_text(headers[ATTEMPT_HEADER]), headers=headers)
+
+    async def _stream(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse(headers=self._answer_headers(request))
+        response.content_type = "text/event-stream"
+        response.headers["Versions"] = "1"
+        await asyncio.sleep(self.profile.work_s)
+        await response.prepare(request)
+        first = int(request.headers.get(LAST_EVENT_HEADER, "0")) + 1
+        for number in range(first, STREAM_EVENTS + 1):
+            await response.write(event_text(number).encode())
+            await asyncio.sleep(self.profile.event_pause_s)
+        await response.write_eof()
+        return response
+
+
+def answer_text(attempt: str) -> str:
+    """The body that a worker gives a request that is no stream."""
+    return f"answer to {attempt}"
+
+
+def event_text(number: int) -> str:
+    """Event `number` of every stream; numbers run from 1 to STREAM_EVENTS."""
+    return f"id: {number}\ndata: token-{number}\n\n"
