--- a/arrowfold/standins/system_trial.py
+++ b/arrowfold/standins/system_trial.py
@@ -6,6 +6,7 @@
 import tempfile
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -125,7 +126,7 @@
         await self._change(operator, "PUT", _configuration())
         self._say(f"configuration {self._version} acknowledged")
         for edge in system.edges:
-            await self._until(lambda edge=edge: self._is_ready(operator, edge), f"{edge.name} is not ready")
+            await self._until(partial(self._is_ready, operator, edge), f"{edge.name} is not ready")
         self._say("all edge nodes are ready")
 
     async def _start_workers(self) -> None:
@@ -153,7 +154,7 @@
     async def _add_route(self, client: TrialClient, operator: aiohttp.ClientSession) -> None:
         await self._change(operator, "PATCH", {"upsert": {"routes": [_route("added", ADDED, "idempotent")]}})
         for edge in self._edge_addresses():
-            await self._until(lambda edge=edge: _serves(client, ADDED, edge), f"{edge} lacks the added route")
+            await self._until(partial(_serves, client, ADDED, edge), f"{edge} lacks the added route")
         self._say(f"configuration {self._version} acknowledged: a route added, served by every edge node")
 
     async def _drain_worker(self, client: TrialClient) -> None:
@@ -178,7 +179,7 @@
         await self._phase(client, "one control node lost", [CHAT, LOOKUP, RECORD, ADDED])
         await self._change(operator, "PATCH", {"remove": {"routes": ["added"]}})
         for edge in self._edge_addresses():
-            await self._until(lambda edge=edge: _lacks(client, ADDED, edge), f"{edge} keeps a removed route")
+            await self._until(partial(_lacks, client, ADDED, edge), f"{edge} keeps a removed route")
         self._say(f"configuration {self._version} acknowledged by the others, in force at every edge node")
         await self._phase(client, "after that change", [CHAT, LOOKUP, RECORD])
 
@@ -186,9 +187,7 @@
         version = self._version
         for node in self._system.controls[1:]:
             address = self._system.control_address(node)
-            await self._until(
-                lambda address=address: _reads(operator, address, version), f"{address}: read back"
-            )
+            await self._until(partial(_reads, operator, address, version), f"{address}: read back")
         self._say(f"configuration {self._version} read back from every control node that is left")
 
     async def _change(self, operator: aiohttp.ClientSession, method: str, change: dict[str, Any]) -> None:
