--- a/arrowfold/standins/system_trial.py
+++ b/arrowfold/standins/system_trial.py
@@ -100,7 +100,7 @@
     def check_ends(self, codes: list[int | None]) -> None:
         """Hold the exit codes of the nodes, edges first, against what was done to them."""
         for node, code in zip([*self._system.edges, *self._system.controls], codes, strict=True):
-            if node is not self._killed and code != 0:
+            if code != 0:
                 self.report.faults.append(f"{node.name} ended with exit code {code}")
 
     def show(self) -> None:
@@ -184,11 +184,14 @@
         await self._phase(client, "after that change", [CHAT, LOOKUP, RECORD])
 
     async def _read_back(self, operator: aiohttp.ClientSession) -> None:
+        assert self._killed is not None
+        self._system.restart(self._killed)
+        self._say(f"{self._killed.name} started again on its disk")
         version = self._version
-        for node in self._system.controls[1:]:
+        for node in self._system.controls:
             address = self._system.control_address(node)
             await self._until(partial(_reads, operator, address, version), f"{address}: read back")
-        self._say(f"configuration {self._version} read back from every control node that is left")
+        self._say(f"configuration {self._version} read back from every control node")
 
     async def _change(self, operator: aiohttp.ClientSession, method: str, change: dict[str, Any]) -> None:
         """Send one operator's change, again and again, until it is acknowledged."""
