--- /dev/null
+++ b/arrowfold/controlplane/placement_executor.py
@@ -0,0 +1,250 @@
+"""Carries out what the placement decides: orders to workers and reads of their reports, under a lease.
+
+An order leaves only while the lease has more time left than an order may take to arrive, so that it
+can't reach a worker after another owner has begun. A connection that gave no answer is reset, which
+drops bytes still on their way.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+import aiohttp
+from loguru import logger
+
+from arrowfold.internal.messages import DemandReport, HeldModel, WorkerRecord
+from arrowfold.node.settings import Bounds
+from arrowfold.placement.catalogue import ModelCatalogue
+from arrowfold.placement.ceiling import ANSWER_JITTER_S, LoadCeiling
+from arrowfold.placement.orders import (
+    Action,
+    Operation,
+    Order,
+    OrderAnswer,
+    ReadReport,
+    SendOrder,
+    WorkerReport,
+)
+from arrowfold.placement.placer import ServicePlacer
+
+CONNECT_TIMEOUT_S = 0.5
+ANSWER_TIMEOUT_S = ANSWER_JITTER_S
+LEAVING_NOTICE_S = 0.02  # edges hear of an unload this long before the worker does
+KEEP_CONNECTION_S = 2.0  # an idle connection to a worker is kept for the next order of a chain
+SHORTEST_PAUSE_S = 0.005
+_ANSWERS = {
+    200: OrderAnswer.ALREADY,
+    202: OrderAnswer.ACCEPTED,
+    409: OrderAnswer.CONFLICT,
+    412: OrderAnswer.FENCED,
+    421: OrderAnswer.MISDIRECTED,
+}
+
+
+class RoleLease(Protocol):
+    """The ownership of a role by this node."""
+
+    @property
+    def token(self) -> int:
+        """The fencing token, higher than that of every earlier owner."""
+
+    @property
+    def holder(self) -> str:
+        """The name under which this owner gives orders."""
+
+    def remaining_s(self) -> float:
+        """How much longer this node surely owns the role; 0 or less once it does not."""
+
+
+class PlacementPorts(Protocol):
+    """What the executor needs of the control plane."""
+
+    def workers(self) -> Iterable[WorkerRecord]:
+        """Every worker known now."""
+
+    def catalogue(self, service: str) -> ModelCatalogue | None:
+        """The models of a service by the configuration in force."""
+
+    def correct(self, record: WorkerRecord) -> None:
+        """Bring a corrected record to every edge."""
+
+
+def order_session() -> aiohttp.ClientSession:
+    """A client session for orders and reports; its connections are reset when they are closed."""
+    connector = aiohttp.TCPConnector(
+        socket_factory=_resetting_socket, keepalive_timeout=KEEP_CONNECTION_S, limit=0
+    )
+    timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+    return aiohttp.ClientSession(connector=connector, timeout=timeout)
+
+
+def _resetting_socket(address: Any) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    opened.setblocking(False)
+    return opened
+
+
+class PlacementExecutor:
+    """Runs the placement of one service for as long as one lease lasts."""
+
+    def __init__(
+        self,
+        service: str,
+        lease: RoleLease,
+        ports: PlacementPorts,
+        bounds: Bounds,
+        session: aiohttp.ClientSession,
+        clock: Callable[[], float],
+    ) -> None:
+        self._service = service
+        self._lease = lease
+        self._ports = ports
+        self._bounds = bounds
+        self._session = session
+        self._clock = clock
+        self._changed = asyncio.Event()
+        self._placer: ServicePlacer | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def wake(self) -> None:
+        """Workers or the configuration have changed."""
+        self._changed.set()
+
+    def take_demand(self, report: DemandReport) -> None:
+        """An edge tells what it saw."""
+        if self._placer is not None:
+            self._placer.apply_demand(report, self._clock())
+            self._changed.set()
+
+    async def run(self) -> None:
+        """Work until the lease is lost or a worker has seen a later owner."""
+        try:
+            while self._lease.remaining_s() > 0 and not (self._placer and self._placer.fenced):
+                self._step()
+                await self._pause()
+        finally:
+            await self._finish()
+
+    def _step(self) -> None:
+        catalogue = self._ports.catalogue(self._service)
+        if catalogue is None:
+            return
+        now_s = self._clock()
+        if self._placer is None:
+            ceiling = LoadCeiling(
+                catalogue.load_rate_s, self._bounds.ceilingWindowS, self._bounds.ceilingOverage, now_s
+            )
+            self._placer = ServicePlacer(catalogue, ceiling)
+        self._placer.apply_catalogue(catalogue)
+        self._placer.apply_workers(self._ports.workers(), now_s)
+        actions = self._placer.actions(now_s)
+        for record in self._placer.corrections():
+            self._ports.correct(record)
+        for action in actions:
+            self._start(self._placer, action)
+
+    def _start(self, placer: ServicePlacer, action: Action) -> None:
+        work = self._carry_out(placer, action)
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _carry_out(self, placer: ServicePlacer, action: Action) -> None:
+        if isinstance(action, SendOrder):
+            answer = await self._send_order(action.order)
+            self._log_answer(action.order, answer)
+            placer.order_answered(action.order, answer, self._clock())
+        else:
+            report = await self._read_report(action)
+            placer.report_answered(action.instance, report, self._clock())
+        self._changed.set()
+
+    async def _pause(self) -> None:
+        now_s = self._clock()
+        wakeup_s = self._placer.next_wakeup_s(now_s) if self._placer else now_s + ANSWER_TIMEOUT_S
+        pause_s = max(SHORTEST_PAUSE_S, min(wakeup_s - now_s, self._lease.remaining_s()))
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._changed.wait()
+        except TimeoutError:
+            pass
+        self._changed.clear()
+
+    async def _finish(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _send_order(self, order: Order) -> OrderAnswer:
+        if order.operation is Operation.UNLOAD:
+            await asyncio.sleep(LEAVING_NOTICE_S)
+        if self._lease.remaining_s() < ANSWER_TIMEOUT_S:
+            return OrderAnswer.UNSENT
+        try:
+            async with self._session.post(
+                f"http://{order.address}/order",
+                json=order_body(order, self._lease),
+                headers={"X-Target-Instance": order.instance},
+            ) as response:
+                await response.read()
+                return _ANSWERS.get(response.status, OrderAnswer.REFUSED)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return OrderAnswer.UNSENT
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return OrderAnswer.UNANSWERED
+
+    async def _read_report(self, action: ReadReport) -> WorkerReport | None:
+        try:
+            async with self._session.get(
+                f"http://{action.address}/report", headers={"X-Target-Instance": action.instance}
+            ) as response:
+                if response.status != 200:
+                    return None
+                return parse_report(await response.json(content_type=None))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
+            return None
+
+    def _log_answer(self, order: Order, answer: OrderAnswer) -> None:
+        logger.debug(
+            "order {} {} {} at {} revision {}: {}",
+            order.operation.value,
+            order.model,
+            order.adapter,
+            order.instance,
+            order.if_revision,
+            answer.value,
+        )
+
+
+def order_body(order: Order, lease: RoleLease) -> dict[str, str | int]:
+    """The JSON body of POST /order."""
+    body: dict[str, str | int] = {"operation": order.operation.value, "model": order.model}
+    if order.adapter:
+        body["adapter"] = order.adapter
+    body["ifRevision"] = order.if_revision
+    body["holder"] = lease.holder
+    body["fenceToken"] = lease.token
+    return body
+
+
+def parse_report(document: dict[str, Any]) -> WorkerReport:
+    """Read the JSON of GET /report; raises KeyError, TypeError or ValueError for anything else."""
+    models = tuple(
+        HeldModel(str(model["name"]), int(model.get("version", 1)), tuple(model.get("adapters", ())))
+        for model in document["models"]
+    )
+    return WorkerReport(
+        models=models,
+        busy=bool(document["busy"]),
+        revision=int(document["callSeq"]),
+        queued=int(document.get("queued", 0)),
+        active=int(document.get("active", 0)),
+        kv_used=int(document.get("kvUsed", 0)),
+        kv_total=int(document.get("kvTotal", 0)),
+    )
--- a/arrowfold/internal/messages.py
+++ b/arrowfold/internal/messages.py
@@ -1,7 +1,7 @@
 """The messages that nodes exchange. Numbers are permanent; new fields are appended with defaults.
 
-Times are seconds, sizes are as the field's name says. Addresses are HOST:PORT of the internal protocol unless
-the name says otherwise.
+Times are seconds, sizes are as the field's name says. Addresses are HOST:PORT of the internal protocol
+unless the name says otherwise.
 """
 
 from __future__ import annotations
@@ -35,10 +35,25 @@
     adapters: tuple[str, ...] = ()
 
 
+@message(11)
+@dataclass(frozen=True, slots=True)
+class ArrivingModel:
+    """A model, or an adapter of it, that is being loaded; `ready_in_s` counts from when the record was made."""
+
+    model: str
+    adapter: str
+    ready_in_s: float
+
+
 @message(3)
 @dataclass(frozen=True, slots=True)
 class WorkerRecord:
-    """What a worker last said of itself. `state`: available, draining, gone, or silent (not heard lately)."""
+    """What a worker last said of itself. `state`: available, draining, gone, or silent (not heard lately).
+
+    The owner of the placement corrects `models` and `arriving` between two heartbeats: of two
+    records with the same `call_sequence` and state the one with the higher `correction` is in force;
+    a heartbeat sets it to 0.
+    """
 
     instance: str
     service: str
@@ -52,6 +67,8 @@
     remaining_ms: float | None = None
     cold_left_ms: float = 0.0
     stage: str = "both"
+    arriving: tuple[ArrivingModel, ...] = ()
+    correction: int = 0
 
 
 @message(4)
--- /dev/null
+++ b/arrowfold/placement/demand.py
@@ -0,0 +1,153 @@
+"""Demand for each class (a model, or an adapter of it), estimated from the reports of all edges.
+
+Estimates rise with the first requests and fall slowly: the larger of a fast and a slow average counts.
+An estimate also falls with the time since the class was last asked for, so that a model whose demand has
+moved on is soon free.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from arrowfold.internal.messages import ClassDemand
+
+FAST_S = 1.0  # time constant of the average that sees a rise
+SLOW_S = 5.0  # time constant of the average that bridges gaps
+RARE_S = 20.0  # time constant of the average by which rare models are kept
+DEFAULT_DURATION_S = 1.0  # of a request, until one was measured
+DURATION_WEIGHT = 0.2  # of a new measurement of the mean duration
+MISSING_VALID_S = 4.0  # a request that missed its model is taken to wait or to come back this long
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class ModelClass:
+    """A request class: a model, or an adapter of it (empty for the bare model)."""
+
+    model: str
+    adapter: str = ""
+
+
+class _Average:
+    """Requests a second, averaged with exponential forgetting."""
+
+    __slots__ = ("_constant_s", "_value", "_at_s")
+
+    def __init__(self, constant_s: float) -> None:
+        self._constant_s = constant_s
+        self._value = 0.0
+        self._at_s = 0.0
+
+    def add(self, amount: float, now_s: float) -> None:
+        self._value = self.value(now_s) + amount / self._constant_s
+        self._at_s = max(self._at_s, now_s)
+
+    def value(self, now_s: float) -> float:
+        return self._value * math.exp(-max(0.0, now_s - self._at_s) / self._constant_s)
+
+
+class ClassEstimate:
+    """What is known of the demand for one class."""
+
+    __slots__ = ("_fast", "_slow", "_rare", "duration_s", "measured", "asked_s", "missing_s", "missing")
+
+    def __init__(self) -> None:
+        self._fast = _Average(FAST_S)
+        self._slow = _Average(SLOW_S)
+        self._rare = _Average(RARE_S)
+        self.duration_s = DEFAULT_DURATION_S
+        self.measured = False
+        self.asked_s = -math.inf  # when it was last asked for
+        self.missing_s = -math.inf  # when a request last found no holder
+        self.missing = 0.0  # requests that found none since a holder last stood ready
+
+    def add(self, requests: float, workload_s: float, missing: float, now_s: float) -> None:
+        """Take what one edge saw since its last report."""
+        asked = max(requests, missing)
+        for average in (self._fast, self._slow, self._rare):
+            average.add(asked, now_s)
+        if asked > 0:
+            self.asked_s = now_s
+        if missing > 0:
+            self.missing_s = now_s
+            self.missing += missing
+        if requests > 0 and workload_s > 0:
+            self._measure(workload_s / requests)
+
+    def rate_s(self, now_s: float) -> float:
+        """Requests a second, for the number of copies."""
+        return max(self._fast.value(now_s), self._slow.value(now_s))
+
+    def keep_rate_s(self, now_s: float) -> float:
+        """Requests a second, for whether a copy is worth its room at all."""
+        idle_s = now_s - self.asked_s
+        bound = math.inf if idle_s <= 0 else 1.0 / idle_s
+        return min(max(self._rare.value(now_s), self.rate_s(now_s)), bound)
+
+    def workload(self, now_s: float) -> float:
+        """Requests that run at a time: rate x mean duration."""
+        return self.rate_s(now_s) * self.duration_s
+
+    def is_missed(self, now_s: float) -> bool:
+        """True while a request that found no holder may still be waiting."""
+        return self.missing > 0 and now_s - self.missing_s < MISSING_VALID_S
+
+    def _measure(self, duration_s: float) -> None:
+        if not self.measured:
+            self.duration_s = duration_s
+            self.measured = True
+            return
+        self.duration_s += DURATION_WEIGHT * (duration_s - self.duration_s)
+
+
+class DemandEstimator:
+    """Demand for all classes of one service."""
+
+    def __init__(self) -> None:
+        self._classes: dict[ModelClass, ClassEstimate] = {}
+        self._models: dict[str, ClassEstimate] = {}
+
+    def add(self, classes: Iterable[ClassDemand], now_s: float) -> None:
+        """Take one edge's report; a model's demand is that of itself and of all its adapters."""
+        for seen in classes:
+            key = ModelClass(seen.model, seen.adapter)
+            missing = seen.missing
+            self._class(key).add(seen.requests, seen.workload_s, missing, now_s)
+            self._model(seen.model).add(seen.requests, seen.workload_s, missing, now_s)
+
+    def model(self, model: str) -> ClassEstimate:
+        """The demand for a model with all its adapters."""
+        return self._models.get(model, _NOTHING)
+
+    def of_class(self, key: ModelClass) -> ClassEstimate:
+        """The demand for exactly this class."""
+        return self._classes.get(key, _NOTHING)
+
+    def missed_classes(self, now_s: float) -> list[ModelClass]:
+        """Classes that a waiting request did not find, the one asked for longest ago first."""
+        missed = [key for key, estimate in self._classes.items() if estimate.is_missed(now_s)]
+        return sorted(missed, key=lambda key: (self._classes[key].missing_s, key))
+
+    def asked_models(self) -> list[str]:
+        """Every model that was ever asked for."""
+        return sorted(self._models)
+
+    def asked_adapters(self) -> list[ModelClass]:
+        """Every adapter class that was ever asked for."""
+        return sorted(key for key in self._classes if key.adapter)
+
+    def served(self, key: ModelClass) -> None:
+        """A holder of this class stands ready: nobody misses it any longer."""
+        estimate = self._classes.get(key)
+        if estimate is not None:
+            estimate.missing = 0.0
+
+    def _class(self, key: ModelClass) -> ClassEstimate:
+        return self._classes.setdefault(key, ClassEstimate())
+
+    def _model(self, model: str) -> ClassEstimate:
+        return self._models.setdefault(model, ClassEstimate())
+
+
+_NOTHING = ClassEstimate()
--- /dev/null
+++ b/arrowfold/placement/eviction.py
@@ -0,0 +1,91 @@
+"""What has to be unloaded from a worker so that something else fits, at the smallest loss."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from arrowfold.placement.catalogue import ModelCatalogue
+from arrowfold.placement.demand import DemandEstimator, ModelClass
+from arrowfold.placement.fleet import PlacementFleet
+from arrowfold.placement.valuation import CopyValuation
+from arrowfold.placement.worker_state import WorkerState, order_mb
+
+RESIDENCE_S = 3.0  # a model that was just loaded is not unloaded for this long
+RECENT_S = 2.0  # the last copy of a model that was asked for this lately stays
+ADAPTER_RECENT_S = 0.5  # the same for an adapter
+UNLISTED_LOSS = -1.0  # of a model that the configuration no longer lists: it goes first
+
+
+@dataclass(frozen=True, slots=True)
+class Victim:
+    """Something to unload, and what that loses in worth a second."""
+
+    loss: float
+    target: ModelClass
+
+
+@dataclass(frozen=True, slots=True)
+class PlanningContext:
+    """Everything that a decision at one moment looks at."""
+
+    catalogue: ModelCatalogue
+    fleet: PlacementFleet
+    demand: DemandEstimator
+    values: CopyValuation
+    now_s: float
+
+    def victims(self, worker: WorkerState, target: ModelClass) -> list[Victim] | None:
+        """What has to go before the target fits; None if it can't be made to fit now."""
+        if target.adapter and worker.adapters_held() >= self.catalogue.adapter_capacity:
+            return self._adapter_victim(worker)
+        if self._fits_without(worker, target, frozenset()):
+            return []
+        victims: list[Victim] = []
+        for victim in self._evictable_models(worker, target.model):
+            victims.append(victim)
+            if self._fits_without(worker, target, frozenset(gone.target.model for gone in victims)):
+                return victims
+        return None
+
+    def _evictable_models(self, worker: WorkerState, keep: str) -> list[Victim]:
+        """Models that may be unloaded from this worker, the least valuable first."""
+        candidates = [
+            Victim(self._model_loss(worker, model), ModelClass(model))
+            for model in worker.holdings
+            if model != keep and self._is_evictable(worker, model)
+        ]
+        return sorted(candidates, key=lambda victim: (victim.loss, victim.target))
+
+    def _is_evictable(self, worker: WorkerState, model: str) -> bool:
+        if not self.catalogue.known(model):
+            return True
+        if self.now_s - worker.holdings[model].since_s < RESIDENCE_S:
+            return False
+        asked_lately = self.now_s - self.demand.model(model).asked_s < RECENT_S
+        return not asked_lately or self.fleet.copies(model) > 1
+
+    def _model_loss(self, worker: WorkerState, model: str) -> float:
+        return self.values.loss(worker, model) if self.catalogue.known(model) else UNLISTED_LOSS
+
+    def _fits_without(self, worker: WorkerState, target: ModelClass, gone: frozenset[str]) -> bool:
+        kept = (item for item in worker.holdings.items() if item[0] not in gone)
+        used_mb = sum(
+            worker.holding_mb(self.catalogue, model, len(holding.adapters)) for model, holding in kept
+        )
+        return used_mb + order_mb(self.catalogue, target.model, target.adapter) <= self.catalogue.weights_mb
+
+    def _adapter_victim(self, worker: WorkerState) -> list[Victim] | None:
+        """The adapter whose loss is smallest; of equal ones the one that was asked for longest ago."""
+        adapters = [
+            ModelClass(model, adapter)
+            for model, holding in worker.holdings.items()
+            for adapter in holding.adapters
+        ]
+        idle = [key for key in adapters if self.now_s - self._asked_s(key) > ADAPTER_RECENT_S]
+        if not idle:
+            return None
+        victim = min(idle, key=lambda key: (self.values.adapter_loss(key), self._asked_s(key), key))
+        return [Victim(self.values.adapter_loss(victim), victim)]
+
+    def _asked_s(self, key: ModelClass) -> float:
+        return self.demand.of_class(key).asked_s
--- /dev/null
+++ b/arrowfold/placement/fleet.py
@@ -0,0 +1,80 @@
+"""All workers of a service as the owner sees them: copies of each model, loads under way, models on disks."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from arrowfold.internal.messages import WorkerRecord
+from arrowfold.placement.demand import DemandEstimator, ModelClass
+from arrowfold.placement.orders import Operation
+from arrowfold.placement.worker_state import WorkerState
+
+GONE = "gone"
+
+
+class PlacementFleet:
+    """The workers of one service."""
+
+    def __init__(self) -> None:
+        self.workers: dict[str, WorkerState] = {}
+        self._on_disk: dict[str, set[str]] = {}
+
+    def apply(self, records: Iterable[WorkerRecord], now_s: float) -> None:
+        """Take the whole list of known workers of this service."""
+        listed = {record.instance: record for record in records if record.state != GONE}
+        for instance in [known for known in self.workers if known not in listed]:
+            del self.workers[instance]
+        for instance, record in listed.items():
+            if instance in self.workers:
+                self.workers[instance].update_record(record, now_s)
+            else:
+                self.workers[instance] = WorkerState(record, now_s)
+            self.remember(self.workers[instance])
+
+    def remember(self, worker: WorkerState) -> None:
+        """Note that the models of this worker stand on its disk; a restart at the same address keeps them."""
+        self._on_disk.setdefault(worker.address, set()).update(worker.holdings)
+
+    def is_on_disk(self, worker: WorkerState, model: str) -> bool:
+        """True if this worker has held the model before, as far as this owner saw."""
+        return model in self._on_disk.get(worker.address, ())
+
+    def copies(self, model: str) -> int:
+        """Workers on which the model stands or to which it is on its way, and that will stay."""
+        return sum(
+            1
+            for worker in self.workers.values()
+            if worker.serves and (worker.holds(model) or worker.arriving_model() == model)
+        )
+
+    def is_ready(self, key: ModelClass) -> bool:
+        """True if a request for this class can be sent somewhere now."""
+        return any(worker.serves and worker.holds(key.model, key.adapter) for worker in self.workers.values())
+
+    def is_arriving(self, key: ModelClass) -> bool:
+        """True if exactly this class is being loaded somewhere."""
+        for worker in self.workers.values():
+            pending = worker.pending
+            if not worker.serves or pending is None or pending.order.operation is not Operation.LOAD:
+                continue
+            if (pending.order.model, pending.order.adapter) == (key.model, key.adapter):
+                return True
+        return False
+
+    def holders(self, model: str) -> list[WorkerState]:
+        """Workers that hold the model now and will stay."""
+        return [worker for worker in self.workers.values() if worker.serves and worker.holds(model)]
+
+    def loads_under_way(self) -> int:
+        """Loads of weights that run, or may."""
+        return sum(1 for worker in self.workers.values() if worker.arriving_model() is not None)
+
+    def zones_of(self, model: str) -> set[str]:
+        """Zones in which the model has a holder."""
+        return {worker.zone for worker in self.holders(model)}
+
+    def load_of(self, worker: WorkerState, demand: DemandEstimator, now_s: float) -> float:
+        """Requests that run on this worker, if each model's workload is spread evenly over its copies."""
+        return sum(
+            demand.model(model).workload(now_s) / max(1, self.copies(model)) for model in worker.holdings
+        )
--- /dev/null
+++ b/arrowfold/placement/placer.py
@@ -0,0 +1,255 @@
+"""The owner of one service's placement: takes demand, workers, answers and reports; gives orders.
+
+Made anew whenever the role is taken over; what the predecessor ordered is read from the workers'
+reports. All calls are short and do no I/O. The caller sends an order only while the role's lease is
+valid, and answers every action.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from arrowfold.internal.messages import DemandReport, WorkerRecord
+from arrowfold.placement.catalogue import ModelCatalogue
+from arrowfold.placement.ceiling import LoadCeiling
+from arrowfold.placement.corrections import corrected_record
+from arrowfold.placement.demand import DemandEstimator, ModelClass
+from arrowfold.placement.fleet import PlacementFleet
+from arrowfold.placement.load_times import ADAPTER_LOAD_S, UNLOAD_S, LoadTimes
+from arrowfold.placement.orders import (
+    Action,
+    Operation,
+    Order,
+    OrderAnswer,
+    ReadReport,
+    SendOrder,
+    WorkerReport,
+)
+from arrowfold.placement.planner import PlacementPlanner, PlannedOrder
+from arrowfold.placement.worker_state import OrderPhase, PendingOrder, WorkerState
+
+REPORT_LAG_S = 0.2  # a report shows a state that is some hundred milliseconds old
+REPORT_AGAIN_S = 0.15
+UNANSWERED_REPORT_S = 0.8  # by then an order without an answer has arrived or never will
+FAILURE_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 2.0
+IDLE_WAKEUP_S = 0.25
+IDLE_WORKLOAD = 0.2  # an unload is taken to be done at once while less than this runs on the model
+
+
+class ServicePlacer:
+    """Keeps the models and adapters of one service where demand asks for them."""
+
+    def __init__(self, catalogue: ModelCatalogue, ceiling: LoadCeiling) -> None:
+        self._catalogue = catalogue
+        self._ceiling = ceiling
+        self._demand = DemandEstimator()
+        self._fleet = PlacementFleet()
+        self._planner = PlacementPlanner(self._fleet, self._demand)
+        self._times = LoadTimes()
+        self._records: dict[str, WorkerRecord] = {}
+        self._announced: dict[str, WorkerRecord] = {}
+        self.fenced = False  # a worker has seen a higher token: no more orders
+
+    def apply_catalogue(self, catalogue: ModelCatalogue) -> None:
+        """Take a changed configuration."""
+        self._catalogue = catalogue
+
+    def apply_workers(self, records: Iterable[WorkerRecord], now_s: float) -> None:
+        """Take the known workers; those of other services are left out."""
+        own = [record for record in records if record.service == self._catalogue.service]
+        self._records = {record.instance: record for record in own}
+        self._fleet.apply(own, now_s)
+
+    def apply_demand(self, report: DemandReport, now_s: float) -> None:
+        """Take what an edge saw."""
+        own = [seen for seen in report.classes if seen.service == self._catalogue.service]
+        self._demand.add(own, now_s)
+
+    def actions(self, now_s: float) -> list[Action]:
+        """What to send now; every order and report given here is answered by a later call."""
+        if self.fenced:
+            return []
+        self._finish_short_orders(now_s)
+        actions: list[Action] = []
+        for planned in self._planner.plan(self._catalogue, now_s):
+            if self._may_send(planned, now_s):
+                actions.append(self._send(planned, now_s))
+        actions.extend(self._reports(now_s))
+        return actions
+
+    def corrections(self) -> list[WorkerRecord]:
+        """Records of workers that say more than the last heartbeat: what stands ready, leaves and arrives."""
+        changed = []
+        for instance, record in self._records.items():
+            worker = self._fleet.workers.get(instance)
+            if worker is None or worker.revision is None:
+                continue
+            corrected = corrected_record(record, worker)
+            if corrected is not None:
+                changed.append(corrected)
+        return changed
+
+    def next_wakeup_s(self, now_s: float) -> float:
+        """When `actions` should be asked again at the latest."""
+        times = [now_s + IDLE_WAKEUP_S]
+        for worker in self._fleet.workers.values():
+            times.append(worker.report_due_s)
+            if worker.pending is not None:
+                times.append(worker.pending.expected_done_s)
+        return max(now_s, min(times))
+
+    def order_answered(self, order: Order, answer: OrderAnswer, now_s: float) -> None:
+        """Take the outcome of an order."""
+        worker = self._fleet.workers.get(order.instance)
+        if answer is OrderAnswer.FENCED:
+            self.fenced = True
+        if worker is None or worker.pending is None or worker.pending.order != order:
+            return
+        if answer is OrderAnswer.ACCEPTED:
+            self._accepted(worker, worker.pending, now_s)
+        elif answer is OrderAnswer.ALREADY:
+            worker.apply_done(now_s)
+            worker.report_due_s = now_s + REPORT_LAG_S
+        elif answer is OrderAnswer.UNANSWERED:
+            worker.pending.phase = OrderPhase.UNANSWERED
+            worker.report_due_s = now_s + UNANSWERED_REPORT_S
+        else:
+            self._not_taken(worker, answer, now_s)
+
+    def report_answered(self, instance: str, report: WorkerReport | None, now_s: float) -> None:
+        """Take a report; None if it could not be read."""
+        worker = self._fleet.workers.get(instance)
+        if worker is None:
+            return
+        worker.report_under_way = False
+        if report is None:
+            worker.failures += 1
+            worker.report_due_s = now_s + min(LONGEST_PAUSE_S, FAILURE_PAUSE_S * 2.0**worker.failures)
+            return
+        worker.failures = 0
+        self._apply_report(worker, report, now_s)
+
+    def _may_send(self, planned: PlannedOrder, now_s: float) -> bool:
+        if planned.operation is not Operation.LOAD or planned.target.adapter:
+            return True
+        worker = self._fleet.workers[planned.instance]
+        if not self._ceiling.allows(now_s):
+            return False
+        return self._fleet.is_on_disk(worker, planned.target.model) or self._store_loads() < (
+            self._catalogue.parallel_loads
+        )
+
+    def _send(self, planned: PlannedOrder, now_s: float) -> SendOrder:
+        worker = self._fleet.workers[planned.instance]
+        target = planned.target
+        revision = worker.revision if worker.revision is not None else 0
+        order = Order(
+            worker.instance, worker.address, planned.operation, target.model, target.adapter, revision
+        )
+        worker.pending = PendingOrder(order, now_s)
+        if order.loads_weights:
+            worker.pending.from_own_disk = self._fleet.is_on_disk(worker, target.model)
+            self._ceiling.sent(now_s)
+        if order.operation is Operation.LOAD:
+            self._planner.forget(worker.instance)
+        return SendOrder(order)
+
+    def _accepted(self, worker: WorkerState, pending: PendingOrder, now_s: float) -> None:
+        order = pending.order
+        worker.failures = 0
+        worker.revision = order.if_revision + 1
+        pending.phase = OrderPhase.RUNNING
+        pending.accepted_s = now_s
+        if order.loads_weights:
+            self._expect_load(worker, pending, now_s)
+        elif order.operation is Operation.LOAD:
+            pending.expected_done_s = now_s + ADAPTER_LOAD_S
+        elif order.adapter or self._is_idle(order.model, now_s):
+            pending.expected_done_s = now_s + UNLOAD_S
+        else:
+            worker.report_due_s = now_s + REPORT_LAG_S
+
+    def _expect_load(self, worker: WorkerState, pending: PendingOrder, now_s: float) -> None:
+        spec = self._catalogue.models.get(pending.order.model)
+        if spec is None:
+            worker.report_due_s = now_s + REPORT_LAG_S
+            return
+        expected_s = self._times.expected_s(
+            spec, pending.from_own_disk, self._store_loads(), self._catalogue.parallel_loads
+        )
+        pending.expected_done_s = now_s + expected_s
+        worker.report_due_s = now_s + expected_s + REPORT_LAG_S / 2
+
+    def _not_taken(self, worker: WorkerState, answer: OrderAnswer, now_s: float) -> None:
+        worker.pending = None
+        worker.report_due_s = now_s + REPORT_LAG_S
+        if answer is OrderAnswer.MISDIRECTED:
+            worker.unusable = True
+        elif answer is OrderAnswer.UNSENT:
+            worker.failures += 1
+            worker.report_due_s = now_s + min(LONGEST_PAUSE_S, FAILURE_PAUSE_S * 2.0**worker.failures)
+
+    def _finish_short_orders(self, now_s: float) -> None:
+        """Orders that take milliseconds count as done after them; the next order's revision proves it."""
+        for worker in self._fleet.workers.values():
+            pending = worker.pending
+            if pending is None or pending.phase is not OrderPhase.RUNNING or worker.report_wanted:
+                continue
+            if now_s >= pending.expected_done_s:
+                self._done(worker, now_s)
+
+    def _done(self, worker: WorkerState, now_s: float) -> None:
+        pending = worker.pending
+        worker.apply_done(now_s)
+        self._fleet.remember(worker)
+        if pending is not None and pending.order.operation is Operation.LOAD:
+            self._demand.served(ModelClass(pending.order.model, pending.order.adapter))
+
+    def _apply_report(self, worker: WorkerState, report: WorkerReport, now_s: float) -> None:
+        pending = worker.pending
+        worker.report_due_s = math.inf
+        if worker.revision is not None and report.revision < worker.revision:
+            worker.report_due_s = now_s + REPORT_AGAIN_S  # older than our last order
+            return
+        worker.revision = report.revision
+        if report.busy:
+            worker.report_due_s = now_s + REPORT_AGAIN_S
+            return
+        if pending is not None and pending.phase is OrderPhase.SENT:
+            worker.report_due_s = now_s + REPORT_AGAIN_S  # its answer is still on the way
+            return
+        worker.apply_report(report, now_s)
+        self._fleet.remember(worker)
+        self._measure(pending, worker, now_s)
+
+    def _measure(self, pending: PendingOrder | None, worker: WorkerState, now_s: float) -> None:
+        if pending is None or not pending.order.loads_weights or pending.phase is not OrderPhase.RUNNING:
+            return
+        spec = self._catalogue.models.get(pending.order.model)
+        if spec is not None and pending.order.model in worker.holdings:
+            self._times.measured(spec, pending.from_own_disk, now_s - pending.accepted_s - REPORT_LAG_S / 2)
+            self._demand.served(ModelClass(pending.order.model))
+
+    def _reports(self, now_s: float) -> list[Action]:
+        reads: list[Action] = []
+        for worker in self._fleet.workers.values():
+            if worker.report_under_way or worker.report_due_s > now_s or not worker.serves:
+                continue
+            worker.report_under_way = True
+            worker.report_due_s = math.inf
+            reads.append(ReadReport(worker.instance, worker.address))
+        return reads
+
+    def _store_loads(self) -> int:
+        return sum(
+            1
+            for worker in self._fleet.workers.values()
+            if worker.pending is not None
+            and worker.pending.order.loads_weights
+            and not worker.pending.from_own_disk
+        )
+
+    def _is_idle(self, model: str, now_s: float) -> bool:
+        return self._demand.model(model).workload(now_s) < IDLE_WORKLOAD
--- /dev/null
+++ b/arrowfold/placement/planner.py
@@ -0,0 +1,201 @@
+"""Decides which model or adapter is to be loaded next on which worker, and what gives way for it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from arrowfold.placement.catalogue import ModelCatalogue
+from arrowfold.placement.demand import DemandEstimator, ModelClass
+from arrowfold.placement.eviction import PlanningContext
+from arrowfold.placement.fleet import PlacementFleet
+from arrowfold.placement.orders import Operation
+from arrowfold.placement.valuation import CopyValuation
+from arrowfold.placement.worker_state import WorkerState
+
+LOAD_PRICE = 0.45  # worth: a load of weights with its two orders
+PAYBACK_S = 6.0  # a further copy has to earn its price within this time
+COPY_GAIN = LOAD_PRICE / PAYBACK_S  # worth a second that a further copy has to gain
+GAIN_RATIO = 1.5  # how many times its loss a move has to gain
+WORKER_LOAD_COST = 0.01  # a second, for each request that runs on the chosen worker
+STORE_COST = 0.05  # for a worker that has to read the weights from the store
+SAME_ZONE_COST = 0.01  # for a zone that has a holder already
+ADAPTER_WORKLOAD = 4.0  # requests running at a time that one copy of an adapter serves
+INTENT_VALID_S = 12.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadIntent:
+    """What a worker is being prepared for; unloads come first where there is no room."""
+
+    target: ModelClass
+    urgent: bool  # a request is waiting for it
+    since_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedOrder:
+    """The next order for one worker."""
+
+    instance: str
+    operation: Operation
+    target: ModelClass
+
+
+@dataclass(frozen=True, slots=True)
+class _Candidate:
+    """A worker that could take a load: what gives way for it and how little it suits, in worth a second."""
+
+    loss: float
+    unfitness: float
+    instance: str
+
+
+class PlacementPlanner:
+    """Plans at most one order at a time for each worker; keeps what each one is being prepared for."""
+
+    def __init__(self, fleet: PlacementFleet, demand: DemandEstimator) -> None:
+        self._fleet = fleet
+        self._demand = demand
+        self._intents: dict[str, LoadIntent] = {}
+
+    def plan(self, catalogue: ModelCatalogue, now_s: float) -> list[PlannedOrder]:
+        """The orders to send now, the most urgent first."""
+        values = CopyValuation(self._fleet, self._demand, now_s)
+        context = PlanningContext(catalogue, self._fleet, self._demand, values, now_s)
+        self._drop_intents(context)
+        self._want_missed(context)
+        self._want_copies(context)
+        self._want_adapter_copies(context)
+        ordered = sorted(self._intents, key=lambda instance: _urgency(self._intents[instance]))
+        steps = [self._next_step(context, instance) for instance in ordered]
+        return [step for step in steps if step is not None]
+
+    def forget(self, instance: str) -> None:
+        """The intent for this worker was carried out, or can't be."""
+        self._intents.pop(instance, None)
+
+    def _drop_intents(self, context: PlanningContext) -> None:
+        for instance, intent in list(self._intents.items()):
+            if self._is_outdated(context, instance, intent):
+                del self._intents[instance]
+
+    def _is_outdated(self, context: PlanningContext, instance: str, intent: LoadIntent) -> bool:
+        worker = self._fleet.workers.get(instance)
+        target = intent.target
+        if worker is None or not worker.serves or worker.holds(target.model, target.adapter):
+            return True
+        if not context.catalogue.known(target.model, target.adapter):
+            return True
+        if target.adapter and not worker.holds(target.model):
+            return True
+        return context.now_s - intent.since_s > INTENT_VALID_S
+
+    def _is_coming(self, target: ModelClass) -> bool:
+        if self._fleet.is_arriving(target):
+            return True
+        return any(intent.target == target for intent in self._intents.values())
+
+    def _want_missed(self, context: PlanningContext) -> None:
+        """Requests are waiting for classes that stand nowhere."""
+        for key in self._demand.missed_classes(context.now_s):
+            if self._fleet.is_ready(key):
+                self._demand.served(key)
+            elif context.catalogue.known(key.model, key.adapter):
+                target = key if self._fleet.holders(key.model) else ModelClass(key.model)
+                if not self._is_coming(target):
+                    self._choose_worker(context, target, urgent=True)
+
+    def _want_copies(self, context: PlanningContext) -> None:
+        """Further copies where they gain most, as far as the store has room beside urgent loads."""
+        room = max(1, context.catalogue.parallel_loads - 1) - self._loads_planned()
+        models = {model for model in self._demand.asked_models() if context.catalogue.known(model)}
+        while room > 0 and models:
+            gain, model = max((self._gain(context, model), model) for model in models)
+            if gain < COPY_GAIN:
+                return
+            if self._choose_worker(context, ModelClass(model), urgent=False, gain=gain):
+                room -= 1
+            else:
+                models.remove(model)
+
+    def _gain(self, context: PlanningContext, model: str) -> float:
+        wanted = sum(1 for intent in self._intents.values() if intent.target == ModelClass(model))
+        return context.values.gain(model, self._fleet.copies(model) + wanted)
+
+    def _want_adapter_copies(self, context: PlanningContext) -> None:
+        """Further copies of adapters whose workload is more than their holders should carry."""
+        for key in self._demand.asked_adapters():
+            workload = self._demand.of_class(key).workload(context.now_s)
+            if workload < ADAPTER_WORKLOAD or not context.catalogue.known(key.model, key.adapter):
+                continue
+            holders = [holder for holder in self._fleet.holders(key.model) if holder.holds(*_names(key))]
+            if holders and len(holders) < workload / ADAPTER_WORKLOAD and not self._is_coming(key):
+                self._choose_worker(context, key, urgent=False)
+
+    def _loads_planned(self) -> int:
+        wanted = sum(1 for intent in self._intents.values() if not intent.target.adapter)
+        return wanted + self._fleet.loads_under_way()
+
+    def _choose_worker(
+        self, context: PlanningContext, target: ModelClass, urgent: bool, gain: float = 0.0
+    ) -> bool:
+        """Prepare the worker on which this costs least; False if none can take it now, or it does not pay."""
+        candidates = [
+            candidate
+            for worker in self._fleet.workers.values()
+            if worker.takes_orders and worker.instance not in self._intents
+            if (candidate := self._candidate(context, worker, target)) is not None
+        ]
+        if not candidates:
+            return False
+        best = min(candidates, key=lambda item: (item.loss + item.unfitness, item.instance))
+        pays = urgent or bool(target.adapter) or gain >= GAIN_RATIO * best.loss + COPY_GAIN
+        if pays:
+            self._intents[best.instance] = LoadIntent(target, urgent, context.now_s)
+        return pays
+
+    def _candidate(
+        self, context: PlanningContext, worker: WorkerState, target: ModelClass
+    ) -> _Candidate | None:
+        """This worker as the place for a load; None if it can't be."""
+        if worker.holds(target.model, target.adapter):
+            return None
+        if target.adapter and not worker.holds(target.model):
+            return None
+        victims = context.victims(worker, target)
+        if victims is None:
+            return None
+        loss = sum(victim.loss for victim in victims)
+        return _Candidate(loss, self._unfitness(context, worker, target), worker.instance)
+
+    def _unfitness(self, context: PlanningContext, worker: WorkerState, target: ModelClass) -> float:
+        unfitness = WORKER_LOAD_COST * self._fleet.load_of(worker, self._demand, context.now_s)
+        if target.adapter:
+            return unfitness
+        if not self._fleet.is_on_disk(worker, target.model):
+            unfitness += STORE_COST
+        if worker.zone in self._fleet.zones_of(target.model):
+            unfitness += SAME_ZONE_COST
+        return unfitness
+
+    def _next_step(self, context: PlanningContext, instance: str) -> PlannedOrder | None:
+        """The next order towards what this worker is being prepared for."""
+        worker = self._fleet.workers[instance]
+        if not worker.takes_orders:
+            return None
+        target = self._intents[instance].target
+        victims = context.victims(worker, target)
+        if victims is None:
+            self.forget(instance)
+            return None
+        if victims:
+            return PlannedOrder(instance, Operation.UNLOAD, victims[0].target)
+        return PlannedOrder(instance, Operation.LOAD, target)
+
+
+def _urgency(intent: LoadIntent) -> tuple[bool, float]:
+    return not intent.urgent, intent.since_s
+
+
+def _names(key: ModelClass) -> tuple[str, str]:
+    return key.model, key.adapter
--- /dev/null
+++ b/arrowfold/placement/valuation.py
@@ -0,0 +1,61 @@
+"""What a copy of a model is worth, in worth a second, so that copies of all models can be compared.
+
+The first copy saves the requests that would have to wait for a load. Each further copy shortens the
+queues: with k copies and workload w (requests that run at a time) the delay costs about `c x w^2 / k`,
+so one more copy saves `c x w^2 / (k (k + 1))`.
+"""
+
+from __future__ import annotations
+
+from arrowfold.placement.demand import DemandEstimator, ModelClass
+from arrowfold.placement.fleet import PlacementFleet
+from arrowfold.placement.worker_state import WorkerState
+
+MISS_COST = 1.0  # worth lost by a request that has to wait for a load, with the load's own price
+QUEUE_COST = 0.02  # worth a second that one request running beside another costs
+SPARE_COPY_WORTH = 0.05  # a second copy, for each request a second: the holder may fail
+SPARE_COPY_RATE_S = 2.0  # requests a second beyond which the second copy gains no more by this
+ADAPTER_MISS_COST = 0.1  # worth lost by a request that has to wait for an adapter
+RUNNING_COST = 0.05  # for each request that runs on what is unloaded: the unload waits for it
+
+
+class CopyValuation:
+    """Gains and losses of copies at one moment."""
+
+    def __init__(self, fleet: PlacementFleet, demand: DemandEstimator, now_s: float) -> None:
+        self._fleet = fleet
+        self._demand = demand
+        self._now_s = now_s
+
+    def gain(self, model: str, copies: int) -> float:
+        """What one more copy adds where `copies` stand."""
+        estimate = self._demand.model(model)
+        if copies == 0:
+            return estimate.keep_rate_s(self._now_s) * MISS_COST + self._queue_gain(model, 0)
+        gain = self._queue_gain(model, copies)
+        if copies == 1:
+            gain += SPARE_COPY_WORTH * min(estimate.rate_s(self._now_s), SPARE_COPY_RATE_S)
+        return gain
+
+    def loss(self, worker: WorkerState, model: str) -> float:
+        """What it costs to unload this model from this worker."""
+        if not worker.serves:
+            return 0.0
+        copies = max(1, self._fleet.copies(model))
+        workload = self._demand.model(model).workload(self._now_s)
+        running = RUNNING_COST * workload / copies
+        return self.gain(model, copies - 1) + running + self._adapters_loss(worker, model)
+
+    def adapter_loss(self, key: ModelClass) -> float:
+        """What it costs to unload this adapter, where it has no other copy."""
+        estimate = self._demand.of_class(key)
+        return estimate.keep_rate_s(self._now_s) * ADAPTER_MISS_COST
+
+    def _adapters_loss(self, worker: WorkerState, model: str) -> float:
+        adapters = worker.holdings[model].adapters
+        return sum(self.adapter_loss(ModelClass(model, adapter)) for adapter in adapters)
+
+    def _queue_gain(self, model: str, copies: int) -> float:
+        workload = self._demand.model(model).workload(self._now_s)
+        between = copies * (copies + 1) if copies else 1
+        return QUEUE_COST * workload * workload / between
--- /dev/null
+++ b/tests/system/placement_world.py
@@ -0,0 +1,321 @@
+"""An in-memory service for the placement's stories: workers, a store, edges' demand, a virtual clock."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from arrowfold.internal.messages import (
+    ClassDemand,
+    DemandReport,
+    HeldModel,
+    NodeIdentity,
+    WorkerRecord,
+)
+from arrowfold.placement.catalogue import ModelCatalogue, ModelSpec
+from arrowfold.placement.ceiling import LoadCeiling
+from arrowfold.placement.orders import (
+    Operation,
+    Order,
+    OrderAnswer,
+    ReadReport,
+    SendOrder,
+    WorkerReport,
+)
+from arrowfold.placement.placer import ServicePlacer
+
+SERVICE = "pool"
+WINDOW_S = 5.0
+OVERAGE = 1.1
+REPORT_LAG_S = 0.1
+DELAY_S = 0.001
+OWN_DISK_RATIO = 0.5
+
+
+def catalogue(
+    models: int = 12, *, load_time_s: float = 0.6, load_rate_s: float = 4.2, adapters: int = 20
+) -> ModelCatalogue:
+    """Models m0, m1, ... of 70 GB; a worker holds three, and eight adapters."""
+    specs = [ModelSpec(f"m{index}", 70_000.0, load_time_s, adapters, 60.0) for index in range(models)]
+    return ModelCatalogue(SERVICE, {spec.name: spec for spec in specs}, 220_000.0, 8, load_rate_s)
+
+
+@dataclass
+class SimulatedWorker:
+    """A worker as the protocol describes it; `fell` tells that an order asked for more than it can hold."""
+
+    instance: str
+    address: str
+    zone: str
+    room: ModelCatalogue
+    models: dict[str, set[str]] = field(default_factory=dict)
+    on_disk: set[str] = field(default_factory=set)
+    state: str = "available"
+    revision: int = 0
+    busy_until_s: float = 0.0
+    fence: int = 0
+    fell: bool = False
+    running_until_s: dict[str, float] = field(default_factory=dict)
+    history: list[tuple[float, WorkerReport]] = field(default_factory=list)
+    arriving: tuple[str, str] | None = None
+    leaving: tuple[str, str] | None = None
+    call_sequence: int = 0
+    answers_as: str = ""  # the instance that really has this address, if it is another one
+    orders: list[tuple[float, str, str, str, int]] = field(default_factory=list)
+
+    def record(self) -> WorkerRecord:
+        """What its next heartbeat says."""
+        self.call_sequence += 1
+        return WorkerRecord(
+            self.instance,
+            SERVICE,
+            self.address,
+            self.zone,
+            "v1",
+            64,
+            self.state,
+            self._held(),
+            self.call_sequence,
+        )
+
+    def order(self, order: Order, token: int, now_s: float, load_s: Callable[[bool], float]) -> OrderAnswer:
+        """Take an order, or say why not."""
+        self.settle(now_s)
+        if order.instance != (self.answers_as or self.instance):
+            return OrderAnswer.MISDIRECTED
+        if token < self.fence:
+            return OrderAnswer.FENCED
+        self.fence = token
+        if self.busy_until_s > now_s or order.if_revision != self.revision:
+            return OrderAnswer.CONFLICT
+        held = order.model in self.models and (not order.adapter or order.adapter in self.models[order.model])
+        if held == (order.operation is Operation.LOAD):
+            return OrderAnswer.ALREADY
+        self.revision += 1
+        self.orders.append((now_s, order.operation.value, order.model, order.adapter, token))
+        self._begin(order, now_s, load_s)
+        self._remember(now_s)
+        return OrderAnswer.ACCEPTED
+
+    def take_unseen_order(self, now_s: float) -> None:
+        """Somebody else's order was taken, without a trace in what is held."""
+        self._remember(now_s)
+        self.revision += 1
+        self._remember(now_s)
+
+    def _begin(self, order: Order, now_s: float, load_s: Callable[[bool], float]) -> None:
+        if order.operation is Operation.UNLOAD:
+            self.leaving = (order.model, order.adapter)
+            self.busy_until_s = max(now_s, self.running_until_s.get(order.model, 0.0))
+            self.settle(now_s)
+            return
+        self.arriving = (order.model, order.adapter)
+        adapters = sum(len(held) for held in self.models.values()) + (1 if order.adapter else 0)
+        weights = 70_000.0 * (len(self.models) + (0 if order.adapter else 1)) + 60.0 * adapters
+        if weights > self.room.weights_mb or adapters > self.room.adapter_capacity:
+            self.fell = True
+        took_s = 0.01 if order.adapter else load_s(order.model in self.on_disk)
+        self.busy_until_s = now_s + took_s
+
+    def settle(self, now_s: float) -> None:
+        """Finish the order under way if its time has come."""
+        if self.busy_until_s > now_s:
+            return
+        if self.arriving is not None:
+            model, adapter = self.arriving
+            held = self.models.setdefault(model, set())
+            if adapter:
+                held.add(adapter)
+            self.on_disk.add(model)
+        if self.leaving is not None:
+            model, adapter = self.leaving
+            if adapter:
+                self.models.get(model, set()).discard(adapter)
+            else:
+                self.models.pop(model, None)
+        self.arriving = self.leaving = None
+
+    def report(self, now_s: float) -> WorkerReport:
+        """Its state a lag ago."""
+        self._remember(now_s)
+        past = [seen for at_s, seen in self.history if at_s <= now_s - REPORT_LAG_S + 1e-9]
+        return past[-1] if past else self.history[0][1]
+
+    def _remember(self, now_s: float) -> None:
+        self.settle(now_s)
+        busy = self.busy_until_s > now_s
+        self.history.append((now_s, WorkerReport(self._held(), busy, self.revision)))
+
+    def _held(self) -> tuple[HeldModel, ...]:
+        return tuple(
+            HeldModel(name, 1, tuple(sorted(adapters))) for name, adapters in sorted(self.models.items())
+        )
+
+
+class PlacementWorld:
+    """Workers, one owner at a time, and demand, under a virtual clock."""
+
+    def __init__(self, models: ModelCatalogue, workers: int = 3) -> None:
+        self.now_s = 100.0
+        self.models = models
+        self.workers: dict[str, SimulatedWorker] = {}
+        self.store_loads: list[float] = []  # when loads from the store began
+        self.all_loads: list[float] = []
+        self.order_counts: dict[str, int] = {}
+        self.answers: list[tuple[Order, OrderAnswer]] = []
+        self.lost_answers: set[str] = set()  # instances whose answers to orders are lost
+        self.unreachable: set[str] = set()
+        self.most_orders_under_way = 0  # of one owner at one worker, by what the owner has sent and heard
+        self._under_way: dict[str, int] = {}
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self.token = 0
+        self.placer: ServicePlacer | None = None
+        self._next_step_s = 0.0
+        for index in range(workers):
+            self.add_worker(f"w{index}")
+        self.take_over()
+
+    def add_worker(self, instance: str, *models: str, address: str = "", zone: str = "") -> SimulatedWorker:
+        """A worker starts; it holds nothing unless told otherwise."""
+        worker = SimulatedWorker(
+            instance, address or f"{instance}:80", zone or f"z{len(self.workers) % 3}", self.models
+        )
+        worker.models = {model: set() for model in models}
+        worker.on_disk = set(models)
+        self.workers[instance] = worker
+        return worker
+
+    def hold(self, instance: str, *models: str) -> None:
+        """This worker holds these models from its start."""
+        self.workers[instance].models = {model: set() for model in models}
+        self.workers[instance].on_disk = set(models)
+
+    def take_over(self) -> None:
+        """Another node becomes the owner, with a higher token."""
+        self.token += 1
+        self._under_way.clear()
+        ceiling = LoadCeiling(self.models.load_rate_s, WINDOW_S, OVERAGE, self.now_s)
+        self.placer = ServicePlacer(self.models, ceiling)
+
+    def ask(
+        self, model: str, adapter: str = "", requests: float = 1.0, took_s: float = 0.5, missing: bool = False
+    ) -> None:
+        """An edge reports requests; missing ones found no holder."""
+        assert self.placer is not None
+        seen = ClassDemand(SERVICE, model, adapter, requests, requests * took_s, requests if missing else 0.0)
+        edge = NodeIdentity("edge", "e", "z0", "e:1")
+        self.placer.apply_demand(DemandReport(edge, 0.5, (seen,)), self.now_s)
+
+    def ask_if_missing(self, model: str, adapter: str = "", requests: float = 1.0) -> bool:
+        """An edge asks for a class; it reports whether a worker held it. True if one did."""
+        ready = any(
+            worker.state == "available" and self._ready(worker, model, adapter)
+            for worker in self.workers.values()
+        )
+        self.ask(model, adapter, requests, missing=not ready)
+        return ready
+
+    def run(
+        self, duration_s: float, each_step: Callable[[], None] | None = None, step_s: float = 0.05
+    ) -> None:
+        """Let time pass; `each_step` is called every `step_s`."""
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s:
+            if each_step is not None:
+                each_step()
+            stop_s = min(end_s, self.now_s + step_s)
+            while self.now_s < stop_s:
+                self._play()
+                self.now_s = min(stop_s, self.now_s + 0.01)
+
+    def held_by(self, model: str) -> list[str]:
+        """Instances on which the model stands."""
+        for worker in self.workers.values():
+            worker.settle(self.now_s)
+        return [name for name, worker in self.workers.items() if model in worker.models]
+
+    def models_of(self, instance: str) -> dict[str, set[str]]:
+        """What stands on this worker: models with their adapters."""
+        self.workers[instance].settle(self.now_s)
+        return self.workers[instance].models
+
+    def most_loads_in_window(self) -> int:
+        """The most loads from the store that began within one window."""
+        return max(
+            (
+                sum(1 for other in self.store_loads if at_s <= other < at_s + WINDOW_S)
+                for at_s in self.store_loads
+            ),
+            default=0,
+        )
+
+    def nobody_fell(self) -> bool:
+        """No order asked a worker for more than it can hold."""
+        return not any(worker.fell for worker in self.workers.values())
+
+    def _ready(self, worker: SimulatedWorker, model: str, adapter: str) -> bool:
+        worker.settle(self.now_s)
+        held = worker.models.get(model)
+        leaving = worker.leaving is not None and worker.leaving[0] == model
+        return held is not None and not leaving and (not adapter or adapter in held)
+
+    def _play(self) -> None:
+        while self._events and self._events[0][0] <= self.now_s:
+            heapq.heappop(self._events)[2]()
+        placer = self.placer
+        assert placer is not None
+        placer.apply_workers([worker.record() for worker in self.workers.values()], self.now_s)
+        for action in placer.actions(self.now_s):
+            if isinstance(action, SendOrder):
+                under_way = self._under_way.get(action.order.instance, 0) + 1
+                self._under_way[action.order.instance] = under_way
+                self.most_orders_under_way = max(self.most_orders_under_way, under_way)
+                self._later(DELAY_S, self._deliver_order(placer, action.order, self.token))
+            else:
+                self._later(DELAY_S, self._deliver_report(placer, action))
+
+    def _later(self, delay_s: float, call: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (self.now_s + delay_s, next(self._numbers), call))
+
+    def _deliver_order(self, placer: ServicePlacer, order: Order, token: int) -> Callable[[], None]:
+        def deliver() -> None:
+            worker = self.workers.get(order.instance)
+            if worker is None or order.instance in self.unreachable:
+                self._later(0.5, lambda: self._answer(placer, order, OrderAnswer.UNSENT))
+                return
+            self.order_counts[order.instance] = self.order_counts.get(order.instance, 0) + 1
+            answer = worker.order(order, token, self.now_s, self._load_time)
+            self.answers.append((order, answer))
+            if order.instance in self.lost_answers:
+                self._later(1.0, lambda: self._answer(placer, order, OrderAnswer.UNANSWERED))
+            else:
+                self._later(DELAY_S, lambda: self._answer(placer, order, answer))
+
+        return deliver
+
+    def _answer(self, placer: ServicePlacer, order: Order, answer: OrderAnswer) -> None:
+        if placer is self.placer:
+            self._under_way[order.instance] = self._under_way.get(order.instance, 1) - 1
+        placer.order_answered(order, answer, self.now_s)
+
+    def _deliver_report(self, placer: ServicePlacer, action: ReadReport) -> Callable[[], None]:
+        def deliver() -> None:
+            worker = self.workers.get(action.instance)
+            if worker is None or action.instance in self.unreachable:
+                self._later(1.0, lambda: placer.report_answered(action.instance, None, self.now_s))
+                return
+            report = worker.report(self.now_s)
+            self._later(DELAY_S, lambda: placer.report_answered(action.instance, report, self.now_s))
+
+        return deliver
+
+    def _load_time(self, on_disk: bool) -> float:
+        self.all_loads.append(self.now_s)
+        load_s = max(spec.load_time_s for spec in self.models.models.values())
+        if on_disk:
+            return load_s * OWN_DISK_RATIO
+        self.store_loads.append(self.now_s)
+        return load_s
--- /dev/null
+++ b/tests/system/test_placement_properties.py
@@ -0,0 +1,148 @@
+"""Properties of the placement under any order of events: ceiling, capacity, one order at a time a worker."""
+
+from __future__ import annotations
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from arrowfold.placement.ceiling import LoadCeiling
+from tests.system.placement_world import OVERAGE, WINDOW_S, PlacementWorld, catalogue
+
+MODELS = 14
+WORKERS = 4
+model_names = st.integers(0, MODELS - 1).map(lambda index: f"m{index}")
+adapter_names = st.integers(0, 10).map(lambda index: f"a{index}" if index else "")
+instances = st.integers(0, WORKERS - 1).map(lambda index: f"w{index}")
+
+
+class PlacementMachine(RuleBasedStateMachine):
+    """Demand, lost answers, unreachable and restarting workers, foreign orders, and changes of the owner."""
+
+    @initialize(load_time_s=st.sampled_from([0.2, 0.6, 3.0]), load_rate_s=st.sampled_from([1.0, 2.1, 4.2]))
+    def start(self, load_time_s: float, load_rate_s: float) -> None:
+        self.world = PlacementWorld(
+            catalogue(MODELS, load_time_s=load_time_s, load_rate_s=load_rate_s), workers=WORKERS
+        )
+        self.world.hold("w0", "m0", "m1", "m2")
+        self.world.hold("w1", "m0", "m3")
+        self.restarts = 0
+
+    @rule(model=model_names, adapter=adapter_names, requests=st.floats(0.1, 6.0))
+    def ask(self, model: str, adapter: str, requests: float) -> None:
+        self.world.ask_if_missing(model, adapter, requests)
+
+    @rule(models=st.lists(model_names, min_size=3, max_size=8, unique=True))
+    def ask_for_many(self, models: list[str]) -> None:
+        for model in models:
+            self.world.ask_if_missing(model)
+
+    @rule(duration_s=st.floats(0.01, 2.0))
+    def let_time_pass(self, duration_s: float) -> None:
+        self.world.run(duration_s)
+
+    @rule()
+    def change_the_owner(self) -> None:
+        self.world.take_over()
+
+    @rule(instance=instances)
+    def lose_or_restore_answers(self, instance: str) -> None:
+        self.world.lost_answers ^= {instance}
+
+    @rule(instance=instances)
+    def cut_off_or_reconnect(self, instance: str) -> None:
+        self.world.unreachable ^= {instance}
+
+    @rule(instance=instances, model=model_names, duration_s=st.floats(0.1, 4.0))
+    def run_long(self, instance: str, model: str, duration_s: float) -> None:
+        worker = self.world.workers.get(instance)
+        if worker is not None:
+            worker.running_until_s[model] = self.world.now_s + duration_s
+
+    @rule(instance=instances)
+    def drain_or_stay(self, instance: str) -> None:
+        worker = self.world.workers.get(instance)
+        if worker is not None:
+            worker.state = "draining" if worker.state == "available" else "available"
+
+    @rule(instance=instances)
+    def restart(self, instance: str) -> None:
+        worker = self.world.workers.pop(instance, None)
+        if worker is None:
+            return
+        self.restarts += 1
+        new = self.world.add_worker(f"{instance}-{self.restarts}", address=worker.address, zone=worker.zone)
+        new.on_disk = set(worker.on_disk)
+
+    @invariant()
+    def no_worker_holds_more_than_it_can(self) -> None:
+        if hasattr(self, "world"):
+            assert self.world.nobody_fell()
+
+    @invariant()
+    def the_store_is_within_its_ceiling(self) -> None:
+        if hasattr(self, "world"):
+            limit = self.world.models.load_rate_s * WINDOW_S * OVERAGE + 3.0
+            assert self.world.most_loads_in_window() <= limit
+
+    @invariant()
+    def every_worker_sees_rising_tokens(self) -> None:
+        if hasattr(self, "world"):
+            for worker in self.world.workers.values():
+                tokens = [order[-1] for order in worker.orders]
+                assert tokens == sorted(tokens)
+
+    @invariant()
+    def no_more_orders_than_answers_at_a_worker(self) -> None:
+        if hasattr(self, "world"):
+            assert self.world.most_orders_under_way <= 1
+
+
+TestPlacementMachine = PlacementMachine.TestCase
+TestPlacementMachine.settings = settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+
+
+class CeilingMachine(RuleBasedStateMachine):
+    """Owners that load as fast as they may, one after the other; each order begins up to a second later."""
+
+    @initialize(rate_s=st.floats(0.2, 20.0), window_s=st.floats(1.0, 20.0), overage=st.floats(1.0, 1.5))
+    def start(self, rate_s: float, window_s: float, overage: float) -> None:
+        self.rate_s, self.window_s, self.overage = rate_s, window_s, overage
+        self.now_s = 0.0
+        self.begun: list[float] = []
+        self.take_over()
+
+    @rule()
+    def take_over(self) -> None:
+        self.ceiling = LoadCeiling(self.rate_s, self.window_s, self.overage, self.now_s)
+
+    @rule(duration_s=st.floats(0.0, 6.0), late_s=st.floats(0.0, 1.0))
+    def load_all_the_time(self, duration_s: float, late_s: float) -> None:
+        end_s = self.now_s + duration_s
+        while self.now_s <= end_s:
+            if self.ceiling.allows(self.now_s):
+                self.ceiling.sent(self.now_s)
+                self.begun.append(self.now_s + late_s)
+            self.now_s += 0.01
+
+    @rule(duration_s=st.floats(0.0, 6.0))
+    def rest(self, duration_s: float) -> None:
+        self.now_s += duration_s
+
+    @invariant()
+    def no_window_has_more_loads_than_allowed(self) -> None:
+        if not hasattr(self, "begun"):
+            return
+        limit = self.rate_s * self.window_s * self.overage + 3.0
+        for start_s in self.begun:
+            within = sum(1 for at_s in self.begun if start_s <= at_s <= start_s + self.window_s)
+            assert within <= limit
+
+
+TestCeilingMachine = CeilingMachine.TestCase
+TestCeilingMachine.settings = settings(max_examples=60, stateful_step_count=12, deadline=None)
--- /dev/null
+++ b/tests/system/test_placement_stories.py
@@ -0,0 +1,347 @@
+"""Stories of the placement: what is loaded where as demand, workers and owners change."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import deque
+
+from arrowfold.internal.messages import WorkerRecord
+from arrowfold.placement.orders import Operation, OrderAnswer
+from tests.system.placement_world import PlacementWorld, catalogue
+
+
+def test_a_model_that_is_nowhere_is_loaded_when_asked_for() -> None:
+    # Given three workers with room, and a model that none of them holds
+    world = PlacementWorld(catalogue())
+    world.run(1.0)
+    # When an edge finds no holder for it
+    world.ask("m5", missing=True)
+    world.run(1.0)
+    # Then one worker has loaded it, once
+    assert len(world.held_by("m5")) == 1
+    assert len(world.all_loads) == 1
+
+
+def test_an_idle_model_gives_way_where_there_is_no_room() -> None:
+    # Given one full worker with a busy model and two idle ones
+    world = PlacementWorld(catalogue(), workers=1)
+    world.hold("w0", "m0", "m1", "m2")
+    world.run(4.0, lambda: world.ask("m0", requests=0.2))
+    # When another model is asked for
+    world.ask("m7", missing=True)
+    world.run(1.0, lambda: world.ask("m0", requests=0.2))
+    # Then it stands there, and the busy model still does
+    assert world.held_by("m7") == ["w0"]
+    assert world.held_by("m0") == ["w0"]
+    assert world.nobody_fell()
+
+
+def test_the_last_copy_of_a_model_that_was_just_asked_for_stays() -> None:
+    # Given one full worker whose three models are all asked for
+    world = PlacementWorld(catalogue(), workers=1)
+    world.hold("w0", "m0", "m1", "m2")
+
+    def ask_all() -> None:
+        for model in ("m0", "m1", "m2"):
+            world.ask(model, requests=0.1)
+
+    world.run(4.0, ask_all)
+    # When a fourth is asked for
+    world.ask("m7", missing=True)
+    world.run(2.0, ask_all)
+    # Then nothing was unloaded
+    assert world.answers == []
+
+
+def test_an_unload_that_waits_for_its_runs_holds_back_the_load() -> None:
+    # Given a full worker whose least valuable model still has a long run
+    world = PlacementWorld(catalogue(), workers=1)
+    world.hold("w0", "m0", "m1", "m2")
+    world.run(4.0, lambda: (world.ask("m0", requests=0.2), world.ask("m1", requests=0.2)))
+    world.workers["w0"].running_until_s["m2"] = world.now_s + 3.0
+    # When another model is asked for, which takes its place
+    world.ask("m7", missing=True)
+    world.run(2.0, lambda: (world.ask("m0", requests=0.2), world.ask("m1", requests=0.2)))
+    # Then the load was not taken before the unload was done, and it is done afterwards
+    assert world.held_by("m7") == []
+    world.ask("m7", missing=True)
+    world.run(3.0, lambda: (world.ask("m0", requests=0.2), world.ask("m1", requests=0.2)))
+    assert world.held_by("m7") == ["w0"]
+    assert world.nobody_fell()
+
+
+def test_a_rising_model_gets_further_copies_within_two_seconds() -> None:
+    # Given six workers that hold a busy model on four, and the next one on one
+    world = PlacementWorld(catalogue(), workers=6)
+    for index in range(4):
+        world.hold(f"w{index}", "m0", f"m{index + 4}")
+    world.hold("w4", "m1", "m8")
+    world.hold("w5", "m2", "m3")
+    world.run(8.0, lambda: world.ask("m0", requests=0.5, took_s=0.8))
+    # When demand moves on from the one to the other
+    world.run(2.0, lambda: world.ask("m1", requests=0.5, took_s=0.8))
+    # Then it has further copies
+    assert len(world.held_by("m1")) >= 3
+    assert world.nobody_fell()
+
+
+def test_steady_demand_causes_no_loads() -> None:
+    # Given workers that hold what is asked for, in proportion
+    world = PlacementWorld(catalogue(), workers=4)
+    for index in range(4):
+        world.hold(f"w{index}", "m0", "m1", f"m{index + 2}")
+
+    def ask() -> None:
+        world.ask("m0", requests=0.4)
+        world.ask("m1", requests=0.15)
+        for index in range(2, 6):
+            world.ask(f"m{index}", requests=0.005)
+
+    # When that goes on for half a minute
+    world.run(30.0, ask)
+    # Then nothing was loaded or unloaded
+    assert world.answers == []
+
+
+def test_every_rare_model_is_served_in_its_turn() -> None:
+    # Given room for nine models, and thirty that are asked for in turn, each waiting three seconds
+    world = PlacementWorld(catalogue(30))
+    waiting: deque[tuple[float, str]] = deque()
+    served: dict[str, int] = {}
+    turn = iter(range(10_000))
+
+    def ask() -> None:
+        model = f"m{next(turn) % 30}"
+        if world.ask_if_missing(model):
+            served[model] = served.get(model, 0) + 1
+        else:
+            waiting.append((world.now_s, model))
+        for asked_s, name in list(waiting):
+            if world.held_by(name):
+                served[name] = served.get(name, 0) + 1
+                waiting.remove((asked_s, name))
+            elif world.now_s - asked_s > 3.0:
+                waiting.remove((asked_s, name))
+
+    # When that goes on for forty seconds, at one a second
+    world.run(40.0, ask, step_s=1.0)
+    # Then each was served
+    assert sorted(served) == sorted(f"m{index}" for index in range(30))
+    assert world.nobody_fell()
+
+
+def test_an_adapter_is_loaded_beside_its_model_and_the_least_used_gives_way() -> None:
+    # Given one worker with a model and eight adapters, of which the second is not asked for
+    world = PlacementWorld(catalogue(), workers=1)
+    world.hold("w0", "m0")
+    world.run(0.5)
+    for index in range(1, 9):
+        world.ask("m0", f"a{index}", missing=True)
+        world.run(0.3)
+    assert len(world.models_of("w0")["m0"]) == 8
+    used = [f"a{index}" for index in range(1, 9) if index != 2]
+    world.run(3.0, lambda: [world.ask("m0", adapter, requests=0.05) for adapter in used])
+    # When a ninth is asked for
+    world.ask("m0", "a9", missing=True)
+    world.run(0.5, lambda: [world.ask("m0", adapter, requests=0.05) for adapter in used])
+    # Then it stands there instead of the one that was not asked for
+    assert world.models_of("w0")["m0"] == {*used, "a9"}
+    assert world.nobody_fell()
+
+
+def test_an_adapter_of_a_model_that_is_nowhere_comes_after_its_model() -> None:
+    # Given workers without the model
+    world = PlacementWorld(catalogue())
+    world.run(0.5)
+    # When an adapter of it is asked for
+    world.ask("m3", "a4", missing=True)
+    world.run(1.5)
+    # Then one worker holds both
+    holders = [name for name in world.workers if "a4" in world.models_of(name).get("m3", ())]
+    assert len(holders) == 1
+
+
+def test_what_a_draining_worker_holds_is_placed_elsewhere() -> None:
+    # Given a busy model with one copy
+    world = PlacementWorld(catalogue(), workers=3)
+    world.hold("w0", "m0")
+    world.run(4.0, lambda: world.ask("m0", requests=0.2))
+    # When its worker says that it leaves
+    world.workers["w0"].state = "draining"
+    world.run(1.5, lambda: world.ask("m0", requests=0.2))
+    # Then another worker holds it, and the leaving one was given no order
+    assert [name for name in world.held_by("m0") if name != "w0"]
+    assert "w0" not in world.order_counts
+
+
+def test_a_restarted_worker_loads_from_its_own_disk_again() -> None:
+    # Given two workers, of which one held a model
+    world = PlacementWorld(catalogue(), workers=2)
+    world.hold("w1", "m4")
+    world.run(1.0)
+    # When that one restarts empty under a new instance, and the model is asked for
+    old = world.workers.pop("w1")
+    restarted = world.add_worker("w1b", address=old.address, zone=old.zone)
+    restarted.on_disk = set(old.on_disk)
+    world.run(0.5)
+    world.ask("m4", missing=True)
+    world.run(1.0)
+    # Then it is loaded there again, and not from the store
+    assert world.held_by("m4") == ["w1b"]
+    assert world.store_loads == []
+
+
+def test_an_order_without_an_answer_is_looked_up_before_the_next() -> None:
+    # Given a worker whose answers to orders get lost
+    world = PlacementWorld(catalogue(), workers=1)
+    world.run(0.5)
+    world.lost_answers.add("w0")
+    # When a model is asked for
+    world.ask("m1", missing=True)
+    world.run(0.9)
+    # Then the order was taken once and nothing else is ordered before its fate is known
+    assert len(world.answers) == 1
+    world.lost_answers.clear()
+    world.run(2.0)
+    assert world.held_by("m1") == ["w0"]
+    assert len(world.all_loads) == 1
+    # And a later order goes through
+    world.ask("m2", missing=True)
+    world.run(1.5)
+    assert world.held_by("m2") == ["w0"]
+
+
+def test_an_order_for_another_revision_is_not_taken_and_the_report_is_read() -> None:
+    # Given an owner that has read the report of a worker
+    world = PlacementWorld(catalogue(), workers=1)
+    world.run(0.5)
+    # When the worker has taken an order that this owner doesn't know of
+    world.workers["w0"].take_unseen_order(world.now_s)
+    world.ask("m1", missing=True)
+    world.run(2.0)
+    # Then the first order meets a conflict and the second one is taken
+    assert [answer for _, answer in world.answers] == [OrderAnswer.CONFLICT, OrderAnswer.ACCEPTED]
+
+
+def test_an_owner_that_a_worker_fences_off_gives_no_more_orders() -> None:
+    # Given a worker that has seen a later owner
+    world = PlacementWorld(catalogue(), workers=2)
+    world.run(0.5)
+    for worker in world.workers.values():
+        worker.fence = 99
+    # When models are asked for
+    world.ask("m1", missing=True)
+    world.run(0.5)
+    world.ask("m2", missing=True)
+    world.run(2.0)
+    # Then one order was refused and no other was sent
+    assert world.placer is not None and world.placer.fenced
+    assert [answer for _, answer in world.answers] == [OrderAnswer.FENCED]
+
+
+def test_a_worker_at_a_reused_address_gets_no_more_orders() -> None:
+    # Given a worker whose address belongs to another one by now
+    world = PlacementWorld(catalogue(), workers=1)
+    world.run(0.5)
+    world.workers["w0"].answers_as = "other"
+    # When models are asked for
+    world.ask("m1", missing=True)
+    world.run(0.5)
+    world.ask("m2", missing=True)
+    world.run(2.0)
+    # Then only the first order reached it
+    assert [answer for _, answer in world.answers] == [OrderAnswer.MISDIRECTED]
+
+
+def test_a_new_owner_adds_no_burst_to_what_its_predecessor_loaded() -> None:
+    # Given many empty workers and an owner that loads as fast as the ceiling lets it
+    models = catalogue(60, load_time_s=0.1)
+    world = PlacementWorld(models, workers=30)
+    world.run(6.0)
+
+    def ask() -> None:
+        for index in range(60):
+            if not world.held_by(f"m{index}"):
+                world.ask(f"m{index}", missing=True)
+
+    # When owners take over from one another every second
+    for _ in range(8):
+        world.run(1.0, ask)
+        world.take_over()
+    # Then no window sees more loads than the store allows
+    assert world.most_loads_in_window() <= models.load_rate_s * 5.0 * 1.1 + 3.0
+    assert len(world.store_loads) > 15
+
+
+def test_an_order_goes_only_to_a_worker_that_has_none_under_way() -> None:
+    # Given one worker
+    world = PlacementWorld(catalogue(load_time_s=2.0), workers=1)
+    world.run(0.5)
+    # When three models are asked for at once
+    for model in ("m1", "m2", "m3"):
+        world.ask(model, missing=True)
+
+    def still_waiting() -> None:
+        for model in ("m1", "m2", "m3"):
+            world.ask_if_missing(model)
+
+    world.run(8.0, still_waiting, step_s=0.5)
+    # Then they were loaded one after the other, without a single conflict
+    assert {answer for _, answer in world.answers} == {OrderAnswer.ACCEPTED}
+    assert sorted(world.models_of("w0")) == ["m1", "m2", "m3"]
+
+
+def test_an_unreachable_worker_is_tried_seldom_and_others_take_over() -> None:
+    # Given two workers, of which one can't be reached
+    world = PlacementWorld(catalogue(), workers=2)
+    world.run(0.5)
+    world.unreachable.add("w0")
+    # When models are asked for
+    for model in ("m1", "m2", "m3"):
+        world.ask(model, missing=True)
+        world.run(1.5, lambda model=model: world.ask_if_missing(model))  # type: ignore[misc]
+    # Then the other one holds them
+    assert sorted(world.models_of("w1")) == ["m1", "m2", "m3"]
+
+
+def test_the_edges_hear_of_loads_and_unloads_before_the_next_heartbeat() -> None:
+    # Given a full worker
+    world = PlacementWorld(catalogue(), workers=1)
+    world.hold("w0", "m0", "m1", "m2")
+    world.run(4.0, lambda: (world.ask("m0", requests=0.1), world.ask("m1", requests=0.1)))
+    heartbeat = world.workers["w0"].record()
+    assert world.placer is not None
+    seen: list[WorkerRecord] = []
+
+    def look() -> None:
+        assert world.placer is not None
+        world.placer.apply_workers([heartbeat], world.now_s)
+        seen.extend(world.placer.corrections())
+
+    # When one model gives way to another
+    world.ask("m7", missing=True)
+    world.run(1.2, look)
+    # Then a corrected record dropped the one, told of the other's arrival, and then of its presence
+    names = [tuple(model.name for model in record.models) for record in seen]
+    assert ("m0", "m1") in names
+    assert any(record.arriving and record.arriving[0].model == "m7" for record in seen)
+    assert names[-1] == ("m0", "m1", "m7")
+    assert all(record.correction == heartbeat.correction + 1 for record in seen)
+
+
+def test_a_model_that_the_configuration_no_longer_lists_gives_way_first() -> None:
+    # Given a full worker, and a configuration that drops one of its models
+    world = PlacementWorld(catalogue(), workers=1)
+    world.hold("w0", "m0", "m1", "m11")
+    world.run(4.0, lambda: world.ask("m11", requests=0.3))
+    smaller = dict(world.models.models)
+    del smaller["m11"]
+    world.models = dataclasses.replace(world.models, models=smaller)
+    assert world.placer is not None
+    world.placer.apply_catalogue(world.models)
+    # When another model is asked for
+    world.ask("m5", missing=True)
+    world.run(1.5)
+    # Then it took the place of that model
+    assert sorted(world.models_of("w0")) == ["m0", "m1", "m5"]
+    assert [order.operation for order, _ in world.answers] == [Operation.UNLOAD, Operation.LOAD]
