Publish what the placement knows ahead of heartbeats as updates of its own

Cause: heartbeats that repeat what is known make no new record, so a corrected record would lose against the number of a later heartbeat. Ruled out: a correction number inside WorkerRecord.

--- a/arrowfold/controlplane/placement_executor.py
+++ b/arrowfold/controlplane/placement_executor.py
@@ -16,10 +16,11 @@
 import aiohttp
 from loguru import logger
 
-from arrowfold.internal.messages import DemandReport, HeldModel, WorkerRecord
+from arrowfold.internal.messages import DemandReport, HeldModel, WorkerCorrection, WorkerRecord
 from arrowfold.node.settings import Bounds
 from arrowfold.placement.catalogue import ModelCatalogue
 from arrowfold.placement.ceiling import ANSWER_JITTER_S, LoadCeiling
+from arrowfold.placement.corrections import same_corrections
 from arrowfold.placement.orders import (
     Action,
     Operation,
@@ -69,8 +70,8 @@
     def catalogue(self, service: str) -> ModelCatalogue | None:
         """The models of a service by the configuration in force."""
 
-    def correct(self, record: WorkerRecord) -> None:
-        """Bring a corrected record to every edge."""
+    def publish(self, service: str, token: int, corrections: tuple[WorkerCorrection, ...]) -> None:
+        """Bring these corrections to every edge, in place of those before them."""
 
 
 def order_session() -> aiohttp.ClientSession:
@@ -110,6 +111,7 @@
         self._clock = clock
         self._changed = asyncio.Event()
         self._placer: ServicePlacer | None = None
+        self._published: tuple[WorkerCorrection, ...] | None = None  # the predecessor's are in force
         self._tasks: set[asyncio.Task[None]] = set()
 
     def wake(self) -> None:
@@ -144,11 +146,15 @@
         self._placer.apply_catalogue(catalogue)
         self._placer.apply_workers(self._ports.workers(), now_s)
         actions = self._placer.actions(now_s)
-        for record in self._placer.corrections():
-            self._ports.correct(record)
+        self._publish(self._placer.corrections(now_s))
         for action in actions:
             self._start(self._placer, action)
 
+    def _publish(self, corrections: tuple[WorkerCorrection, ...]) -> None:
+        if self._published is None or not same_corrections(corrections, self._published):
+            self._published = corrections
+            self._ports.publish(self._service, self._lease.token, corrections)
+
     def _start(self, placer: ServicePlacer, action: Action) -> None:
         work = self._carry_out(placer, action)
         task = asyncio.get_running_loop().create_task(work)
--- a/arrowfold/internal/messages.py
+++ b/arrowfold/internal/messages.py
@@ -38,7 +38,7 @@
 @message(11)
 @dataclass(frozen=True, slots=True)
 class ArrivingModel:
-    """A model, or an adapter of it, that is being loaded; `ready_in_s` counts from when the record was made."""
+    """A model, or an adapter of it, that is being loaded; `ready_in_s` counts from the message's making."""
 
     model: str
     adapter: str
@@ -50,9 +50,7 @@
 class WorkerRecord:
     """What a worker last said of itself. `state`: available, draining, gone, or silent (not heard lately).
 
-    The owner of the placement corrects `models` and `arriving` between two heartbeats: of two
-    records with the same `call_sequence` and state the one with the higher `correction` is in force;
-    a heartbeat sets it to 0.
+    `arriving` is empty in what a worker says; an edge adds it from the owner of the placement.
     """
 
     instance: str
@@ -68,7 +66,6 @@
     cold_left_ms: float = 0.0
     stage: str = "both"
     arriving: tuple[ArrivingModel, ...] = ()
-    correction: int = 0
 
 
 @message(4)
@@ -147,6 +144,33 @@
     roles: tuple[RoleOwner, ...] = ()
 
 
+@message(12)
+@dataclass(frozen=True, slots=True)
+class WorkerCorrection:
+    """What a worker holds by the owner of the placement, which its last heartbeat does not tell yet.
+
+    `models` leaves out what is being unloaded.
+    """
+
+    instance: str
+    models: tuple[HeldModel, ...]
+    arriving: tuple[ArrivingModel, ...] = ()
+
+
+@message(13)
+@dataclass(frozen=True, slots=True)
+class PlacementUpdate:
+    """All corrections in force for the workers of a service; each replaces the update before it.
+
+    `origin` is the owner's role; `counter` is higher for a later owner and for a later update.
+    """
+
+    origin: str
+    counter: int
+    service: str
+    corrections: tuple[WorkerCorrection, ...]
+
+
 @message(20)
 @dataclass(frozen=True, slots=True)
 class PullRequest:
@@ -170,7 +194,9 @@
     current: bool
     view: ClusterView
     vector: dict[str, int]
-    updates: tuple[WorkerUpdate | ConfigurationUpdate | ConfigurationDelta | DepartureUpdate, ...] = ()
+    updates: tuple[
+        WorkerUpdate | ConfigurationUpdate | ConfigurationDelta | DepartureUpdate | PlacementUpdate, ...
+    ] = ()
 
 
 @message(22)
--- a/arrowfold/placement/corrections.py
+++ b/arrowfold/placement/corrections.py
@@ -1,22 +1,32 @@
-"""Corrected records of workers: what the owner of the placement knows ahead of the next heartbeat."""
+"""Corrections of workers' records: what the owner of the placement knows ahead of the next heartbeat."""
 
 from __future__ import annotations
 
 import math
-from dataclasses import replace
+from collections.abc import Iterable
 
-from arrowfold.internal.messages import ArrivingModel, HeldModel, WorkerRecord
+from arrowfold.internal.messages import ArrivingModel, HeldModel, WorkerCorrection, WorkerRecord
 from arrowfold.placement.orders import Operation
 from arrowfold.placement.worker_state import OrderPhase, WorkerState
 
 
-def corrected_record(record: WorkerRecord, worker: WorkerState) -> WorkerRecord | None:
-    """The record as it should read, numbered as the next correction; None if it reads so already."""
+def correction_of(record: WorkerRecord, worker: WorkerState, now_s: float) -> WorkerCorrection | None:
+    """What the record should read; None if it reads so already and nothing arrives."""
     models = _ready_models(record, worker)
-    arriving = _arriving(worker)
-    if _as_sets(models) == _as_sets(record.models) and _names(arriving) == _names(record.arriving):
+    arriving = _arriving(worker, now_s)
+    if not arriving and _as_sets(models) == _as_sets(record.models):
         return None
-    return replace(record, models=models, arriving=arriving, correction=record.correction + 1)
+    return WorkerCorrection(record.instance, models, arriving)
+
+
+def same_corrections(one: Iterable[WorkerCorrection], other: Iterable[WorkerCorrection]) -> bool:
+    """True if both say the same, apart from how soon what is arriving will be ready."""
+    return {_content(item) for item in one} == {_content(item) for item in other}
+
+
+def _content(correction: WorkerCorrection) -> tuple[object, ...]:
+    arriving = tuple((item.model, item.adapter) for item in correction.arriving)
+    return correction.instance, correction.models, arriving
 
 
 def _ready_models(record: WorkerRecord, worker: WorkerState) -> tuple[HeldModel, ...]:
@@ -32,19 +42,15 @@
     return tuple(name for name in sorted(worker.holdings[model].adapters) if worker.holds(model, name))
 
 
-def _arriving(worker: WorkerState) -> tuple[ArrivingModel, ...]:
+def _arriving(worker: WorkerState, now_s: float) -> tuple[ArrivingModel, ...]:
     pending = worker.pending
     if pending is None or pending.phase is not OrderPhase.RUNNING:
         return ()
     if pending.order.operation is not Operation.LOAD or math.isinf(pending.expected_done_s):
         return ()
-    ready_in_s = pending.expected_done_s - pending.accepted_s
+    ready_in_s = max(0.0, pending.expected_done_s - now_s)
     return (ArrivingModel(pending.order.model, pending.order.adapter, ready_in_s),)
 
 
 def _as_sets(models: tuple[HeldModel, ...]) -> dict[str, frozenset[str]]:
     return {model.name: frozenset(model.adapters) for model in models}
-
-
-def _names(arriving: tuple[ArrivingModel, ...]) -> set[tuple[str, str]]:
-    return {(model.model, model.adapter) for model in arriving}
--- a/arrowfold/placement/placer.py
+++ b/arrowfold/placement/placer.py
@@ -10,10 +10,10 @@
 import math
 from collections.abc import Iterable
 
-from arrowfold.internal.messages import DemandReport, WorkerRecord
+from arrowfold.internal.messages import DemandReport, WorkerCorrection, WorkerRecord
 from arrowfold.placement.catalogue import ModelCatalogue
 from arrowfold.placement.ceiling import LoadCeiling
-from arrowfold.placement.corrections import corrected_record
+from arrowfold.placement.corrections import correction_of
 from arrowfold.placement.demand import DemandEstimator, ModelClass
 from arrowfold.placement.fleet import PlacementFleet
 from arrowfold.placement.load_times import ADAPTER_LOAD_S, UNLOAD_S, LoadTimes
@@ -49,7 +49,6 @@
         self._planner = PlacementPlanner(self._fleet, self._demand)
         self._times = LoadTimes()
         self._records: dict[str, WorkerRecord] = {}
-        self._announced: dict[str, WorkerRecord] = {}
         self.fenced = False  # a worker has seen a higher token: no more orders
 
     def apply_catalogue(self, catalogue: ModelCatalogue) -> None:
@@ -79,17 +78,17 @@
         actions.extend(self._reports(now_s))
         return actions
 
-    def corrections(self) -> list[WorkerRecord]:
-        """Records of workers that say more than the last heartbeat: what stands ready, leaves and arrives."""
-        changed = []
+    def corrections(self, now_s: float) -> tuple[WorkerCorrection, ...]:
+        """What the last heartbeats don't tell: what stands ready, leaves and arrives."""
+        found = []
         for instance, record in self._records.items():
             worker = self._fleet.workers.get(instance)
             if worker is None or worker.revision is None:
                 continue
-            corrected = corrected_record(record, worker)
-            if corrected is not None:
-                changed.append(corrected)
-        return changed
+            correction = correction_of(record, worker, now_s)
+            if correction is not None:
+                found.append(correction)
+        return tuple(found)
 
     def next_wakeup_s(self, now_s: float) -> float:
         """When `actions` should be asked again at the latest."""
