--- a/arrowfold/controlplane/distribution.py
+++ b/arrowfold/controlplane/distribution.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from arrowfold.controlplane.placement_notices import PlacementNotices
 from arrowfold.controlplane.presence import EdgePresence
 from arrowfold.internal.messages import (
     STATE_ORIGIN,
@@ -12,6 +13,7 @@
     ConfigurationDelta,
     ConfigurationUpdate,
     DepartureUpdate,
+    PlacementUpdate,
     PullRequest,
     PullResponse,
     RoleOwner,
@@ -61,11 +63,13 @@
         registry: WorkerRegistry,
         presence: EdgePresence,
         roles: Callable[[], tuple[RoleOwner, ...]],
+        notices: PlacementNotices,
     ) -> None:
         self._replica = replica
         self._registry = registry
         self._presence = presence
         self._roles = roles
+        self._notices = notices
         self._changed = asyncio.Event()
 
     def wake(self) -> None:
@@ -75,7 +79,11 @@
 
     def vector(self) -> dict[str, int]:
         """The version vector of what this node can hand on."""
-        return {**self._registry.vector(), STATE_ORIGIN: self._replica.committed.sequence}
+        return {
+            **self._registry.vector(),
+            **self._notices.vector(),
+            STATE_ORIGIN: self._replica.committed.sequence,
+        }
 
     def view(self) -> ClusterView:
         """The group as this node knows it."""
@@ -112,11 +120,12 @@
         return self._answer(request)
 
     def _answer(self, request: PullRequest) -> PullResponse:
-        updates: tuple[WorkerUpdate | StateUpdate, ...] = ()
+        updates: tuple[WorkerUpdate | StateUpdate | PlacementUpdate, ...] = ()
         if not request.notice_only:
             since = request.vector.get(STATE_ORIGIN, 0)
             updates = (
                 *state_updates(self._replica.committed, since),
                 *self._registry.missing(request.vector),
+                *self._notices.missing(request.vector),
             )
         return PullResponse(self._replica.is_current(), self.view(), self.vector(), updates)
--- a/arrowfold/controlplane/node.py
+++ b/arrowfold/controlplane/node.py
@@ -14,6 +14,8 @@
 from arrowfold.controlplane.http_interface import build_application, serve
 from arrowfold.controlplane.messages import EdgeSightings
 from arrowfold.controlplane.peers import PeerPulls
+from arrowfold.controlplane.placement_notices import PlacementNotices
+from arrowfold.controlplane.placement_service import PlacementService
 from arrowfold.controlplane.presence import EdgePresence
 from arrowfold.controlplane.registration import RegistrationService
 from arrowfold.internal.channel import ChannelClient, ChannelServer
@@ -93,7 +95,11 @@
         origin = f"{identity.member}.{secrets.token_hex(3)}"
         registry = WorkerRegistry(origin, clock, settings.beatIntervalMs / 1000)
         presence = EdgePresence(clock, settings.bounds.budgetWindowS)
-        distributor = Distributor(replica, registry, presence, lambda: _role_owners(replica))
+        notices = PlacementNotices(lambda: distributor.wake())
+        distributor = Distributor(replica, registry, presence, lambda: _role_owners(replica), notices)
+        placement = PlacementService(
+            replica, lambda: registry.records().values(), notices, settings.bounds, clock, self._log
+        )
         configurations = ConfigurationService(replica, self._passed_on)
         registrations = RegistrationService(replica, registry, self._passed_on, distributor.wake)
         node = NodeIdentity(
@@ -104,9 +110,10 @@
         )
         replica.add_listener(distributor.wake)
         replica.add_listener(pulls.follow_members)
+        replica.add_listener(placement.wake)
         handlers = {
             **replica.handlers(),
-            **_plane_handlers(distributor, configurations, registrations, presence),
+            **_plane_handlers(distributor, configurations, registrations, presence, placement),
         }
         self._server = ChannelServer(handlers)
         await self._server.start(settings.internal_address)
@@ -114,6 +121,7 @@
             application = build_application(settings.nodeName, configurations, registrations)
             await serve(application, settings.listenAddresses.control)
         self._tasks.append(asyncio.create_task(replica.run()))
+        self._tasks.append(asyncio.create_task(placement.run()))
         self._tasks.append(asyncio.create_task(_sweep(registry, pulls, distributor)))
         self._log.info(
             "control.started", member=identity.member, founder=identity.founder, epoch=replica.epoch
@@ -161,21 +169,19 @@
     configurations: ConfigurationService,
     registrations: RegistrationService,
     presence: EdgePresence,
+    placement: PlacementService,
 ) -> dict[type[Any], Callable[[Any], Awaitable[Any]]]:
     async def sightings(message: EdgeSightings) -> Acknowledgement:
         presence.learn(message.ages_s)
         return Acknowledgement()
 
-    async def demand(_: DemandReport) -> Acknowledgement:
-        return Acknowledgement()
-
     return {
         PullRequest: distributor.pull,
         SubmitChange: configurations.on_submit,
         ReadConfiguration: configurations.on_read,
         SubmitDeparture: registrations.on_departure,
         EdgeSightings: sightings,
-        DemandReport: demand,
+        DemandReport: placement.on_demand,
     }
 
 
--- a/arrowfold/controlplane/peers.py
+++ b/arrowfold/controlplane/peers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from arrowfold.controlplane.messages import EdgeSightings
+from arrowfold.controlplane.placement_notices import is_placement_origin
 from arrowfold.controlplane.presence import EdgePresence
 from arrowfold.internal.messages import (
     STATE_ORIGIN,
@@ -91,6 +92,10 @@
 
     def _take(self, response: PullResponse) -> None:
         updates = tuple(update for update in response.updates if isinstance(update, WorkerUpdate))
-        vector = {origin: count for origin, count in response.vector.items() if origin != STATE_ORIGIN}
+        vector = {
+            origin: count
+            for origin, count in response.vector.items()
+            if origin != STATE_ORIGIN and not is_placement_origin(origin)
+        }
         if self._registry.merge(updates, vector):
             self._on_change()
--- a/arrowfold/controlplane/placement_executor.py
+++ b/arrowfold/controlplane/placement_executor.py
@@ -1,13 +1,13 @@
 """Carries out what the placement decides: orders to workers and reads of their reports, under a lease.
 
-An order leaves only while the lease has more time left than an order may take to arrive, so that it
-can't reach a worker after another owner has begun. A connection that gave no answer is reset, which
-drops bytes still on their way.
+An order leaves only while the lease has time left for its way. A connection that gave no answer is reset,
+which drops bytes still on their way; a later owner begins only after that time.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import struct
 from collections.abc import Callable, Iterable
@@ -34,8 +34,10 @@
 
 CONNECT_TIMEOUT_S = 0.5
 ANSWER_TIMEOUT_S = ANSWER_JITTER_S
+ARRIVAL_S = 0.15  # of the lease has to be left for the way of an order
 LEAVING_NOTICE_S = 0.02  # edges hear of an unload this long before the worker does
 KEEP_CONNECTION_S = 2.0  # an idle connection to a worker is kept for the next order of a chain
+RENEWAL_S = 1.0  # edges drop corrections that are not published again for some seconds
 SHORTEST_PAUSE_S = 0.005
 _ANSWERS = {
     200: OrderAnswer.ALREADY,
@@ -112,6 +114,7 @@
         self._changed = asyncio.Event()
         self._placer: ServicePlacer | None = None
         self._published: tuple[WorkerCorrection, ...] | None = None  # the predecessor's are in force
+        self._published_s = -math.inf
         self._tasks: set[asyncio.Task[None]] = set()
 
     def wake(self) -> None:
@@ -151,8 +154,10 @@
             self._start(self._placer, action)
 
     def _publish(self, corrections: tuple[WorkerCorrection, ...]) -> None:
-        if self._published is None or not same_corrections(corrections, self._published):
-            self._published = corrections
+        now_s = self._clock()
+        renew = bool(corrections) and now_s - self._published_s >= RENEWAL_S
+        if renew or self._published is None or not same_corrections(corrections, self._published):
+            self._published, self._published_s = corrections, now_s
             self._ports.publish(self._service, self._lease.token, corrections)
 
     def _start(self, placer: ServicePlacer, action: Action) -> None:
@@ -190,7 +195,7 @@
     async def _send_order(self, order: Order) -> OrderAnswer:
         if order.operation is Operation.UNLOAD:
             await asyncio.sleep(LEAVING_NOTICE_S)
-        if self._lease.remaining_s() < ANSWER_TIMEOUT_S:
+        if self._lease.remaining_s() < ARRIVAL_S:
             return OrderAnswer.UNSENT
         try:
             async with self._session.post(
--- a/arrowfold/dataplane/forwarding.py
+++ b/arrowfold/dataplane/forwarding.py
@@ -60,6 +60,7 @@
         self._clock = clock
         self._draw = draw or random.Random()
         self._changed = asyncio.Event()
+        self.on_missing: Callable[[], None] = lambda: None  # called when a request finds no holder
 
     def workers_changed(self) -> None:
         """Tell the requests that wait for a worker that the table has changed."""
@@ -106,6 +107,8 @@
             now_s = self._clock()
             profile = replace(progress.profile, attempts_left=progress.route.max_attempts - progress.sends)
             choice = self._selector.choose(profile, progress.tried, now_s)
+            if isinstance(choice, WaitForWorker) or _lacks_model(choice):
+                self.on_missing()
             if not isinstance(choice, WaitForWorker):
                 return choice
             try:
@@ -274,3 +277,7 @@
         if size > LARGEST_BUFFERED_BODY:
             raise BodyLostError("the body is too large")
     return b"".join(chunks)
+
+
+def _lacks_model(choice: ChosenWorker | RefusedRequest) -> bool:
+    return isinstance(choice, RefusedRequest) and choice.code == ResultCode.MODEL_LOADING
--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -8,6 +8,7 @@
 from arrowfold.configuration.routes import Limits
 from arrowfold.dataplane.forwarding import RequestForwarder
 from arrowfold.dataplane.front import EdgeFront, ReadinessFront
+from arrowfold.dataplane.placement_overlay import PlacementOverlay
 from arrowfold.dataplane.puller import ControlPuller
 from arrowfold.dataplane.reports import DemandReporter
 from arrowfold.dataplane.retry_budget import RetryBudget
@@ -19,6 +20,7 @@
 from arrowfold.node.settings import NodeSettings
 from arrowfold.selection.interface import WorkerSelector
 
+EARLY_REPORT_S = 0.005  # requests that find no model are told of this soon, several at once
 ROUND_S = 0.5  # between market rounds, reports of demand and looks at idle connections
 PROBE_MISSES_S = 2.3  # after readiness ends until the platform sends no new connections
 END_MARGIN_S = 0.7  # of the grace time, left for the end itself
@@ -63,6 +65,10 @@
             log,
         )
         self._reporter = DemandReporter(self._client, identity, selector)
+        self._overlay = PlacementOverlay()
+        self._reported_s = loop.time()
+        self._early_report: asyncio.Task[None] | None = None
+        self._forwarder.on_missing = self._report_missing
         self._rounds: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -102,7 +108,8 @@
     def _apply_tables(self) -> None:
         snapshot = self._tables.snapshot
         now_s = self._clock()
-        self._selector.apply_workers(tuple(snapshot.workers.values()), now_s)
+        workers = self._overlay.corrected(snapshot.workers.values(), snapshot.placements, now_s)
+        self._selector.apply_workers(workers, now_s)
         edges = snapshot.view.edges if snapshot.view is not None else 0
         if edges > 0:
             self._selector.apply_edges(edges)
@@ -128,4 +135,20 @@
             await asyncio.sleep(ROUND_S)
             self._selector.market_round(self._clock())
             self._connections.close_expired()
-            await self._reporter.report(self._tables.snapshot.view, ROUND_S, self._clock())
+            if self._overlay.has_expired(self._clock()):
+                self._apply_tables()
+            await self._report_demand()
+
+    async def _report_demand(self) -> None:
+        now_s = self._clock()
+        period_s, self._reported_s = now_s - self._reported_s, now_s
+        await self._reporter.report(self._tables.snapshot.view, period_s, now_s)
+
+    def _report_missing(self) -> None:
+        """A request found no worker that holds its model: tell the owner of the placement at once."""
+        if self._early_report is None or self._early_report.done():
+            self._early_report = asyncio.create_task(self._report_soon())
+
+    async def _report_soon(self) -> None:
+        await asyncio.sleep(EARLY_REPORT_S)
+        await self._report_demand()
--- a/arrowfold/dataplane/tables.py
+++ b/arrowfold/dataplane/tables.py
@@ -17,6 +17,7 @@
     ConfigurationDelta,
     ConfigurationUpdate,
     DepartureUpdate,
+    PlacementUpdate,
     PullResponse,
     WorkerRecord,
     WorkerUpdate,
@@ -44,6 +45,7 @@
     configuration: ConfigurationSnapshot | None = None
     workers: dict[str, WorkerRecord] = field(default_factory=dict)
     view: ClusterView | None = None
+    placements: dict[str, PlacementUpdate] = field(default_factory=dict)
 
     def may_send(self, instance: str) -> bool:
         """Whether requests may still be sent to this worker."""
@@ -66,12 +68,15 @@
         before = self.snapshot
         workers = dict(before.workers)
         configuration = before.configuration
+        placements = before.placements
         missed_delta = False
         for update in response.updates:
             if isinstance(update, WorkerUpdate):
                 self._take_worker(workers, update.record)
             elif isinstance(update, DepartureUpdate):
                 self._take_departure(workers, update)
+            elif isinstance(update, PlacementUpdate):
+                placements = _with_placement(placements, update)
             elif isinstance(update, ConfigurationUpdate):
                 configuration = _whole(configuration, update)
             else:
@@ -82,7 +87,7 @@
         view = _newer_view(before.view, response.view)
         changed = bool(response.updates) or view != before.view
         if changed:
-            self.snapshot = FleetSnapshot(configuration, workers, view)
+            self.snapshot = FleetSnapshot(configuration, workers, view, placements)
         return changed
 
     def _adopt(self, vector: dict[str, int], missed_delta: bool) -> None:
@@ -115,6 +120,13 @@
             )
 
 
+def _with_placement(known: dict[str, PlacementUpdate], update: PlacementUpdate) -> dict[str, PlacementUpdate]:
+    held = known.get(update.origin)
+    if held is not None and held.counter >= update.counter:
+        return known
+    return {**known, update.origin: update}
+
+
 def _is_later(record: WorkerRecord, known: WorkerRecord) -> bool:
     if known.state in (DRAINING, GONE) and _SEVERITY[record.state] < _SEVERITY[known.state]:
         return False
