Select workers by the token market, with prompt homes and predicted first events

The edge chose by its own requests in flight alone, so prompts were read again everywhere. First version of MarketSelector: class tables, homes of shared parts by rendezvous hashing, learned times to the first event, waiting for a model that a load can bring. Wired into the edge program; the configuration's KV size and load times reach the selection through apply_engines.

--- a/arrowfold/dataplane/least_loaded.py
+++ b/arrowfold/dataplane/least_loaded.py
@@ -11,6 +11,7 @@
 from arrowfold.selection.interface import (
     Choice,
     ChosenWorker,
+    EngineFacts,
     Outcome,
     RefusedRequest,
     RequestProfile,
@@ -38,6 +39,9 @@
     def apply_edges(self, edges: int) -> None:
         """Take how many edge nodes share the workers; not used."""
 
+    def apply_engines(self, facts: tuple[EngineFacts, ...]) -> None:
+        """Not used."""
+
     def choose(self, request: RequestProfile, excluded: Collection[str], now_s: float) -> Choice:
         """The holder with the fewest requests in flight; a silent one only as the last resort."""
         demand = self._demand.setdefault((request.service, request.model, request.adapter), [0.0, 0.0, 0.0])
--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -11,13 +11,13 @@
 from arrowfold.dataplane.puller import ControlPuller
 from arrowfold.dataplane.reports import DemandReporter
 from arrowfold.dataplane.retry_budget import RetryBudget
-from arrowfold.dataplane.tables import FleetTables
+from arrowfold.dataplane.tables import FleetSnapshot, FleetTables
 from arrowfold.dataplane.worker_connections import FEWEST_CONNECTIONS, WorkerConnections
 from arrowfold.internal.channel import ChannelClient
 from arrowfold.internal.messages import NodeIdentity
 from arrowfold.node.logs import RateLimitedLog
 from arrowfold.node.settings import NodeSettings
-from arrowfold.selection.interface import WorkerSelector
+from arrowfold.selection.interface import EngineFacts, WorkerSelector
 
 ROUND_S = 0.5  # between market rounds, reports of demand and looks at idle connections
 PROBE_MISSES_S = 2.3  # after readiness ends until the platform sends no new connections
@@ -103,6 +103,7 @@
         snapshot = self._tables.snapshot
         now_s = self._clock()
         self._selector.apply_workers(tuple(snapshot.workers.values()), now_s)
+        self._selector.apply_engines(_engine_facts(snapshot))
         edges = snapshot.view.edges if snapshot.view is not None else 0
         if edges > 0:
             self._selector.apply_edges(edges)
@@ -129,3 +130,18 @@
             self._selector.market_round(self._clock())
             self._connections.close_expired()
             await self._reporter.report(self._tables.snapshot.view, ROUND_S, self._clock())
+
+
+def _engine_facts(snapshot: FleetSnapshot) -> tuple[EngineFacts, ...]:
+    """What the configuration in force tells of the services' engines."""
+    if snapshot.configuration is None:
+        return ()
+    return tuple(
+        EngineFacts(
+            service.name,
+            service.engine.kv_cache_tokens,
+            {model.name: model.load_time_s for model in service.engine.models},
+        )
+        for service in snapshot.configuration.routes.services.values()
+        if service.engine is not None
+    )
--- a/arrowfold/market/view.py
+++ b/arrowfold/market/view.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Hashable, Mapping
+from collections.abc import MutableMapping
 from random import Random
 from typing import Any, Generic, TypeVar
 
@@ -17,7 +17,7 @@
 
     now: int  # microseconds
     random: Random
-    tables: Mapping[Hashable, TableT]
+    tables: MutableMapping[Any, TableT]
     mean: list[float]  # L_avg^k
     spread: float  # how far loads lie from their mean, on average
     fleet: int  # how many workers serve
--- a/arrowfold/programs/edge.py
+++ b/arrowfold/programs/edge.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import signal
 import sys
 from pathlib import Path
@@ -20,11 +21,11 @@
 from docopt import docopt
 from result import Err
 
-from arrowfold.dataplane.least_loaded import LeastLoadedSelector
 from arrowfold.dataplane.node import EdgeNode
 from arrowfold.node.logs import RateLimitedLog, configure
 from arrowfold.node.result_codes import ResultCode
 from arrowfold.node.settings import NodeSettings, load_settings, settings_path
+from arrowfold.selection.market_selector import MarketSelector
 
 SETTINGS_LOOK_S = 1.0  # between looks at the settings file, which may change without a signal
 
@@ -32,7 +33,7 @@
 async def run(path: Path, settings: NodeSettings) -> None:
     """Run an edge node until SIGTERM."""
     log = RateLimitedLog(settings.nodeName)
-    node = EdgeNode(settings, LeastLoadedSelector(), log)
+    node = EdgeNode(settings, MarketSelector(settings.zone, secrets.randbits(64)), log)
     stopped = asyncio.Event()
     reread = asyncio.Event()
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/arrowfold/selection/engine_worker.py
@@ -0,0 +1,108 @@
+"""A worker as one edge sees it: its record, its figures, its tokens and the requests sent there."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from arrowfold.internal.messages import WorkerRecord
+from arrowfold.market.tokens import Token
+from arrowfold.selection.estimates import MovingMean
+from arrowfold.selection.interface import RequestProfile
+from arrowfold.selection.prompt_parts import KeptParts, name_mark
+
+AVAILABLE = "available"
+SILENT = "silent"
+KV_TOKENS_PER_SLOT = 4096.0  # until the configuration tells the size of the KV memory
+MOST_STRIKES = 4.0
+
+
+@dataclass(slots=True)
+class InFlight:
+    """A request that was sent to a worker and has not ended."""
+
+    request: RequestProfile
+    sent_s: float
+    prefill_tokens: float  # that the worker had to read, as far as known
+    backlog_tokens: float  # of this edge's requests that it read first
+    first_event_s: float | None = None
+    overdue: bool = False
+
+
+class EngineWorker:
+    """One instance of a worker. Loads are counted in requests (slots) and in tokens (KV memory)."""
+
+    def __init__(self, record: WorkerRecord, local: bool) -> None:
+        self.record, self.local = record, local
+        self.instance = record.instance
+        self.mark = name_mark(record.instance)
+        self.held = {model.name: frozenset(model.adapters) for model in record.models}
+        self.tokens: list[Token[EngineWorker]] = []
+        self.in_flight: dict[str, InFlight] = {}
+        self.kv_tokens = max(1, record.capacity_slots) * KV_TOKENS_PER_SLOT
+        self.kept = KeptParts(self.kv_tokens)
+        self.others = 0.0  # requests of other edges there, by the last report
+        self.heard_s: float | None = None
+        self.slots = max(1, record.capacity_slots)
+        self.pace = MovingMean()  # its times to the first event over those expected
+        self.refused_s = -60.0  # when it last turned a request away
+        self._strikes, self._strike_s = 0.0, 0.0
+        self.misdirected: dict[tuple[str, str], float] = {}  # when it denied holding a class
+
+    @property
+    def available(self) -> bool:
+        """Whether new requests may go there."""
+        return self.record.state == AVAILABLE
+
+    @property
+    def out(self) -> int:
+        """This edge's requests there."""
+        return len(self.in_flight)
+
+    def take(self, record: WorkerRecord) -> bool:
+        """Take a newer record; True if who holds what, or who serves, has changed."""
+        before, self.record = self.record, record
+        if record.models is not before.models and record.models != before.models:
+            self.held = {model.name: frozenset(model.adapters) for model in record.models}
+            self.kept.forget_model(frozenset(self.held))
+            self.misdirected.clear()
+            return True
+        return record.state != before.state
+
+    def holds(self, model: str, adapter: str, now_s: float) -> bool:
+        """Whether it can run requests of a class by its last record, and did not deny that lately."""
+        if not model:
+            return True
+        adapters = self.held.get(model)
+        if adapters is None or (adapter and adapter not in adapters):
+            return False
+        denied_s = self.misdirected.get((model, adapter)) if self.misdirected else None
+        return denied_s is None or now_s - denied_s > 1.0
+
+    def set_kv_tokens(self, tokens: float) -> None:
+        """Take the size of its KV memory."""
+        self.kv_tokens = max(1.0, tokens)
+        self.kept.capacity_tokens = self.kv_tokens
+
+    def strike(self, now_s: float, half_life_s: float, weight: float = 1.0) -> None:
+        """A failure raises its load for a while."""
+        self._strikes = min(MOST_STRIKES, self.strikes(now_s, half_life_s) + weight)
+        self._strike_s = now_s
+
+    def strikes(self, now_s: float, half_life_s: float) -> float:
+        """The failures that still count."""
+        if not self._strikes:
+            return 0.0
+        return float(self._strikes * 2 ** (-(now_s - self._strike_s) / half_life_s))
+
+    def own_tokens(self) -> float:
+        """KV memory that this edge's requests there take, in tokens."""
+        return float(sum(f.request.prompt_tokens + f.request.output_tokens for f in self.in_flight.values()))
+
+    def backlog_tokens(self, now_s: float, seconds_per_token: float) -> float:
+        """Prompt tokens of this edge's requests that it has not read yet."""
+        backlog = 0.0
+        for flight in self.in_flight.values():
+            if flight.first_event_s is None:
+                read = (now_s - flight.sent_s) / seconds_per_token if seconds_per_token > 0 else 0.0
+                backlog = max(backlog, flight.prefill_tokens + flight.backlog_tokens - read)
+        return backlog
--- a/arrowfold/selection/interface.py
+++ b/arrowfold/selection/interface.py
@@ -66,6 +66,15 @@
     wait_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class EngineFacts:
+    """What the configuration tells of a service's engine."""
+
+    service: str
+    kv_cache_tokens: float  # of each worker
+    load_times_s: dict[str, float]  # by model
+
+
 class Outcome(Enum):
     """How a send to a worker ended."""
 
@@ -90,6 +99,9 @@
     def apply_edges(self, edges: int) -> None:
         """Take how many edge nodes share the workers."""
 
+    def apply_engines(self, facts: tuple[EngineFacts, ...]) -> None:
+        """Take what the configuration in force tells of the services' engines."""
+
     def choose(self, request: RequestProfile, excluded: Collection[str], now_s: float) -> Choice:
         """Where to send a request now; `excluded` are instances that it was sent to already."""
 
--- /dev/null
+++ b/arrowfold/selection/market_selector.py
@@ -0,0 +1,287 @@
+"""Chooses the worker for each request of an edge: the holder of a drawn token, with stated exceptions.
+
+docs/selection.md states the exceptions and their conditions.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from arrowfold.internal.messages import ClassDemand, WorkerRecord
+from arrowfold.market.tokens import SECOND, Token
+from arrowfold.selection.admission import Admission
+from arrowfold.selection.class_market import ClassMarket, ClassTable, RequestClass
+from arrowfold.selection.engine_worker import SILENT, EngineWorker, InFlight
+from arrowfold.selection.first_events import FirstEventEstimate
+from arrowfold.selection.interface import (
+    Choice,
+    ChosenWorker,
+    EngineFacts,
+    Outcome,
+    RefusedRequest,
+    RequestProfile,
+)
+from arrowfold.selection.options import SelectionOptions
+from arrowfold.selection.prompt_parts import home_key, rendezvous
+
+COMPARED = 4  # workers drawn by chance that a drawn holder is compared with
+SMALL_POOL = 8  # of up to so many holders all are compared
+MOST_WAITING = 4096  # requests remembered as counted while they wait
+STRIKES = {Outcome.FAILED: 1.0, Outcome.UNREACHABLE: 1.0, Outcome.LOST: 1.0, Outcome.REJECTED_FULL: 0.5}
+
+
+@dataclass(slots=True)
+class Candidate:
+    """A worker under consideration. `score`: its price and the predicted part of the objective, blurred."""
+
+    worker: EngineWorker
+    prefill_tokens: float
+    predicted_s: float
+    score: float
+
+
+class MarketSelector:
+    """Implements `WorkerSelector` by the token market (docs/selection.md)."""
+
+    def __init__(self, zone: str, seed: int, options: SelectionOptions | None = None) -> None:
+        self.options = options or SelectionOptions()
+        self.counters: Counter[str] = Counter()  # of decisions, for logs and tests
+        self._zone = zone
+        self._draw = random.Random(seed)
+        self._edges = 1
+        self._workers: dict[str, EngineWorker] = {}
+        self._silent: list[EngineWorker] = []
+        self._facts: dict[str, EngineFacts] = {}
+        self.market = ClassMarket(self.options, self._draw)
+        self.first_events = FirstEventEstimate(self.options)
+        self.admission = Admission(self.options, self._draw)
+        self._demand: dict[RequestClass, list[float]] = {}
+        self._expected_prefill: dict[str, float] = {}  # of requests that were chosen for and not sent yet
+        self._counted: dict[str, None] = {}  # requests that wait, and were counted as demand
+
+    # --- what the edge tells ------------------------------------------------------------------------------
+
+    def apply_workers(self, workers: tuple[WorkerRecord, ...], now_s: float) -> None:
+        """Take the whole table of known workers; who holds what is indexed anew only where that changed."""
+        self.market.set_time(now_s)
+        changed = False
+        known = self._workers
+        self._workers = {}
+        for record in workers:
+            worker = known.pop(record.instance, None)
+            if worker is None:
+                worker = EngineWorker(record, record.zone == self._zone)
+                self._apply_facts(worker)
+                changed = True
+            elif record is not worker.record:
+                changed |= worker.take(record)
+            self._workers[record.instance] = worker
+        if changed or known:
+            self._index(list(known.values()))
+
+    def _index(self, gone: list[EngineWorker]) -> None:
+        workers = list(self._workers.values())
+        self.market.set_workers(workers)
+        self._silent = [worker for worker in workers if worker.record.state == SILENT]
+        for worker in gone:
+            self.market.leave(worker)
+        self.market.rehouse(gone + workers)
+
+    def apply_edges(self, edges: int) -> None:
+        """Take how many edge nodes share the workers."""
+        self._edges = max(1, edges)
+
+    def apply_engines(self, facts: tuple[EngineFacts, ...]) -> None:
+        """Take what the configuration tells of the services' engines."""
+        self._facts = {fact.service: fact for fact in facts}
+        for worker in self._workers.values():
+            self._apply_facts(worker)
+
+    def _apply_facts(self, worker: EngineWorker) -> None:
+        facts = self._facts.get(worker.record.service)
+        if facts is not None and facts.kv_cache_tokens > 0:
+            worker.set_kv_tokens(facts.kv_cache_tokens)
+
+    def load_reported(self, instance: str, running: int, waiting: int, slots: int, now_s: float) -> None:
+        """An answer carried X-Server-Load."""
+        worker = self._workers.get(instance)
+        if worker is not None:
+            self.market.set_time(now_s)
+            self.market.take_report(worker, running, waiting, slots)
+
+    def sent(self, request: RequestProfile, instance: str, now_s: float) -> None:
+        """The request is on its way to this worker."""
+        self._counted.pop(request.request, None)
+        worker = self._workers.get(instance)
+        if worker is None:
+            return
+        seconds_per_token = self.first_events.seconds_per_token(request.service, request.model)
+        prefill_tokens = self._expected_prefill.pop(request.request, None)
+        if prefill_tokens is None:
+            prefill_tokens = self.first_events.prefill_tokens(worker, request, None)
+        backlog_tokens = worker.backlog_tokens(now_s, seconds_per_token)
+        worker.in_flight[request.request] = InFlight(request, now_s, prefill_tokens, backlog_tokens)
+        worker.kept.add(request)
+
+    def first_event(self, request: RequestProfile, instance: str, now_s: float) -> None:
+        """The first bytes of the body came."""
+        worker = self._workers.get(instance)
+        flight = worker.in_flight.get(request.request) if worker is not None else None
+        if worker is not None and flight is not None and flight.first_event_s is None:
+            flight.first_event_s = now_s
+            self.first_events.first_event(worker, flight, now_s)
+
+    def ended(self, request: RequestProfile, instance: str, outcome: Outcome, now_s: float) -> None:
+        """The send has ended: the worker's load falls, and what it tells of the worker is learned."""
+        self.market.set_time(now_s)
+        self.counters[outcome.value] += 1
+        worker = self._workers.get(instance)
+        if worker is None:
+            return
+        flight = worker.in_flight.pop(request.request, None)
+        if outcome in STRIKES:
+            worker.strike(now_s, self.options.strike_half_life_s, STRIKES[outcome])
+        if outcome is Outcome.REJECTED_FULL:
+            worker.refused_s = now_s
+        if outcome is Outcome.MISDIRECTED:
+            worker.misdirected[request.model, request.adapter] = now_s
+            self.market.forget_holders(class_of(request))
+        if outcome is Outcome.SUCCEEDED and flight is not None:
+            self.market.table(class_of(request)).measure(now_s - flight.sent_s)
+            self.first_events.ended(request.service, now_s - flight.sent_s)
+
+    def market_round(self, now_s: float) -> None:
+        """One round of the market; requests without a first event for long strike their worker."""
+        self.market.set_time(now_s)
+        for worker in self._workers.values():
+            for flight in worker.in_flight.values():
+                limit_s = 2 * flight.request.latency_objective_s
+                if flight.first_event_s is None and not flight.overdue and now_s - flight.sent_s > limit_s:
+                    flight.overdue = True
+                    worker.strike(now_s, self.options.strike_half_life_s, 0.5)
+        self.market.round()
+
+    def take_demand(self, now_s: float) -> tuple[ClassDemand, ...]:
+        """Demand by class since the last call: requests, R_i x C_i, and requests that found no holder."""
+        demand, self._demand = self._demand, {}
+        return tuple(
+            ClassDemand(*request_class, requests, requests * self._run_s(request_class), missing)
+            for request_class, (requests, missing) in demand.items()
+        )
+
+    def _run_s(self, request_class: RequestClass) -> float:
+        table = self.market.tables.get(request_class)
+        if table is not None and table.seen:
+            return table.run_us / SECOND
+        return self.first_events.run_s(request_class.service)
+
+    # --- choice -------------------------------------------------------------------------------------------
+
+    def choose(self, request: RequestProfile, excluded: Collection[str], now_s: float) -> Choice:
+        """Where to send a request now."""
+        self.market.set_time(now_s)
+        request_class = class_of(request)
+        table = self.market.table(request_class)
+        first_time = not excluded and request.request not in self._counted
+        if first_time:
+            table.count(request, now_s)
+            self._demand.setdefault(request_class, [0.0, 0.0])[0] += 1
+            self.admission.note_arrival(request)
+        holders = self.market.holders(request_class) or self._silent_holders(request_class)
+        if not holders:
+            return self._missing(request, request_class, first_time)
+        self.admission.found(request_class, now_s)
+        fit = [w for w in holders if w.instance not in excluded]
+        if not fit:
+            self.counters["refused_tried_all"] += 1
+            return self.admission.refuse_tried(request, now_s)
+        return self._choose_among(request, table, fit, excluded)
+
+    def _silent_holders(self, request_class: RequestClass) -> list[EngineWorker]:
+        service, model, adapter = request_class
+        now_s = self.market.now_s
+        return [w for w in self._silent if w.record.service == service and w.holds(model, adapter, now_s)]
+
+    def _missing(self, request: RequestProfile, request_class: RequestClass, first_time: bool) -> Choice:
+        if first_time:
+            self._demand.setdefault(request_class, [0.0, 0.0])[1] += 1
+            self._counted[request.request] = None
+            if len(self._counted) > MOST_WAITING:
+                del self._counted[next(iter(self._counted))]
+        serving = [w for w in self._workers.values() if w.available and w.record.service == request.service]
+        now_s = self.market.now_s
+        has_model = any(w.holds(request.model, "", now_s) for w in serving)
+        facts = self._facts.get(request.service)
+        choice = self.admission.missing(request, request_class, facts, has_model, bool(serving), now_s)
+        self.counters["refused_missing" if isinstance(choice, RefusedRequest) else "waits"] += 1
+        return choice
+
+    def _choose_among(
+        self, request: RequestProfile, table: ClassTable, fit: list[EngineWorker], excluded: Collection[str]
+    ) -> Choice:
+        homes = self._homes(request, fit)
+        token = self._draw_token(table, homes, excluded)
+        pool = list(dict.fromkeys(homes + ([token.holder] if token is not None else []) + self._some(fit)))
+        candidates = {w.instance: self._candidate(request, table, w, homes) for w in pool}
+        best = min(candidates.values(), key=lambda c: c.score)
+        chosen = candidates[token.holder.instance] if token is not None else best
+        if chosen is not best and not self._will_do(request, chosen, best):
+            chosen = best
+        if refusal := self.admission.refuse_late(request, fit, chosen.predicted_s, self.market):
+            self.counters["refused_late"] += 1
+            return refusal
+        if token is not None and token.holder is not chosen.worker:
+            self.counters["traded"] += 1
+            token.move(chosen.worker)
+        self._expected_prefill[request.request] = chosen.prefill_tokens
+        if len(self._expected_prefill) > MOST_WAITING:
+            del self._expected_prefill[next(iter(self._expected_prefill))]
+        self.counters["homes" if chosen.worker in homes else "drawn"] += 1
+        return ChosenWorker(
+            chosen.worker.instance, chosen.worker.record.address, self.admission.priority_header(request)
+        )
+
+    def _draw_token(
+        self, table: ClassTable, homes: list[EngineWorker], excluded: Collection[str]
+    ) -> Token[EngineWorker] | None:
+        """A token of the class: one that a home of the prompt holds, in their order, else any by chance."""
+        for home in homes:
+            for token in home.tokens:
+                if token.table is table:
+                    return token
+        return self.market.draw_token(table, excluded)
+
+    def _homes(self, request: RequestProfile, fit: list[EngineWorker]) -> list[EngineWorker]:
+        key = home_key(request)
+        return rendezvous(key, fit, self.options.homes) if key is not None else []
+
+    def _some(self, fit: list[EngineWorker]) -> list[EngineWorker]:
+        return fit if len(fit) <= SMALL_POOL else self._draw.sample(fit, COMPARED)
+
+    def _candidate(
+        self, request: RequestProfile, table: ClassTable, worker: EngineWorker, homes: list[EngineWorker]
+    ) -> Candidate:
+        rank = homes.index(worker) if worker in homes else None
+        prefill_tokens = self.first_events.prefill_tokens(worker, request, rank)
+        others = self.market.others(worker)
+        predicted_s = self.first_events.predict(worker, request, prefill_tokens, others, self.market.now_s)
+        score = self.market.price(worker, table)
+        score += self.options.predicted_weight * predicted_s / max(0.001, request.latency_objective_s)
+        blur = self.market.spread * self._draw.random() if self._edges > 1 and rank is None else 0.0
+        return Candidate(worker, prefill_tokens, predicted_s, score + blur)
+
+    def _will_do(self, request: RequestProfile, drawn: Candidate, best: Candidate) -> bool:
+        """Whether the drawn holder is kept although another is better."""
+        left_s = request.arrived_s + request.latency_objective_s - self.market.now_s
+        if drawn.predicted_s > self.options.in_time * left_s and best.predicted_s < drawn.predicted_s:
+            return False
+        full = drawn.worker.out + self.market.others(drawn.worker) >= drawn.worker.slots
+        return not full and drawn.score <= best.score + self.options.follow_margin
+
+
+def class_of(request: RequestProfile) -> RequestClass:
+    """The class of a request."""
+    return RequestClass(request.service, request.model, request.adapter)
--- /dev/null
+++ b/arrowfold/selection/options.py
@@ -0,0 +1,32 @@
+"""What may be set of the selection. The defaults are the project's; none is of one deployment."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SelectionOptions:
+    """Options of the market and of its stated exceptions (docs/selection.md).
+
+    Prices are fractions of a worker's size; `predicted` is the predicted time to the first event as a part of
+    the latency objective.
+    """
+
+    tokens_per_worker: int = 24  # L_g is the whole workload over so many tokens a worker
+    trade_threshold: float = 1.0  # T_s = -T_r = T, in usual spreads of loads round their mean
+    rate_memory_s: float = 10.0  # of the measured arrival rates R_i
+    homes: int = 2  # workers that all edges name for a shared prompt part
+    home_kept: tuple[float, ...] = (0.75, 0.25)  # part of what is shared that a home keeps, if unknown
+    follow_margin: float = 0.15  # the drawn holder is left when another is better by more
+    predicted_weight: float = 1.0  # of the predicted part of the objective, beside the price
+    cross_zone_toll: float = 0.03  # on the price of a worker in another zone
+    in_time: float = 0.9  # predicted beyond this part of the objective counts as late
+    hold_share: float = 0.45  # of the time a request has, waiting for its model at most
+    load_time_s: float = 1.0  # of a model, where the configuration names none
+    placement_delay_s: float = 0.8  # from a model's first request to its load, and the news of its end
+    refuse_missing: bool = False  # refuse at once what a load can't serve in time, with its end as advice
+    strike_half_life_s: float = 4.0  # a failure raises a worker's load, and fades
+    others_half_life_s: float = 3.0  # what others had at a worker fades into their mean
+    busy_share: float = 0.5  # a service with fewer of its places taken refuses nothing
+    idle_class_s: float = 60.0  # a class that nobody asked for this long is forgotten
