--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -12,13 +12,13 @@
 from arrowfold.dataplane.puller import ControlPuller
 from arrowfold.dataplane.reports import DemandReporter
 from arrowfold.dataplane.retry_budget import RetryBudget
-from arrowfold.dataplane.tables import FleetTables
+from arrowfold.dataplane.tables import FleetSnapshot, FleetTables
 from arrowfold.dataplane.worker_connections import FEWEST_CONNECTIONS, WorkerConnections
 from arrowfold.internal.channel import ChannelClient
 from arrowfold.internal.messages import NodeIdentity
 from arrowfold.node.logs import RateLimitedLog
 from arrowfold.node.settings import NodeSettings
-from arrowfold.selection.interface import WorkerSelector
+from arrowfold.selection.interface import EngineFacts, WorkerSelector
 
 EARLY_REPORT_S = 0.005  # requests that find no model are told of this soon, several at once
 ROUND_S = 0.5  # between market rounds, reports of demand and looks at idle connections
@@ -110,6 +110,7 @@
         now_s = self._clock()
         workers = self._overlay.corrected(snapshot.workers.values(), snapshot.placements, now_s)
         self._selector.apply_workers(workers, now_s)
+        self._selector.apply_engines(_engine_facts(snapshot))
         edges = snapshot.view.edges if snapshot.view is not None else 0
         if edges > 0:
             self._selector.apply_edges(edges)
@@ -152,3 +153,18 @@
     async def _report_soon(self) -> None:
         await asyncio.sleep(EARLY_REPORT_S)
         await self._report_demand()
+
+
+def _engine_facts(snapshot: FleetSnapshot) -> tuple[EngineFacts, ...]:
+    """What the configuration in force tells of the services' engines."""
+    if snapshot.configuration is None:
+        return ()
+    return tuple(
+        EngineFacts(
+            service.name,
+            service.engine.kv_cache_tokens,
+            {model.name: model.load_time_s for model in service.engine.models},
+        )
+        for service in snapshot.configuration.routes.services.values()
+        if service.engine is not None
+    )
