--- a/arrowfold/dataplane/exchange.py
+++ b/arrowfold/dataplane/exchange.py
@@ -25,14 +25,20 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerRequest:
-    """A request as it is written to a worker; `headers` lack only the body's length."""
+    """A request as it is written to a worker; `headers` lack only the body's length.
+
+    `movable`: after a loss it may be sent to one more worker. `usual_read_s`: how long a worker may well take
+    to read its prompt. `priority`: of the route; 0 is the most urgent.
+    """
 
     attempt_id: str
     method: str
     target: str
     headers: RawHeaders
     body: bytes
-    repeatable: bool
+    movable: bool
+    usual_read_s: float = 0.0
+    priority: int = 0
 
 
 class SendFailure(Enum):
--- a/arrowfold/dataplane/forwarding.py
+++ b/arrowfold/dataplane/forwarding.py
@@ -44,6 +44,7 @@
 MOST_CHOICES = 24  # choices of a worker for one request, those included that could not be reached
 LONGEST_RESUME_WAIT_S = 1.2  # a stream that broke off waits this long for a worker to go on at
 RESUME_PAUSE_S = 0.1
+SLOW_PROMPT_TOKENS_S = 15_000  # a busy worker reads prompts faster
 
 
 class RequestForwarder:
@@ -97,7 +98,7 @@
             choice = await self._choose(progress)
             if isinstance(choice, RefusedRequest):
                 refusal = choice
-                if not answer.started or not await self._wait_to_resume(progress):
+                if not await self._may_ask_again(progress, answer):
                     break
                 continue
             repeated = progress.sends > 0
@@ -112,12 +113,16 @@
                 break
         await self._end_without_worker(progress, answer, ResultCode(refusal.code), refusal.retry_after_s)
 
-    async def _wait_to_resume(self, progress: RequestProgress) -> bool:
-        """A stream that broke off waits a little for a worker; False if it has waited long enough."""
+    async def _may_ask_again(self, progress: RequestProgress, answer: ClientAnswer) -> bool:
+        """After a loss the same worker may do, and a stream that broke off waits a little for one."""
         now_s = self._clock()
-        if progress.broken_s is None or now_s - progress.broken_s >= LONGEST_RESUME_WAIT_S:
+        if progress.broken_s is None:
+            return False
+        if progress.tried:
+            progress.tried.clear()  # what lost the request may be the only holder of its model
+            return True
+        if not answer.started or now_s - progress.broken_s >= LONGEST_RESUME_WAIT_S:
             return False
-        progress.tried.clear()  # the worker that broke off may be the only one that holds the model
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(RESUME_PAUSE_S):
                 await self._changed.wait()
@@ -195,7 +200,9 @@
             target=request.target,
             headers=tuple(end_to_end(request.headers, dropped) + headers),
             body=request.body,
-            repeatable=progress.route.repeatable,
+            movable=progress.may_send_again,
+            usual_read_s=progress.profile.prompt_tokens / SLOW_PROMPT_TOKENS_S,
+            priority=progress.route.priority,
         )
 
     async def _judge(
--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -6,13 +6,13 @@
 import secrets
 
 from arrowfold.configuration.routes import Limits
-from arrowfold.dataplane.dark_workers import DarkWorkerWatch
 from arrowfold.dataplane.forwarding import RequestForwarder
 from arrowfold.dataplane.front import EdgeFront, ReadinessFront
 from arrowfold.dataplane.placement_overlay import PlacementOverlay
 from arrowfold.dataplane.puller import ControlPuller
 from arrowfold.dataplane.reports import DemandReporter
 from arrowfold.dataplane.retry_budget import RetryBudget
+from arrowfold.dataplane.stalled_exchanges import StalledExchangeWatch
 from arrowfold.dataplane.tables import FleetSnapshot, FleetTables
 from arrowfold.dataplane.worker_connections import FEWEST_CONNECTIONS, WorkerConnections
 from arrowfold.internal.channel import ChannelClient
@@ -66,7 +66,7 @@
             log,
         )
         self._reporter = DemandReporter(self._client, identity, selector)
-        self._dark_workers = DarkWorkerWatch(self._connections, log)
+        self._stalled_exchanges = StalledExchangeWatch(self._connections, log)
         self._tasks: list[asyncio.Task[None]] = []
         self._overlay = PlacementOverlay()
         self._reported_s = loop.time()
@@ -83,7 +83,7 @@
         self._puller.start()
         self._tasks = [
             asyncio.create_task(self._run_rounds()),
-            asyncio.create_task(self._dark_workers.run()),
+            asyncio.create_task(self._stalled_exchanges.run()),
         ]
 
     def is_ready(self) -> bool:
--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -39,15 +39,18 @@
         self.protocol = protocol
         self.idle_since_s = now_s
         self.heard_s = now_s  # when bytes last came, or a request was written
-        self.repeatable = False  # whether the request under way may run again elsewhere
+        self.request: WorkerRequest | None = None  # that is under way
+        self.sent_s = now_s
+        self.body_began = False  # whether the answer's first bytes have come
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
 
     def is_clean(self) -> bool:
         """Whether it is open and nothing came on it that no request asked for."""
         return self.protocol.is_connected() and not self.protocol.should_close and not len(self.protocol)
 
-    def write(self, request: WorkerRequest) -> None:
+    def write(self, request: WorkerRequest, now_s: float) -> None:
         """Write a whole request."""
+        self.request, self.sent_s, self.heard_s, self.body_began = request, now_s, now_s, False
         transport = self.protocol.transport
         assert transport is not None
         transport.write(encode_request(request))
@@ -80,6 +83,17 @@
     active: set[WorkerConnection] = field(default_factory=set)
     opened: int = 0
     heard_s: float = 0.0  # when an answer's bytes last came from the instance
+    answered: dict[int, tuple[float, float]] = field(default_factory=dict)  # by priority: sent, answered at
+
+    def note_heard(self, connection: WorkerConnection, now_s: float) -> None:
+        """Bytes of an answer came."""
+        connection.heard_s = self.heard_s = now_s
+        if connection.body_began or connection.request is None:
+            return
+        connection.body_began = True
+        priority = connection.request.priority
+        if connection.sent_s > self.answered.get(priority, (0.0, 0.0))[0]:
+            self.answered[priority] = (connection.sent_s, now_s)
 
 
 class ConnectionAnswer:
@@ -117,12 +131,9 @@
             raise BodyLostError(str(error)) from error
         if not data:
             self._whole = True
-        self._note_heard()
-        return data
-
-    def _note_heard(self) -> None:
         if self._connection is not None:
-            self._connection.heard_s = self._pool.heard_s = self._loop.time()
+            self._pool.note_heard(self._connection, self._loop.time())
+        return data
 
     def close(self) -> None:
         """Keep the connection if the answer was read whole, else drop it."""
@@ -177,17 +188,15 @@
     ) -> Result[WorkerAnswer, SendFailure]:
         """Send it over a connection to this instance and read the head of its answer."""
         pool = self._pools.setdefault(instance, InstancePool(address))
-        connection = self._take_idle(pool, request.repeatable)
+        connection = self._take_idle(pool, request.movable)
         if connection is None:
             opened = await self._open(instance, pool)
             if opened.is_err():
                 return Err(opened.unwrap_err())
             connection = opened.unwrap()
-        connection.heard_s = self._loop.time()
-        connection.repeatable = request.repeatable
         pool.active.add(connection)
         try:
-            connection.write(request)
+            connection.write(request, self._loop.time())
             answer = await self._read_answer(pool, connection, request)
         except READ_ERRORS:
             self._drop(pool, connection)
@@ -197,13 +206,13 @@
             raise
         return Ok(answer)
 
-    def _take_idle(self, pool: InstancePool, repeatable: bool) -> WorkerConnection | None:
+    def _take_idle(self, pool: InstancePool, movable: bool) -> WorkerConnection | None:
         now_s = self._loop.time()
         while pool.idle:
             connection = pool.idle.pop()
             if not _usable(connection, now_s):
                 self._drop(pool, connection)
-            elif repeatable or now_s - connection.idle_since_s <= FRESH_IDLE_S:
+            elif movable or now_s - connection.idle_since_s <= FRESH_IDLE_S:
                 return connection
             else:
                 pool.idle.append(connection)
@@ -260,6 +269,7 @@
             self._drop(pool, connection)
             return
         pool.active.discard(connection)
+        connection.request = None
         connection.idle_since_s = self._loop.time()
         pool.idle.append(connection)
 
--- a/tests/system/test_edge_http.py
+++ b/tests/system/test_edge_http.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from arrowfold.dataplane.dark_workers import DarkWorkerWatch
+from arrowfold.dataplane.stalled_exchanges import StalledExchangeWatch
 from arrowfold.node.logs import RateLimitedLog
 from tests.system.edge_loopback import SEAL, LoopbackEdge, RawExchange, RawWorker, field_of, request_bytes
 from tests.system.edge_stories import route
@@ -48,6 +48,16 @@
     asyncio.run(bounded())
 
 
+def age(edge: LoopbackEdge, seconds: float, pools: bool = True) -> None:
+    """Let all exchanges (and instances) have been silent for so long."""
+    assert edge.connections is not None
+    for pool in edge.connections.pools.values():
+        pool.heard_s -= seconds if pools else 0.0
+        for connection in pool.active:
+            connection.heard_s -= seconds
+            connection.sent_s -= seconds
+
+
 async def edge_with(*scripts: Any, **limits: Any) -> tuple[LoopbackEdge, RawWorker]:
     worker = RawWorker(*scripts)
     edge = await LoopbackEdge(ROUTES, limits).start(w1=("cards", worker))
@@ -420,11 +430,8 @@
         await client.send(request_bytes(path, "a1"))
         await client.reader.readuntil(b"\r\n\r\n")
         assert await client.read_part() == event(1)
-        watch = DarkWorkerWatch(edge.connections, RateLimitedLog("edge"), dark)
-        for pool in edge.connections.pools.values():
-            pool.heard_s -= 1
-            for connection in pool.active:
-                connection.heard_s -= 1
+        watch = StalledExchangeWatch(edge.connections, RateLimitedLog("edge"), dark)
+        age(edge, 1.0)
         watch.look()
         await asyncio.sleep(0.3)  # longer than the pause before a stream looks for a worker again
         assert len(worker.heads) == (2 if broken_off else 1)
@@ -448,11 +455,8 @@
         client = await edge.client()
         await client.send(request_bytes("/talk/1", "a1"))
         await client.reader.readuntil(b"\r\n\r\n")
-        watch = DarkWorkerWatch(edge.connections, RateLimitedLog("edge"))
-        for pool in edge.connections.pools.values():
-            pool.heard_s -= 1
-            for connection in pool.active:
-                connection.heard_s -= 1
+        watch = StalledExchangeWatch(edge.connections, RateLimitedLog("edge"))
+        age(edge, 1.0)
         watch.look()
         await asyncio.sleep(0.1)
         assert worker.connections == 2
@@ -461,3 +465,64 @@
         await edge.stop()
 
     play(story)
+
+
+def test_a_stream_that_stalls_alone_moves_on() -> None:
+    async def stalls(exchange: RawExchange) -> None:
+        await exchange.write(stream_head(exchange) + chunk(event(1)))
+        await asyncio.sleep(5)
+
+    async def goes_on(exchange: RawExchange) -> None:
+        await exchange.write(stream_head(exchange) + chunk(event(2)) + b"0\r\n\r\n")
+
+    async def story() -> None:
+        edge, worker = await edge_with(stalls, goes_on)
+        assert edge.connections is not None
+        client = await edge.client()
+        await client.send(request_bytes("/talk/1", "a1"))
+        await client.reader.readuntil(b"\r\n\r\n")
+        assert await client.read_part() == event(1)
+        watch = StalledExchangeWatch(edge.connections, RateLimitedLog("edge"))
+        age(edge, 1.1, pools=False)
+        watch.look()
+        await asyncio.sleep(0.05)
+        assert len(worker.heads) == 1
+        age(edge, 0.2, pools=False)
+        watch.look()
+        assert await client.read_part() == event(2)
+        assert await client.read_part() == b""
+        await edge.stop()
+
+    play(story)
+
+
+@pytest.mark.parametrize("overtaken", [True, False])
+def test_a_request_without_an_answer_moves_only_once_a_later_one_was_answered(overtaken: bool) -> None:
+    async def mute(exchange: RawExchange) -> None:
+        await asyncio.sleep(5)
+
+    async def story() -> None:
+        edge, worker = await edge_with(mute, plain)
+        assert edge.connections is not None
+        client = await edge.client()
+        await client.send(request_bytes("/look/1", "a1"))
+        await asyncio.sleep(0.05)
+        age(edge, 2.0, pools=False)
+        pool = edge.connections.pools["w1"]
+        if overtaken:
+            other = await edge.client()
+            await other.send(request_bytes("/look/2", "a2"))
+            assert (await other.read()).status == 200
+            pool.answered = {key: (sent_s, at_s - 1) for key, (sent_s, at_s) in pool.answered.items()}
+        else:
+            pool.heard_s = asyncio.get_running_loop().time()
+        seen = len(worker.heads)
+        StalledExchangeWatch(edge.connections, RateLimitedLog("edge")).look()
+        await asyncio.sleep(0.05)
+        assert len(worker.heads) == seen + overtaken
+        if overtaken:
+            assert (await client.read()).status == 200
+        client.close()
+        await edge.stop()
+
+    play(story)
