--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -13,7 +13,7 @@
 from arrowfold.dataplane.reports import DemandReporter
 from arrowfold.dataplane.retry_budget import RetryBudget
 from arrowfold.dataplane.stalled_exchanges import StalledExchangeWatch
-from arrowfold.dataplane.tables import FleetSnapshot, FleetTables
+from arrowfold.dataplane.tables import SILENT, FleetSnapshot, FleetTables
 from arrowfold.dataplane.worker_connections import FEWEST_CONNECTIONS, WorkerConnections
 from arrowfold.internal.channel import ChannelClient
 from arrowfold.internal.messages import NodeIdentity
@@ -133,6 +133,8 @@
             service = services.get(record.service)
             most = service.max_connections if service is not None else None
             shares[instance] = max(FEWEST_CONNECTIONS, (most or DEFAULT_CONNECTIONS) // edges)
+            if record.state == SILENT:
+                self._connections.drop_idle_of(instance)
         self._connections.set_shares(shares)
         self._connections.keep_only(set(shares))
 
--- a/arrowfold/dataplane/puller.py
+++ b/arrowfold/dataplane/puller.py
@@ -1,9 +1,15 @@
-"""Long polls to every control node, so that what one of them learns is here a round trip later."""
+"""Pulls from every control node that is known, so that what one of them learns is here a round trip later.
+
+One node, of this zone if there is one, sends the updates themselves; the others only give notice that they
+have some. What a notice tells of and the first node does not bring at once is pulled from the node that told
+of it. So a node that is cut off, or hangs, delays nothing, and updates come once.
+"""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from arrowfold.dataplane.tables import FleetTables
 from arrowfold.internal.channel import ChannelClient
@@ -12,10 +18,23 @@
 
 POLL_S = 1.0  # how long a control node may hold a pull
 ANSWER_SLACK_S = 0.7  # beyond POLL_S: the connection is given up and dialled anew
+NOTICE_PAUSE_S = 0.3  # between a notice and the next request for one
+HEAD_START_S = 0.03  # for the node that sends updates, after another one has given notice of them
 RETRY_PAUSE_S = 0.1  # after the first failure; grows with each
 LONGEST_RETRY_PAUSE_S = 0.5
 
 
+@dataclass(slots=True)
+class _Source:
+    """A control node as this edge sees it."""
+
+    address: str
+    task: asyncio.Task[None] | None = None
+    answers: bool = False  # its last answer came in time
+    current: bool = False  # and said that it had heard from the primary lately
+    failures: int = 0
+
+
 class ControlPuller:
     """Keeps one pull open to every control node and applies what comes."""
 
@@ -34,7 +53,7 @@
         self._seeds = seeds
         self._changed = changed
         self._log = log
-        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._sources: dict[str, _Source] = {}
 
     def start(self) -> None:
         """Pull from the seeds and from all that they name."""
@@ -47,37 +66,72 @@
 
     def stop(self) -> None:
         """End all pulls."""
-        for task in self._tasks.values():
-            task.cancel()
-        self._tasks.clear()
+        for address in list(self._sources):
+            self._drop(address)
 
-    def _addresses(self) -> set[str]:
+    def _follow(self) -> None:
         view = self._tables.snapshot.view
         members = {member.address for member in view.members} if view is not None else set()
-        return members | set(self._seeds)
-
-    def _follow(self) -> None:
-        wanted = self._addresses()
-        for address in [known for known in self._tasks if known not in wanted]:
-            self._tasks.pop(address).cancel()
+        wanted = members | set(self._seeds)
+        for address in [known for known in self._sources if known not in wanted]:
+            self._drop(address)
         for address in wanted:
-            if address not in self._tasks:
-                self._tasks[address] = asyncio.create_task(self._pull_from(address))
+            if address not in self._sources:
+                source = self._sources[address] = _Source(address)
+                source.task = asyncio.create_task(self._pull_from(source))
 
-    async def _pull_from(self, address: str) -> None:
-        failures = 0
+    def _drop(self, address: str) -> None:
+        task = self._sources.pop(address).task
+        if task is not None:
+            task.cancel()
+
+    def _sends_updates(self, source: _Source) -> bool:
+        """Whether this node sends updates: the best of those that answer, or each while none is known."""
+        current = [known for known in self._sources.values() if known.answers and known.current]
+        if not current or self._tables.snapshot.configuration is None:
+            return True
+        return source is min(current, key=lambda known: (not self._is_near(known), known.address))
+
+    def _is_near(self, source: _Source) -> bool:
+        view = self._tables.snapshot.view
+        members = view.members if view is not None else ()
+        return any(m.address == source.address and m.zone == self._identity.zone for m in members)
+
+    async def _pull_from(self, source: _Source) -> None:
         while True:
-            request = PullRequest(self._identity, dict(self._tables.vector), POLL_S)
-            answer = await self._client.call(address, request, POLL_S + ANSWER_SLACK_S)
-            if answer.is_err() or not isinstance(answer.unwrap(), PullResponse):
-                failures += 1
-                if failures == 1:
-                    self._log.info("control_node_lost", address=address, reason=str(answer))
-                await asyncio.sleep(min(LONGEST_RETRY_PAUSE_S, RETRY_PAUSE_S * failures))
-                continue
-            if failures:
-                self._log.info("control_node_back", address=address, failures=failures)
-                failures = 0
-            if self._tables.take(answer.unwrap()):
-                self._changed()
-                self._follow()
+            if self._sends_updates(source):
+                await self._pull(source, POLL_S)
+            else:
+                await self._await_notice(source)
+
+    async def _pull(self, source: _Source, wait_s: float) -> None:
+        response = await self._call(source, wait_s, notice_only=False)
+        if response is not None and self._tables.take(response):
+            self._changed()
+            self._follow()
+
+    async def _await_notice(self, source: _Source) -> None:
+        response = await self._call(source, POLL_S, notice_only=True)
+        if response is None:
+            return
+        if self._tables.lacks(response.vector):
+            await asyncio.sleep(HEAD_START_S)
+            if self._tables.lacks(response.vector):
+                await self._pull(source, 0.0)
+        await asyncio.sleep(NOTICE_PAUSE_S)
+
+    async def _call(self, source: _Source, wait_s: float, notice_only: bool) -> PullResponse | None:
+        request = PullRequest(self._identity, dict(self._tables.vector), wait_s, notice_only)
+        answer = await self._client.call(source.address, request, wait_s + ANSWER_SLACK_S)
+        response = answer.unwrap() if answer.is_ok() else None
+        if isinstance(response, PullResponse):
+            if source.failures:
+                self._log.info("control_node_back", address=source.address, failures=source.failures)
+            source.answers, source.current, source.failures = True, response.current, 0
+            return response
+        source.answers = False
+        source.failures += 1
+        if source.failures == 1:
+            self._log.info("control_node_lost", address=source.address, reason=str(answer))
+        await asyncio.sleep(min(LONGEST_RETRY_PAUSE_S, RETRY_PAUSE_S * source.failures))
+        return None
--- a/arrowfold/dataplane/retry_budget.py
+++ b/arrowfold/dataplane/retry_budget.py
@@ -1,15 +1,23 @@
 """This edge's share of the fleet's retry budget, for each service over a sliding window.
 
-The fleet may send, in any window, `ratio` x requests + `extra` arrivals beyond the first of each request.
-Each edge spends at most SAFETY x `ratio` x its own requests of the window, and SAFETY x `extra` / edges.
-A life of a process spends nothing of `extra` in its first window, so that restarts can't add shares up.
+The fleet may send, in any window W, `ratio` x requests + `extra` arrivals beyond the first of each request,
+where the requests are those of W, of the window before it, or of the one half a window before it, whichever
+has most.
+
+Each edge keeps its repeats of any window within RATIO_PART x `ratio` x its own requests of that window, plus
+EXTRA_PART x `extra` / edges. Windows of different edges that end within W begin at most a window before it,
+so their requests are at most those of W and of the window before it: twice the most of the two. With
+RATIO_PART = 1/2 the edges' sum stays within the fleet's budget. A life of a process spends nothing of `extra`
+in its first window, so that the shares of one machine's lives don't add up, and the number of edges is the
+most that was told in the last window.
 """
 
 from __future__ import annotations
 
 from collections import deque
 
-SAFETY = 0.8  # room for windows of different edges that don't coincide
+RATIO_PART = 0.5
+EXTRA_PART = 0.9  # room for an edge that is not counted yet
 
 
 class _Window:
@@ -76,7 +84,7 @@
     def _allowance(self, service: str, now_s: float) -> float:
         requests = self._requests.get(service)
         own = requests.count(now_s) if requests is not None else 0
-        return SAFETY * (self._ratio * own + self._extra_share(now_s))
+        return RATIO_PART * self._ratio * own + EXTRA_PART * self._extra_share(now_s)
 
     def _extra_share(self, now_s: float) -> float:
         if not self._edge_counts or now_s - self._started_s < self._window_s:
--- a/arrowfold/dataplane/tables.py
+++ b/arrowfold/dataplane/tables.py
@@ -90,6 +90,10 @@
             self.snapshot = FleetSnapshot(configuration, workers, view, placements)
         return changed
 
+    def lacks(self, vector: dict[str, int]) -> bool:
+        """Whether a control node with this version vector has news."""
+        return any(counter > self.vector.get(origin, 0) for origin, counter in vector.items())
+
     def _adopt(self, vector: dict[str, int], missed_delta: bool) -> None:
         for origin, counter in vector.items():
             if counter > self.vector.get(origin, -1):
--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -259,6 +259,12 @@
         """The connections by instance."""
         return self._pools
 
+    def drop_idle_of(self, instance: str) -> None:
+        """Close the idle connections to an instance that may be gone: a new one shows whether it is there."""
+        pool = self._pools.get(instance)
+        if pool is not None:
+            self.drop_idle(pool)
+
     def drop_idle(self, pool: InstancePool) -> None:
         """Close the connections to an instance on which nothing is under way."""
         while pool.idle:
--- /dev/null
+++ b/tests/system/test_edge_retry_budget.py
@@ -0,0 +1,94 @@
+"""The edges' shares of the retry budget: they never add up to more than the fleet may spend."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from arrowfold.dataplane.retry_budget import RetryBudget
+
+RATIO, EXTRA, WINDOW_S = 0.2, 52.0, 10.0
+STEP_S = 0.25
+
+
+@dataclass
+class Edge:
+    """One edge machine; a restart makes its budget anew."""
+
+    edges: int
+    budget: RetryBudget = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.restart(-100.0)
+
+    def restart(self, now_s: float) -> None:
+        self.budget = RetryBudget(RATIO, EXTRA, WINDOW_S, now_s)
+        self.budget.apply_edges(self.edges, now_s)
+
+
+def within(times: list[float], start_s: float) -> int:
+    return sum(start_s < moment <= start_s + WINDOW_S for moment in times)
+
+
+def test_without_requests_only_the_extra_share_is_there() -> None:
+    budget = Edge(4).budget
+    taken = sum(budget.take("s", 0.0) for _ in range(100))
+    assert taken == int(0.9 * EXTRA / 4)
+
+
+def test_what_was_given_back_can_be_taken_again() -> None:
+    budget = Edge(52).budget
+    assert not budget.take("s", 0.0)
+    budget = Edge(26).budget
+    assert budget.take("s", 0.0)
+    assert not budget.take("s", 0.0)
+    budget.give_back("s")
+    assert budget.take("s", 0.0)
+
+
+def test_services_have_budgets_of_their_own() -> None:
+    budget = Edge(26).budget
+    assert budget.take("a", 0.0) and budget.take("b", 0.0)
+    assert not budget.take("a", 0.0)
+
+
+def test_a_new_life_spends_nothing_of_the_extra_share_in_its_first_window() -> None:
+    edge = Edge(1)
+    edge.restart(0.0)
+    assert not edge.budget.take("s", 9.9)
+    assert edge.budget.take("s", 10.0)
+
+
+def test_the_most_edges_of_the_last_window_share_it() -> None:
+    budget = Edge(52).budget
+    budget.apply_edges(1, 0.0)
+    assert not budget.take("s", 5.0)
+    budget.apply_edges(1, 11.0)
+    assert budget.take("s", 21.5)
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.data())
+def test_the_shares_of_all_edges_stay_within_the_fleets_budget(data: st.DataObject) -> None:
+    count = data.draw(st.integers(1, 5))
+    edges = [Edge(count) for _ in range(count)]
+    requests: list[float] = []
+    repeats: list[float] = []
+    for step in range(120):
+        now_s = step * STEP_S
+        for edge in edges:
+            load, hunger, restarts = data.draw(
+                st.tuples(st.sampled_from([0, 0, 1, 8]), st.sampled_from([0, 0, 2, 30]), st.integers(0, 40))
+            )
+            if restarts == 40:
+                edge.restart(now_s)
+            for _ in range(load):
+                edge.budget.count_request("s", now_s)
+                requests.append(now_s)
+            repeats.extend(now_s for _ in range(hunger) if edge.budget.take("s", now_s))
+    for end in range(120):
+        start_s = end * STEP_S - WINDOW_S
+        counted = max(within(requests, start_s - shift) for shift in (0.0, WINDOW_S / 2, WINDOW_S))
+        assert within(repeats, start_s) <= RATIO * counted + EXTRA
