--- a/arrowfold/controlplane/node.py
+++ b/arrowfold/controlplane/node.py
@@ -32,7 +32,7 @@
 from arrowfold.node.settings import NodeSettings
 from arrowfold.registry.workers import WorkerRegistry
 from arrowfold.replication.durable import DurableImage, image_of
-from arrowfold.replication.identity import Identity, draw_identity, read_identity
+from arrowfold.replication.identity import Identity, read_identity, store_identity
 from arrowfold.replication.member import GroupMember
 from arrowfold.replication.records import MemberImage
 from arrowfold.replication.replica import Replica
@@ -49,7 +49,9 @@
     """Blocking: read or draw the identity, and recover the log."""
     identity = read_identity(folder)
     if identity is None:
-        identity = draw_identity(folder, settings.firstStart, settings.seed_internal_addresses())
+        identity = store_identity(
+            folder, secrets.token_hex(8), settings.firstStart, settings.seed_internal_addresses()
+        )
     log = SegmentedLog(folder)
     return identity, log, image_of(log.recover())
 
--- a/arrowfold/replication/identity.py
+++ b/arrowfold/replication/identity.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
 from dataclasses import dataclass
 
 from arrowfold.internal.codec import CodecError, decode, encode, message
@@ -47,9 +46,9 @@
     return identity
 
 
-def draw_identity(folder: Folder, founder: bool, seeds: tuple[str, ...]) -> Identity:
-    """Draw and store an identity; durable when this returns."""
-    identity = Identity(FORMAT_VERSION, secrets.token_hex(8), founder, seeds)
+def store_identity(folder: Folder, member: str, founder: bool, seeds: tuple[str, ...]) -> Identity:
+    """Give an empty disk the identity `member`, which is new; durable when this returns."""
+    identity = Identity(FORMAT_VERSION, member, founder, seeds)
     file = folder.open(TEMPORARY_FILE)
     try:
         file.truncate(0)
--- /dev/null
+++ b/tests/system/control_simulation/history.py
@@ -0,0 +1,110 @@
+"""What operators, workers and readers saw, and the checks on it."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+
+from arrowfold.replication.state import ControlState
+
+
+class Violation(AssertionError):
+    """The control state broke a promise."""
+
+
+@dataclass(slots=True)
+class History:
+    """Acknowledged and refused changes by content, and what was published at each position."""
+
+    acknowledged: dict[int, bytes] = field(default_factory=dict)
+    acknowledged_bases: dict[int, bytes] = field(default_factory=dict)
+    refused: set[bytes] = field(default_factory=set)
+    departures: set[str] = field(default_factory=set)
+    published: dict[int, bytes | None] = field(default_factory=dict)
+    tokens: dict[int, str] = field(default_factory=dict)
+    reads: int = 0
+
+    def newest_acknowledged(self) -> int:
+        """The highest version that was acknowledged."""
+        return max(self.acknowledged, default=0)
+
+    def acknowledge(self, version: int, base: int, marker: bytes) -> None:
+        """A change got 200."""
+        if self.acknowledged.setdefault(version, marker) != marker:
+            raise Violation(f"two changes were acknowledged as version {version}")
+        if self.acknowledged_bases.setdefault(base, marker) != marker:
+            raise Violation(f"two changes on version {base} were acknowledged")
+        if marker in self.refused:
+            raise Violation(f"version {version} was refused and then acknowledged")
+
+    def refuse(self, version: int, marker: bytes) -> None:
+        """A change got a clear 4xx."""
+        self.refused.add(marker)
+        if self.acknowledged.get(version) == marker:
+            raise Violation(f"version {version} was acknowledged and then refused")
+
+    def read(self, body: bytes, newest_before: int) -> int:
+        """A read got this; `newest_before` was acknowledged before it began."""
+        self.reads += 1
+        version, marker = describe(body)
+        if version < newest_before:
+            raise Violation(f"version {version} was read after {newest_before} had been acknowledged")
+        self._check_content(version, marker)
+        return version
+
+    def _check_content(self, version: int, marker: bytes) -> None:
+        if marker in self.refused:
+            raise Violation(f"version {version} is in force although it was refused")
+        if self.acknowledged.get(version, marker) != marker:
+            raise Violation(f"version {version} is not what was acknowledged under it")
+
+    def publish(self, before: ControlState, after: ControlState, machine: str) -> None:
+        """A member made a committed state visible."""
+        if after.sequence < before.sequence:
+            raise Violation(f"{machine} went back from {before.sequence} to {after.sequence}")
+        if self.published.setdefault(after.sequence, after.configuration) != after.configuration:
+            raise Violation(f"two states were published at position {after.sequence}")
+        if after.configuration is not None:
+            self._check_content(*describe(after.configuration))
+        for role, tenure in after.roles.items():
+            holder = f"{role} {tenure.member}"
+            if self.tokens.setdefault(tenure.token, holder) != holder:
+                raise Violation(f"token {tenure.token} was given to two holders")
+
+    def check_end(self, state: ControlState) -> None:
+        """The state after everything healed holds all that was acknowledged."""
+        if self.acknowledged and state.configuration is None:
+            raise Violation("the configuration is gone")
+        if state.configuration is not None:
+            version, marker = describe(state.configuration)
+            if version < self.newest_acknowledged():
+                raise Violation(f"version {version} is in force, {self.newest_acknowledged()} is acknowledged")
+            self._check_content(version, marker)
+        missing = self.departures - set(state.departures)
+        if missing:
+            raise Violation(f"departures are gone: {sorted(missing)}")
+
+
+def describe(body: bytes) -> tuple[int, bytes]:
+    """The version of a configuration of the simulation, and the marker that tells its change from all others."""
+    value = json.loads(body)
+    return value["version"], value["routes"][0]["name"].encode()
+
+
+def document(version: int, marker: str) -> bytes:
+    """A small configuration that carries a marker as the name of its route."""
+    route = {
+        "name": marker,
+        "hostname": "h.example",
+        "pathPrefix": "/p/",
+        "routeKind": "idempotent",
+        "timeoutMs": 1000,
+        "targetLatencyMs": 100,
+        "priority": 0,
+        "targetService": "s",
+        "maxAttempts": 1,
+    }
+    service = {"name": "s", "healthPath": "/healthz", "maxConnections": 10, "protocol": "h1", "tls": False}
+    limits = {"maxHeaderBytes": 1, "maxBodyBytes": 1, "headerTimeoutMs": 1, "idleTimeoutMs": 1}
+    value = {"version": version, "routes": [route], "services": [service], "limits": limits}
+    return json.dumps(value).encode()
--- /dev/null
+++ b/tests/system/control_simulation/machines.py
@@ -0,0 +1,226 @@
+"""Core machines of the simulation: the real replication code on simulated disks, network and clocks."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from arrowfold.controlplane.changes import ConfigurationService
+from arrowfold.controlplane.registration import RegistrationService
+from arrowfold.internal.messages import (
+    MemberInfo,
+    ReadConfiguration,
+    SubmitChange,
+    SubmitDeparture,
+    SubmitResult,
+)
+from arrowfold.registry.workers import WorkerRegistry
+from arrowfold.replication.durable import DurableImage, image_of
+from arrowfold.replication.identity import read_identity, store_identity
+from arrowfold.replication.member import GroupMember
+from arrowfold.replication.replica import Replica
+from arrowfold.replication.timings import Timings
+from arrowfold.storage.log import SegmentedLog
+from tests.system.control_simulation.disks import SimulatedDiskWorker, SimulatedFolder
+from tests.system.control_simulation.lives import Life, LivesLoop
+from tests.system.control_simulation.network import SimulatedCaller, SimulatedNetwork
+from tests.system.control_simulation.outside import OperatorChange, OperatorRead, WorkerDeparts
+
+
+class Trace:
+    """What happened, with virtual time: read it when a schedule fails."""
+
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+
+    def add(self, who: str, event: str, **fields: Any) -> None:
+        now = asyncio.get_running_loop().time()
+        text = " ".join(f"{key}={value!r}" for key, value in fields.items())
+        self.lines.append(f"{now:9.4f} {who:8} {event} {text}".rstrip())
+
+
+class TraceLog:
+    """The event log of one machine, written to the trace."""
+
+    def __init__(self, trace: Trace, machine: str) -> None:
+        self._trace = trace
+        self._machine = machine
+
+    def info(self, event: str, **fields: Any) -> None:
+        self._trace.add(self._machine, event, **fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        self._trace.add(self._machine, event, **fields)
+
+
+def outside_handlers(
+    configurations: ConfigurationService, registrations: RegistrationService
+) -> dict[type[Any], Any]:
+    """What the internal interface and, under their own messages, the operator and workers call."""
+
+    async def operator_change(call: OperatorChange) -> SubmitResult:
+        return await configurations.submit(SubmitChange(call.kind, call.if_match, call.body))
+
+    async def operator_read(_: OperatorRead) -> SubmitResult:
+        return await configurations.read()
+
+    async def worker_departs(call: WorkerDeparts) -> bool:
+        return (await registrations.depart(SubmitDeparture(call.instance, "draining"))).is_ok()
+
+    return {
+        SubmitChange: configurations.on_submit,
+        ReadConfiguration: configurations.on_read,
+        SubmitDeparture: registrations.on_departure,
+        OperatorChange: operator_change,
+        OperatorRead: operator_read,
+        WorkerDeparts: worker_departs,
+    }
+
+
+class Machine:
+    """A core machine with its disk; `start` runs the control state on it."""
+
+    def __init__(
+        self,
+        name: str,
+        network: SimulatedNetwork,
+        seeds: tuple[str, ...],
+        losses: int,
+        trace: Trace,
+        sync_s: float,
+        clock_rate: float,
+    ) -> None:
+        self.name = name
+        self.address = f"{name}:1"
+        self.folder = SimulatedFolder()
+        self.network = network
+        self.seeds = seeds
+        self.first_start = True
+        self.life: Life | None = None
+        self.replica: Replica | None = None
+        self.worker: SimulatedDiskWorker | None = None
+        self.timings = Timings()
+        self.identities = 0
+        self._losses = losses
+        self._trace = trace
+        self._sync_s = sync_s
+        self._clock_rate = clock_rate
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def loop(self) -> LivesLoop:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, LivesLoop)
+        return loop
+
+    def running(self) -> bool:
+        """Whether its processes run."""
+        return self.life is not None and not self.life.dead and not self.life.frozen
+
+    def clock(self) -> float:
+        """The steady clock of this machine; machines differ slightly in speed."""
+        return self.loop.time() * self._clock_rate
+
+    def start(self) -> None:
+        """Start its processes."""
+        if self.life is not None and not self.life.dead:
+            return
+        life = self.life = Life(self.name)
+        self._trace.add(self.name, "start", first=self.first_start, files=len(self.folder.names()))
+        task = self.loop.create_task(self._run(life), context=life.context)
+        self._tasks.append(task)
+
+    async def _run(self, life: Life) -> None:
+        worker = self.worker = SimulatedDiskWorker(self._sync_s)
+        while True:
+            try:
+                replica = await self._open(worker)
+                break
+            except OSError:
+                await asyncio.sleep(0.3)
+        service = ConfigurationService(replica, SimulatedCaller(self.network, self.address))
+        registry = WorkerRegistry(replica.member, self.clock, 1.2)
+        caller = SimulatedCaller(self.network, self.address)
+        registrations = RegistrationService(replica, registry, caller, lambda: None)
+        handlers = {**self.wrap_handlers(replica), **outside_handlers(service, registrations)}
+        self.network.listen(self.address, life, handlers)
+        self.replica = replica
+        self.on_started(replica)
+        await replica.run()
+
+    async def _open(self, worker: SimulatedDiskWorker) -> Replica:
+        identity = await worker.run(lambda: read_identity(self.folder))
+        if identity is None:
+            self.identities += 1
+            drawn = f"{self.name}-{self.identities}"
+            identity = await worker.run(
+                lambda: store_identity(self.folder, drawn, self.first_start, self.seeds)
+            )
+        log = SegmentedLog(self.folder)
+        image = await worker.run(lambda: image_of(log.recover()))
+        durable = DurableImage(log, worker, self.clock, image)
+        info = MemberInfo(identity.member, self.name, self.address, self.address, "zone")
+        events = TraceLog(self._trace, self.name)
+        member = self.make_member(info, identity.founder, durable, events)
+        replica = Replica(
+            member,
+            SimulatedCaller(self.network, self.address),
+            identity.seeds,
+            self._losses,
+            events,
+            random.Random(identity.member),
+        )
+        replica.set_addresses(self.seeds)
+        return replica
+
+    def make_member(
+        self, info: MemberInfo, founder: bool, durable: DurableImage, events: TraceLog
+    ) -> GroupMember:
+        """The member; planted faults replace this."""
+        return GroupMember(info, founder, durable, self.clock, self.timings, events)
+
+    def wrap_handlers(self, replica: Replica) -> dict[type[Any], Any]:
+        """The handlers of calls; planted faults replace this."""
+        return replica.handlers()
+
+    def on_started(self, replica: Replica) -> None:
+        """Called with the replica of each life; the world watches it from here."""
+
+    def kill(self) -> None:
+        """SIGKILL: the files stay as they were."""
+        if self.life is not None:
+            self.loop.kill(self.life)
+            self.replica = None
+            self._trace.add(self.name, "killed")
+
+    def lose_power(self) -> None:
+        """The processes end, and unsynced writes are kept or lost each by itself."""
+        self.kill()
+        self.folder.lose_power(self.network.draw)
+        self.first_start = False
+
+    def wipe(self) -> None:
+        """The processes end, and the disk comes back empty."""
+        self.kill()
+        self.folder = SimulatedFolder()
+        self.first_start = False
+        self._trace.add(self.name, "wiped")
+
+    def freeze(self) -> None:
+        """Let its processes stand still."""
+        if self.life is not None:
+            self.loop.freeze(self.life)
+            self._trace.add(self.name, "frozen")
+
+    def thaw(self) -> None:
+        """Let its processes go on."""
+        if self.life is not None:
+            self.loop.thaw(self.life)
+            self._trace.add(self.name, "thawed")
+
+    def hang_disk(self, hangs: bool) -> None:
+        """Let the disk answer nothing, or answer again."""
+        if self.worker is not None:
+            (self.worker.running.clear if hangs else self.worker.running.set)()
+            self._trace.add(self.name, "disk", hangs=hangs)
--- /dev/null
+++ b/tests/system/control_simulation/world.py
@@ -0,0 +1,184 @@
+"""A whole core in simulation: machines, operators that send again until they get a clear answer, and checks."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from arrowfold.internal.messages import SubmitResult
+from arrowfold.replication.replica import Replica
+from arrowfold.replication.state import ControlState
+from tests.system.control_simulation.history import History, Violation, document
+from tests.system.control_simulation.lives import LivesLoop
+from tests.system.control_simulation.machines import Machine, Trace
+from tests.system.control_simulation.network import SimulatedNetwork
+from tests.system.control_simulation.outside import OperatorChange, OperatorRead, WorkerDeparts
+
+OPERATOR = "operator:1"
+CALL_S = 1.0  # after which a caller goes to another node
+CLEAR_REFUSALS = {400, 412}
+
+
+class World:
+    """The core machines of one schedule."""
+
+    machine_type: type[Machine] = Machine
+
+    def __init__(self, seed: int, machines: int = 3, losses: int = 1, sync_s: float = 0.005) -> None:
+        self.draw = random.Random(seed)
+        self.network = SimulatedNetwork(self.draw)
+        self.history = History()
+        self.trace = Trace()
+        self.losses = losses
+        self.sync_s = sync_s
+        self.violations: list[str] = []
+        self.fail_overs: list[float] = []
+        self._changes = 0
+        names = [f"core{number}" for number in range(1, machines + 1)]
+        self.seeds = tuple(f"{name}:1" for name in names[:3])
+        self.machines = {name: self.new_machine(name) for name in names}
+
+    def new_machine(self, name: str) -> Machine:
+        """A machine with an empty disk that is not started."""
+        rate = 1.0 + self.draw.uniform(-0.01, 0.01)
+        machine = self.machine_type(
+            name, self.network, self.seeds, self.losses, self.trace, self.sync_s, rate
+        )
+        machine.on_started = lambda replica: self._watch(name, replica)  # type: ignore[method-assign]
+        return machine
+
+    def add_machine(self, name: str) -> Machine:
+        """A machine that comes later, with an empty disk."""
+        machine = self.machines[name] = self.new_machine(name)
+        machine.first_start = False
+        return machine
+
+    def _watch(self, name: str, replica: Replica) -> None:
+        seen = ControlState()
+
+        def look() -> None:
+            nonlocal seen
+            if replica.committed is not seen:
+                before, seen = seen, replica.committed
+                self.check(lambda: self.history.publish(before, seen, name))
+
+        replica.add_listener(look)
+
+    def check(self, work: Callable[[], Any]) -> Any:
+        """Run a check; a violation is noted rather than lost in some task."""
+        try:
+            return work()
+        except Violation as violation:
+            self.trace.add("CHECK", "violation", text=str(violation))
+            self.violations.append(str(violation))
+            return None
+
+    # What callers do
+
+    async def call(self, machine: Machine, request: Any) -> Any:
+        """One call from outside; None if there was no answer."""
+        answer = await self.network.call(OPERATOR, machine.address, request, CALL_S)
+        return answer.ok()
+
+    def any_machine(self) -> Machine:
+        """A machine as a caller picks it: it may be down."""
+        return self.draw.choice(list(self.machines.values()))
+
+    async def change(self, base: int, version: int, patience_s: float) -> int | None:
+        """Send one change until there is a clear answer; its version if it was acknowledged."""
+        self._changes += 1
+        marker = f"m{self._changes}"
+        request = OperatorChange("PUT", str(base), document(version, marker))
+        deadline = asyncio.get_running_loop().time() + patience_s
+        while asyncio.get_running_loop().time() < deadline:
+            answer = await self.call(self.any_machine(), request)
+            if isinstance(answer, SubmitResult) and answer.status == 200:
+                self.trace.add("operator", "acknowledged", version=version, marker=marker)
+                self.check(lambda: self.history.acknowledge(version, base, marker.encode()))
+                return version
+            if isinstance(answer, SubmitResult) and answer.status in CLEAR_REFUSALS:
+                self.trace.add("operator", "refused", version=version, marker=marker)
+                self.check(lambda: self.history.refuse(version, marker.encode()))
+                return None
+            await asyncio.sleep(0.1)
+        return None
+
+    async def read(self) -> int | None:
+        """Read the configuration once; its version."""
+        newest_before = self.history.newest_acknowledged()
+        answer = await self.call(self.any_machine(), OperatorRead())
+        if isinstance(answer, SubmitResult) and answer.status == 200:
+            return self.check(lambda: self.history.read(answer.body, newest_before))  # type: ignore[no-any-return]
+        return None
+
+    async def depart(self, instance: str) -> bool:
+        """A worker says that it drains."""
+        if await self.call(self.any_machine(), WorkerDeparts(instance)):
+            self.history.departures.add(instance)
+            self.trace.add("worker", "departure acknowledged", instance=instance)
+            return True
+        return False
+
+    # What the world waits for
+
+    def start_all(self) -> None:
+        """Start every machine."""
+        for machine in self.machines.values():
+            machine.start()
+
+    def primary(self) -> Machine | None:
+        """The machine that is the active primary, if there is one."""
+        for machine in self.machines.values():
+            if machine.running() and machine.replica is not None and machine.replica.is_primary():
+                return machine
+        return None
+
+    async def until(self, condition: Callable[[], bool], patience_s: float, what: str) -> float:
+        """How long it took until the condition held."""
+        started = asyncio.get_running_loop().time()
+        while not condition():
+            if asyncio.get_running_loop().time() - started > patience_s:
+                raise Violation(f"not within {patience_s} s: {what}")
+            await asyncio.sleep(0.01)
+        return asyncio.get_running_loop().time() - started
+
+    async def until_primary(self, patience_s: float = 5.0) -> Machine:
+        """The primary, once there is one."""
+        await self.until(lambda: self.primary() is not None, patience_s, "a primary")
+        primary = self.primary()
+        assert primary is not None
+        return primary
+
+    async def settle(self, patience_s: float = 15.0) -> None:
+        """Undo all trouble; within the time, all that was acknowledged must be there."""
+        self.network.heal()
+        self.network.loss = self.network.slow_share = 0.0
+        for machine in self.machines.values():
+            machine.folder.full = False
+            machine.hang_disk(False)
+            if machine.life is not None and machine.life.frozen:
+                machine.thaw()
+            machine.start()
+        primary = await self.until_primary(patience_s)
+        assert primary.replica is not None
+        state = primary.replica.committed
+        self.check(lambda: self.history.check_end(state))
+
+    def require_sound(self) -> None:
+        """Fail if any check found a violation."""
+        if self.violations:
+            raise Violation("; ".join(self.violations[:3]) + "\n" + "\n".join(self.trace.lines[-60:]))
+
+
+def run_world(story: Coroutine[Any, Any, Any]) -> Any:
+    """Run a story on a loop of lives, in virtual time."""
+    loop = LivesLoop()
+    loop.set_exception_handler(lambda _loop, _context: None)  # tasks of killed lives are dropped unfinished
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(story)
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
