--- a/arrowfold/controlplane/node.py
+++ b/arrowfold/controlplane/node.py
@@ -16,6 +16,7 @@
 from arrowfold.controlplane.peers import PeerPulls
 from arrowfold.controlplane.presence import EdgePresence
 from arrowfold.controlplane.registration import RegistrationService
+from arrowfold.controlplane.role_names import placement_roles
 from arrowfold.internal.channel import ChannelClient, ChannelServer
 from arrowfold.internal.messages import (
     Acknowledgement,
@@ -36,6 +37,7 @@
 from arrowfold.replication.member import GroupMember
 from arrowfold.replication.records import MemberImage
 from arrowfold.replication.replica import Replica
+from arrowfold.replication.roles import RoleAuthority
 from arrowfold.replication.timings import Timings
 from arrowfold.storage.folders import Folder, OsFolder
 from arrowfold.storage.log import SegmentedLog
@@ -69,6 +71,7 @@
         self._server: ChannelServer | None = None
         self._replica: Replica | None = None
         self._pulls: PeerPulls | None = None
+        self.authority: RoleAuthority | None = None
 
     async def start(self) -> None:
         """Recover the state, listen, and take part in the group."""
@@ -104,6 +107,11 @@
         pulls = self._pulls = PeerPulls(
             node, replica, registry, presence, self._passed_on, clock, distributor.wake
         )
+        authority = self.authority = RoleAuthority(
+            replica, clock, replica.authority_until, settings.bounds.leaseMs / 1000
+        )
+        replica.want_roles(placement_roles)
+        replica.add_listener(authority.observe)
         replica.add_listener(distributor.wake)
         replica.add_listener(pulls.follow_members)
         handlers = {
--- a/arrowfold/replication/primary.py
+++ b/arrowfold/replication/primary.py
@@ -22,6 +22,7 @@
 from arrowfold.replication.state import Entry, apply_entry
 
 LARGEST_BATCH = 64  # proposals that share one sync
+AUTHORITY_MARGIN = 1.1  # steady clocks of two machines may differ in speed
 CHANGE_ATTEMPTS = 3  # at a new epoch, before the term ends
 
 
@@ -34,6 +35,7 @@
     clock: float | None = None  # its own clock reading in its last answer
     healthy: bool = True
     left_out_at: float = -math.inf  # when it last left the group
+    echoed_at: float = -math.inf  # when its authority was last extended
     calling: bool = False
 
     def is_fit(self, in_group: bool) -> bool:
@@ -105,8 +107,11 @@
         """Whether no other primary can be active at this moment."""
         if self.ended or self._member.image.promised_to != self._member.info.member:
             return False
-        length_s = self._timings.lease_s * self._timings.lease_margin
-        return self._clock() < self._lease_start() + length_s
+        return self._clock() < self.lease_until()
+
+    def lease_until(self) -> float:
+        """Until when the lease holds, by the own steady clock."""
+        return self._lease_start() + self._timings.lease_s * self._timings.lease_margin
 
     def is_complete(self) -> bool:
         """Whether the group has the members that the losses to be borne ask for, as far as they exist."""
@@ -140,12 +145,11 @@
         peer.calling = True
         sent_at = self._clock()
         record = self.record
+        echo = peer.clock if self.has_lease() and self.is_fit(witness.member) else None
+        if echo is not None:
+            peer.echoed_at = sent_at
         request = Heartbeat(
-            record.epoch,
-            self._member.info,
-            self._committed,
-            witness.member in record.group,
-            peer.clock if self.has_lease() else None,
+            record.epoch, self._member.info, self._committed, witness.member in record.group, echo
         )
         try:
             answer = await self._caller.call(witness.address, request, self._timings.call_s)
@@ -212,20 +216,27 @@
         peer.answered_at = self._clock() - self._timings.silent_s - self._timings.heartbeat_s
         peer.granted_at = -math.inf
 
-    def heard_lately(self, member: str) -> bool:
-        """Whether a member answered within the length of a lease; the primary itself always did."""
+    def is_fit(self, member: str) -> bool:
+        """Whether a member may hold roles: in the group, heard lately, and its disk takes writes."""
         if member == self._member.info.member:
             return True
         peer = self._peers.get(member)
-        return peer is not None and self._clock() - peer.answered_at <= self._timings.lease_s
+        if peer is None or member not in self.record.group or not peer.healthy:
+            return False
+        return self._clock() - peer.answered_at <= self._timings.lease_s
+
+    def fit_members(self) -> tuple[str, ...]:
+        """The members that may hold roles."""
+        return tuple(member for member in self.record.group if self.is_fit(member))
 
-    def silence_s(self, member: str) -> float:
-        """How long a member has not answered; unlimited for one that is no witness."""
+    def authority_ended(self, member: str) -> bool:
+        """Whether a member can't act under any role: its last extension has run out by its own clock."""
         if member == self._member.info.member:
-            return 0.0
-        if self.record.find(member) is None:
-            return self._clock() - self._started_at
-        return self._clock() - self._peer(member).answered_at
+            return False
+        peer = self._peer(member)
+        # An extension reaches from the member's own answer, which came before the primary passed it back.
+        last_extension = min(peer.answered_at, max(peer.echoed_at, self._started_at))
+        return self._clock() - last_extension > self._timings.lease_s * AUTHORITY_MARGIN
 
     def tick(self) -> None:
         """The regular work: heartbeats, members that came or went, the own disk."""
--- a/arrowfold/replication/replica.py
+++ b/arrowfold/replication/replica.py
@@ -29,6 +29,7 @@
 from arrowfold.replication.primary import PrimaryTerm
 from arrowfold.replication.proposals import AnswerT, Decide, ReplicationFault
 from arrowfold.replication.records import EpochRecord, newest_record
+from arrowfold.replication.roles import next_grant, propose_grant
 from arrowfold.replication.state import ControlState
 
 FOUNDING_STEP_S = 0.25  # between the moments at which the seeds offer to found the first group
@@ -65,6 +66,7 @@
         self._stopping = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners: list[Callable[[], None]] = []
+        self._wanted_roles: Callable[[ControlState], tuple[str, ...]] = lambda _state: ()
         member.on_change = self._notify
 
     # What the control plane sees
@@ -121,6 +123,26 @@
             return Err(ReplicationFault(ResultCode.NOT_PRIMARY, "not the primary"))
         return await self._term.propose(decide)
 
+    def authority_until(self) -> float:
+        """Until when this member may act under the roles that it holds, by its steady clock."""
+        if self._stopping:
+            return 0.0
+        return self._term.lease_until() if self._term is not None else self._member.authority_until()
+
+    def want_roles(self, roles: Callable[[ControlState], tuple[str, ...]]) -> None:
+        """Which roles there should be, as the primary derives it from the state."""
+        self._wanted_roles = roles
+
+    async def _pass_roles_on(self, term: PrimaryTerm) -> None:
+        state = self.committed
+        wanted = self._wanted_roles(state)
+        grant = next_grant(state, wanted, term.fit_members(), term.authority_ended)
+        if grant is None:
+            return
+        passed = await term.propose(propose_grant(grant, state))
+        if isinstance(passed, Ok):
+            self._log.info("role.granted", role=grant.role, member=grant.member)
+
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call `listener` whenever the committed state or the epoch changed."""
         self._listeners.append(listener)
@@ -174,6 +196,8 @@
             self._term.tick()
             if self._term.ended:
                 self._end_term()
+            elif self._term.is_active():
+                self._spawn(self._pass_roles_on(self._term))
             return
         record = self._newest_record()
         if record is None and self._may_found():
--- /dev/null
+++ b/arrowfold/replication/roles.py
@@ -0,0 +1,110 @@
+"""Fenced roles: who may act under a role at this moment, and how the primary passes roles on.
+
+A role's tenure (holder and fencing token) is part of the replicated state. To act, a holder needs more than
+the tenure: its *authority*, which it has while it is in touch with the primary. The primary passes a role on
+only after the old holder's authority has ended, and the new holder waits for the platform's lease besides.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from arrowfold.replication.ports import Clock
+from arrowfold.replication.proposals import Proposal, ReplicaPort
+from arrowfold.replication.state import ControlState, RoleGrant
+
+HAND_OVER_SLACK_S = 0.1  # beyond the platform's lease, before a new holder acts
+
+
+@dataclass(frozen=True, slots=True)
+class HeldRole:
+    """A role under which this member may act until `authority_until` by its steady clock."""
+
+    role: str
+    token: int
+    since: float
+    authority_until: float
+
+
+class RoleAuthority:
+    """Tells whether this member may act under a role; to be asked before every order."""
+
+    def __init__(
+        self,
+        replica: ReplicaPort,
+        clock: Clock,
+        authority_until: Callable[[], float],
+        platform_lease_s: float,
+    ) -> None:
+        self._replica = replica
+        self._clock = clock
+        self._authority_until = authority_until
+        self._wait_s = platform_lease_s + HAND_OVER_SLACK_S
+        self._learned: dict[int, float] = {}  # when this member first saw each of its tokens
+
+    @property
+    def holder(self) -> str:
+        """The name under which this member acts."""
+        return self._replica.member
+
+    def observe(self) -> None:
+        """Note new tenures; call it whenever the committed state changed."""
+        own = {
+            tenure.token: tenure
+            for tenure in self._replica.committed.roles.values()
+            if tenure.member == self._replica.member
+        }
+        now = self._clock()
+        self._learned = {token: self._learned.get(token, now) for token in own}
+
+    def held(self, role: str) -> HeldRole | None:
+        """This member's tenure of a role, if it may act under it at this moment."""
+        tenure = self._replica.committed.roles.get(role)
+        if tenure is None or tenure.member != self._replica.member or not self._replica.is_current():
+            return None
+        learned = self._learned.get(tenure.token)
+        if learned is None:
+            return None
+        since = learned + (self._wait_s if tenure.previous else 0.0)
+        now = self._clock()
+        authority_until = self._authority_until()
+        if now < since or now >= authority_until:
+            return None
+        return HeldRole(role, tenure.token, since, authority_until)
+
+
+def preferred_holder(role: str, members: tuple[str, ...]) -> str | None:
+    """The member that a role falls to by rendezvous hashing."""
+    if not members:
+        return None
+    return max(members, key=lambda member: hashlib.sha256(f"{role}\n{member}".encode()).digest())
+
+
+def next_grant(
+    state: ControlState,
+    wanted: tuple[str, ...],
+    fit: tuple[str, ...],
+    authority_ended: Callable[[str], bool],
+) -> RoleGrant | None:
+    """The next role to pass on: to a fit member, once the authority of the one that holds it has ended."""
+    for role in wanted:
+        tenure = state.roles.get(role)
+        if tenure is not None and (tenure.member in fit or not authority_ended(tenure.member)):
+            continue
+        holder = preferred_holder(role, fit)
+        if holder is not None:
+            return RoleGrant(role, holder)
+    return None
+
+
+def propose_grant(grant: RoleGrant, seen: ControlState) -> Callable[[ControlState], Proposal[None]]:
+    """A proposal that passes a role on unless its tenure changed meanwhile."""
+
+    def decide(state: ControlState) -> Proposal[None]:
+        if state.roles.get(grant.role) != seen.roles.get(grant.role):
+            return Proposal(None)
+        return Proposal(None, grant)
+
+    return decide
--- a/arrowfold/replication/state.py
+++ b/arrowfold/replication/state.py
@@ -64,10 +64,11 @@
 @message(44)
 @dataclass(frozen=True, slots=True)
 class RoleTenure:
-    """Who holds a fenced role, and under which token."""
+    """Who holds a fenced role, and under which token. `previous`: another holder before it, or empty."""
 
     member: str
     token: int
+    previous: str = ""
 
 
 @message(45)
@@ -130,7 +131,9 @@
 
 def _apply_grant(state: ControlState, entry: RoleGrant, sequence: int) -> ControlState:
     token = state.last_token + 1
-    roles = {**state.roles, entry.role: RoleTenure(entry.member, token)}
+    before = state.roles.get(entry.role)
+    previous = before.member if before is not None and before.member != entry.member else ""
+    roles = {**state.roles, entry.role: RoleTenure(entry.member, token, previous)}
     return replace(state, sequence=sequence, roles=roles, last_token=token)
 
 
--- a/tests/system/control_simulation/__init__.py
+++ b/tests/system/control_simulation/__init__.py
@@ -1,1 +1,1 @@
-"""The control plane's own code in one process: virtual time, a network and disks that fail, machines that stop."""
+"""The control plane's own code in one process: virtual time, failing network, disks and machines."""
--- a/tests/system/control_simulation/history.py
+++ b/tests/system/control_simulation/history.py
@@ -7,6 +7,8 @@
 
 from arrowfold.replication.state import ControlState
 
+PLATFORM_LEASE_S = 3.0  # two holders of a role never act within it
+
 
 class Violation(AssertionError):
     """The control state broke a promise."""
@@ -22,6 +24,8 @@
     departures: set[str] = field(default_factory=set)
     published: dict[int, bytes | None] = field(default_factory=dict)
     tokens: dict[int, str] = field(default_factory=dict)
+    last_act: tuple[float, str, int] | None = None
+    acts: int = 0
     reads: int = 0
 
     def newest_acknowledged(self) -> int:
@@ -71,6 +75,19 @@
             if self.tokens.setdefault(tenure.token, holder) != holder:
                 raise Violation(f"token {tenure.token} was given to two holders")
 
+    def act(self, now: float, holder: str, token: int) -> None:
+        """A holder acted under the one role of the simulation."""
+        self.acts += 1
+        before = self.last_act
+        self.last_act = (now, holder, token)
+        if before is None:
+            return
+        last_at, last_holder, last_token = before
+        if token < last_token or (token == last_token and holder != last_holder):
+            raise Violation(f"{holder} acted under token {token} after {last_holder} under {last_token}")
+        if holder != last_holder and now - last_at < PLATFORM_LEASE_S:
+            raise Violation(f"{holder} acted {now - last_at:.3f} s after {last_holder}")
+
     def check_end(self, state: ControlState) -> None:
         """The state after everything healed holds all that was acknowledged."""
         if self.acknowledged and state.configuration is None:
@@ -78,7 +95,9 @@
         if state.configuration is not None:
             version, marker = describe(state.configuration)
             if version < self.newest_acknowledged():
-                raise Violation(f"version {version} is in force, {self.newest_acknowledged()} is acknowledged")
+                raise Violation(
+                    f"version {version} is in force, {self.newest_acknowledged()} is acknowledged"
+                )
             self._check_content(version, marker)
         missing = self.departures - set(state.departures)
         if missing:
@@ -86,7 +105,7 @@
 
 
 def describe(body: bytes) -> tuple[int, bytes]:
-    """The version of a configuration of the simulation, and the marker that tells its change from all others."""
+    """The version of a configuration of the simulation, and the marker of the change that made it."""
     value = json.loads(body)
     return value["version"], value["routes"][0]["name"].encode()
 
--- a/tests/system/control_simulation/lives.py
+++ b/tests/system/control_simulation/lives.py
@@ -1,4 +1,4 @@
-"""An event loop on which every callback belongs to one life of a machine, so that lives can be killed or frozen."""
+"""An event loop whose callbacks belong to lives of machines, so that lives can be killed or frozen."""
 
 from __future__ import annotations
 
--- a/tests/system/control_simulation/machines.py
+++ b/tests/system/control_simulation/machines.py
@@ -20,9 +20,11 @@
 from arrowfold.replication.identity import read_identity, store_identity
 from arrowfold.replication.member import GroupMember
 from arrowfold.replication.replica import Replica
+from arrowfold.replication.roles import RoleAuthority
 from arrowfold.replication.timings import Timings
 from arrowfold.storage.log import SegmentedLog
 from tests.system.control_simulation.disks import SimulatedDiskWorker, SimulatedFolder
+from tests.system.control_simulation.history import PLATFORM_LEASE_S
 from tests.system.control_simulation.lives import Life, LivesLoop
 from tests.system.control_simulation.network import SimulatedCaller, SimulatedNetwork
 from tests.system.control_simulation.outside import OperatorChange, OperatorRead, WorkerDeparts
@@ -54,6 +56,10 @@
         self._trace.add(self._machine, event, **fields)
 
 
+ROLE = "placement/s"
+ACT_INTERVAL_S = 0.05
+
+
 def outside_handlers(
     configurations: ConfigurationService, registrations: RegistrationService
 ) -> dict[type[Any], Any]:
@@ -147,6 +153,10 @@
         self.network.listen(self.address, life, handlers)
         self.replica = replica
         self.on_started(replica)
+        authority = RoleAuthority(replica, self.clock, replica.authority_until, PLATFORM_LEASE_S)
+        replica.want_roles(lambda _state: (ROLE,))
+        replica.add_listener(authority.observe)
+        self._tasks.append(asyncio.create_task(self._act(authority)))
         await replica.run()
 
     async def _open(self, worker: SimulatedDiskWorker) -> Replica:
@@ -184,6 +194,17 @@
         """The handlers of calls; planted faults replace this."""
         return replica.handlers()
 
+    async def _act(self, authority: RoleAuthority) -> None:
+        """Act under the role whenever this machine may."""
+        while True:
+            held = authority.held(ROLE)
+            if held is not None:
+                self.on_act(authority.holder, held.token)
+            await asyncio.sleep(ACT_INTERVAL_S)
+
+    def on_act(self, holder: str, token: int) -> None:
+        """Called whenever this machine acts under the role."""
+
     def on_started(self, replica: Replica) -> None:
         """Called with the replica of each life; the world watches it from here."""
 
--- a/tests/system/control_simulation/network.py
+++ b/tests/system/control_simulation/network.py
@@ -49,7 +49,9 @@
         if (sender, receiver) in self._cuts or self.draw.random() < self.loss:
             await asyncio.get_running_loop().create_future()  # it never arrives
 
-    async def call(self, sender: str, address: str, request: Any, timeout_s: float) -> Result[Any, ChannelError]:
+    async def call(
+        self, sender: str, address: str, request: Any, timeout_s: float
+    ) -> Result[Any, ChannelError]:
         """A call as `ChannelClient` makes it."""
         body = encode(request)
         try:
--- a/tests/system/control_simulation/schedules.py
+++ b/tests/system/control_simulation/schedules.py
@@ -1,4 +1,4 @@
-"""Random schedules of faults within what may be lost at one time, with operators, readers and workers beside them."""
+"""Random schedules of faults, within what may be lost at one time, beside operators, readers and workers."""
 
 from __future__ import annotations
 
--- a/tests/system/control_simulation/world.py
+++ b/tests/system/control_simulation/world.py
@@ -1,4 +1,4 @@
-"""A whole core in simulation: machines, operators that send again until they get a clear answer, and checks."""
+"""A whole core in simulation: machines, operators that send again until the answer is clear, and checks."""
 
 from __future__ import annotations
 
@@ -47,6 +47,7 @@
             name, self.network, self.seeds, self.losses, self.trace, self.sync_s, rate
         )
         machine.on_started = lambda replica: self._watch(name, replica)  # type: ignore[method-assign]
+        machine.on_act = self._note_act  # type: ignore[method-assign]
         return machine
 
     def add_machine(self, name: str) -> Machine:
@@ -66,6 +67,10 @@
 
         replica.add_listener(look)
 
+    def _note_act(self, holder: str, token: int) -> None:
+        now = asyncio.get_running_loop().time()
+        self.check(lambda: self.history.act(now, holder, token))
+
     def check(self, work: Callable[[], Any]) -> Any:
         """Run a check; a violation is noted rather than lost in some task."""
         try:
