--- a/tests/system/control_simulation/disks.py
+++ b/tests/system/control_simulation/disks.py
@@ -46,15 +46,16 @@
 
 
 class SimulatedFolder:
-    """A `Folder`; `full` makes it refuse writes, `no_folder_sync` forgets folder syncs (a planted fault)."""
+    """A `Folder`; `full` makes it refuse writes; the others plant faults."""
+
+    no_folder_sync = False
+    no_file_sync = False
 
     def __init__(self) -> None:
         self._files: dict[str, _Content] = {}
         self._durable_names: dict[str, _Content] = {}
         self.full = False
         self.syncs = 0
-        self.no_folder_sync = False
-        self.no_file_sync = False
 
     def names(self) -> list[str]:
         return sorted(self._files)
--- a/tests/system/control_simulation/machines.py
+++ b/tests/system/control_simulation/machines.py
@@ -162,11 +162,8 @@
     async def _open(self, worker: SimulatedDiskWorker) -> Replica:
         identity = await worker.run(lambda: read_identity(self.folder))
         if identity is None:
-            self.identities += 1
-            drawn = f"{self.name}-{self.identities}"
-            identity = await worker.run(
-                lambda: store_identity(self.folder, drawn, self.first_start, self.seeds)
-            )
+            drawn, founder = self.next_identity(), self.may_found()
+            identity = await worker.run(lambda: store_identity(self.folder, drawn, founder, self.seeds))
         log = SegmentedLog(self.folder)
         image = await worker.run(lambda: image_of(log.recover()))
         durable = DurableImage(log, worker, self.clock, image)
@@ -184,6 +181,15 @@
         replica.set_addresses(self.seeds)
         return replica
 
+    def next_identity(self) -> str:
+        """The identity that is drawn on an empty disk."""
+        self.identities += 1
+        return f"{self.name}-{self.identities}"
+
+    def may_found(self) -> bool:
+        """Whether this start is the first of the whole system."""
+        return self.first_start
+
     def make_member(
         self, info: MemberInfo, founder: bool, durable: DurableImage, events: TraceLog
     ) -> GroupMember:
