--- a/arrowfold/internal/messages.py
+++ b/arrowfold/internal/messages.py
@@ -1,7 +1,7 @@
 """The messages that nodes exchange. Numbers are permanent; new fields are appended with defaults.
 
-Times are seconds, sizes are as the field's name says. Addresses are HOST:PORT of the internal protocol unless
-the name says otherwise.
+Times are seconds, sizes are as the field's name says. Addresses are HOST:PORT of the internal protocol
+unless the name says otherwise.
 """
 
 from __future__ import annotations
@@ -35,10 +35,23 @@
     adapters: tuple[str, ...] = ()
 
 
+@message(11)
+@dataclass(frozen=True, slots=True)
+class ArrivingModel:
+    """A model, or an adapter of it, that is being loaded; `ready_in_s` counts from the message's making."""
+
+    model: str
+    adapter: str
+    ready_in_s: float
+
+
 @message(3)
 @dataclass(frozen=True, slots=True)
 class WorkerRecord:
-    """What a worker last said of itself. `state`: available, draining, gone, or silent (not heard lately)."""
+    """What a worker last said of itself. `state`: available, draining, gone, or silent (not heard lately).
+
+    `arriving` is empty in what a worker says; an edge adds it from the owner of the placement.
+    """
 
     instance: str
     service: str
@@ -52,6 +65,7 @@
     remaining_ms: float | None = None
     cold_left_ms: float = 0.0
     stage: str = "both"
+    arriving: tuple[ArrivingModel, ...] = ()
 
 
 @message(4)
@@ -130,6 +144,33 @@
     roles: tuple[RoleOwner, ...] = ()
 
 
+@message(12)
+@dataclass(frozen=True, slots=True)
+class WorkerCorrection:
+    """What a worker holds by the owner of the placement, which its last heartbeat does not tell yet.
+
+    `models` leaves out what is being unloaded.
+    """
+
+    instance: str
+    models: tuple[HeldModel, ...]
+    arriving: tuple[ArrivingModel, ...] = ()
+
+
+@message(13)
+@dataclass(frozen=True, slots=True)
+class PlacementUpdate:
+    """All corrections in force for the workers of a service; each replaces the update before it.
+
+    `origin` is the owner's role; `counter` is higher for a later owner and for a later update.
+    """
+
+    origin: str
+    counter: int
+    service: str
+    corrections: tuple[WorkerCorrection, ...]
+
+
 @message(20)
 @dataclass(frozen=True, slots=True)
 class PullRequest:
@@ -153,7 +194,9 @@
     current: bool
     view: ClusterView
     vector: dict[str, int]
-    updates: tuple[WorkerUpdate | ConfigurationUpdate | ConfigurationDelta | DepartureUpdate, ...] = ()
+    updates: tuple[
+        WorkerUpdate | ConfigurationUpdate | ConfigurationDelta | DepartureUpdate | PlacementUpdate, ...
+    ] = ()
 
 
 @message(22)
