--- a/arrowfold/placement/fleet.py
+++ b/arrowfold/placement/fleet.py
@@ -65,10 +65,6 @@
         """Workers that hold the model now and will stay."""
         return [worker for worker in self.workers.values() if worker.serves and worker.holds(model)]
 
-    def loads_under_way(self) -> int:
-        """Loads of weights that run, or may."""
-        return sum(1 for worker in self.workers.values() if worker.arriving_model() is not None)
-
     def zones_of(self, model: str) -> set[str]:
         """Zones in which the model has a holder."""
         return {worker.zone for worker in self.holders(model)}
--- a/arrowfold/placement/placer.py
+++ b/arrowfold/placement/placer.py
@@ -16,7 +16,7 @@
 from arrowfold.placement.corrections import correction_of
 from arrowfold.placement.demand import DemandEstimator, ModelClass
 from arrowfold.placement.fleet import PlacementFleet
-from arrowfold.placement.load_times import ADAPTER_LOAD_S, UNLOAD_S, LoadTimes
+from arrowfold.placement.load_times import ADAPTER_LOAD_S, LoadTimes
 from arrowfold.placement.orders import (
     Action,
     Operation,
@@ -151,14 +151,15 @@
         if order.loads_weights:
             worker.pending.from_own_disk = self._fleet.is_on_disk(worker, target.model)
             self._ceiling.sent(now_s)
-        if order.operation is Operation.LOAD:
-            self._planner.forget(worker.instance)
         return SendOrder(order)
 
     def _accepted(self, worker: WorkerState, pending: PendingOrder, now_s: float) -> None:
         order = pending.order
         worker.failures = 0
         worker.revision = order.if_revision + 1
+        self._note_unload_time(worker, in_time=True)
+        if order.operation is Operation.LOAD:
+            self._planner.forget(worker.instance)
         pending.phase = OrderPhase.RUNNING
         pending.accepted_s = now_s
         if order.loads_weights:
@@ -166,7 +167,7 @@
         elif order.operation is Operation.LOAD:
             pending.expected_done_s = now_s + ADAPTER_LOAD_S
         elif order.adapter or self._is_idle(order.model, now_s):
-            pending.expected_done_s = now_s + UNLOAD_S
+            pending.expected_done_s = now_s + self._times.unload_s
         else:
             worker.report_due_s = now_s + REPORT_LAG_S
 
@@ -184,12 +185,22 @@
     def _not_taken(self, worker: WorkerState, answer: OrderAnswer, now_s: float) -> None:
         worker.pending = None
         worker.report_due_s = now_s + REPORT_LAG_S
+        if answer is OrderAnswer.CONFLICT:
+            self._note_unload_time(worker, in_time=False)
+        elif answer is OrderAnswer.REFUSED:
+            self._planner.forget(worker.instance)
         if answer is OrderAnswer.MISDIRECTED:
             worker.unusable = True
         elif answer is OrderAnswer.UNSENT:
             worker.failures += 1
             worker.report_due_s = now_s + min(LONGEST_PAUSE_S, FAILURE_PAUSE_S * 2.0**worker.failures)
 
+    def _note_unload_time(self, worker: WorkerState, in_time: bool) -> None:
+        """An order after an unload that was taken to be done tells whether it was."""
+        if worker.unload_unproven:
+            worker.unload_unproven = False
+            self._times.unload_seen(in_time)
+
     def _finish_short_orders(self, now_s: float) -> None:
         """Orders that take milliseconds count as done after them; the next order's revision proves it."""
         for worker in self._fleet.workers.values():
@@ -201,6 +212,7 @@
 
     def _done(self, worker: WorkerState, now_s: float) -> None:
         pending = worker.pending
+        worker.unload_unproven = pending is not None and pending.order.operation is Operation.UNLOAD
         worker.apply_done(now_s)
         self._fleet.remember(worker)
         if pending is not None and pending.order.operation is Operation.LOAD:
--- a/arrowfold/placement/planner.py
+++ b/arrowfold/placement/planner.py
@@ -119,7 +119,11 @@
                 models.remove(model)
 
     def _gain(self, context: PlanningContext, model: str) -> float:
-        wanted = sum(1 for intent in self._intents.values() if intent.target == ModelClass(model))
+        wanted = sum(
+            1
+            for instance, intent in self._intents.items()
+            if intent.target == ModelClass(model) and self._fleet.workers[instance].arriving_model() != model
+        )
         return context.values.gain(model, self._fleet.copies(model) + wanted)
 
     def _want_adapter_copies(self, context: PlanningContext) -> None:
@@ -133,8 +137,9 @@
                 self._choose_worker(context, key, urgent=False)
 
     def _loads_planned(self) -> int:
-        wanted = sum(1 for intent in self._intents.values() if not intent.target.adapter)
-        return wanted + self._fleet.loads_under_way()
+        wanted = {instance for instance, intent in self._intents.items() if not intent.target.adapter}
+        loading = {worker.instance for worker in self._fleet.workers.values() if worker.arriving_model()}
+        return len(wanted | loading)
 
     def _choose_worker(
         self, context: PlanningContext, target: ModelClass, urgent: bool, gain: float = 0.0
--- a/arrowfold/placement/worker_state.py
+++ b/arrowfold/placement/worker_state.py
@@ -61,6 +61,7 @@
         self.report_due_s = now_s  # inf: none is wanted
         self.report_under_way = False
         self.failures = 0  # reports and orders without an answer, in a row
+        self.unload_unproven = False  # its last unload is taken to be done, but nothing has told so
         self.unusable = False  # another worker has its address, or it refuses our fence
         self._take_models(record.models, now_s)
 
