--- a/arrowfold/placement/demand.py
+++ b/arrowfold/placement/demand.py
@@ -64,10 +64,9 @@
 
     def add(self, requests: float, workload_s: float, missing: float, now_s: float) -> None:
         """Take what one edge saw since its last report."""
-        asked = max(requests, missing)
         for average in (self._fast, self._slow, self._rare):
-            average.add(asked, now_s)
-        if asked > 0:
+            average.add(requests, now_s)
+        if requests > 0 or missing > 0:
             self.asked_s = now_s
         if missing > 0:
             self.missing_s = now_s
--- a/arrowfold/selection/market_selector.py
+++ b/arrowfold/selection/market_selector.py
@@ -29,6 +29,7 @@
 
 COMPARED = 4  # workers drawn by chance that a drawn holder is compared with
 SMALL_POOL = 8  # of up to so many holders all are compared
+MISSING_AGAIN_S = 0.5  # a request that still waits is counted as missing again: its owner may have changed
 MOST_WAITING = 4096  # requests remembered as counted while they wait
 STRIKES = {Outcome.FAILED: 1.0, Outcome.UNREACHABLE: 1.0, Outcome.LOST: 1.0, Outcome.REJECTED_FULL: 0.5}
 
@@ -60,7 +61,7 @@
         self.admission = Admission(self.options, self._draw)
         self._demand: dict[RequestClass, list[float]] = {}
         self._expected_prefill: dict[str, float] = {}  # of requests that were chosen for and not sent yet
-        self._counted: dict[str, None] = {}  # requests that wait, and were counted as demand
+        self._counted: dict[str, float] = {}  # requests that wait, and when they were last counted as missing
 
     # --- what the edge tells ------------------------------------------------------------------------------
 
@@ -192,7 +193,7 @@
             self.admission.note_arrival(request)
         holders = self.market.holders(request_class) or self._silent_holders(request_class)
         if not holders:
-            return self._missing(request, request_class, first_time)
+            return self._missing(request, request_class)
         self.admission.found(request_class, now_s)
         fit = [w for w in holders if w.instance not in excluded]
         if not fit:
@@ -205,10 +206,11 @@
         now_s = self.market.now_s
         return [w for w in self._silent if w.record.service == service and w.holds(model, adapter, now_s)]
 
-    def _missing(self, request: RequestProfile, request_class: RequestClass, first_time: bool) -> Choice:
-        if first_time:
+    def _missing(self, request: RequestProfile, request_class: RequestClass) -> Choice:
+        counted_s = self._counted.get(request.request)
+        if counted_s is None or self.market.now_s - counted_s > MISSING_AGAIN_S:
             self._demand.setdefault(request_class, [0.0, 0.0])[1] += 1
-            self._counted[request.request] = None
+            self._counted[request.request] = self.market.now_s
             if len(self._counted) > MOST_WAITING:
                 del self._counted[next(iter(self._counted))]
         serving = [w for w in self._workers.values() if w.available and w.record.service == request.service]
