--- a/arrowfold/placement/corrections.py
+++ b/arrowfold/placement/corrections.py
@@ -33,18 +33,21 @@
     versions = {model.name: model.version for model in record.models}
     return tuple(
         HeldModel(name, versions.get(name, 1), _ready_adapters(worker, name))
-        for name in sorted(worker.holdings)
+        for name in sorted({*worker.holdings, worker.arriving_model() or ""})
         if worker.holds(name)
     )
 
 
 def _ready_adapters(worker: WorkerState, model: str) -> tuple[str, ...]:
-    return tuple(name for name in sorted(worker.holdings[model].adapters) if worker.holds(model, name))
+    holding = worker.holdings.get(model)
+    if holding is None:
+        return ()
+    return tuple(name for name in sorted(holding.adapters) if worker.holds(model, name))
 
 
 def _arriving(worker: WorkerState, now_s: float) -> tuple[ArrivingModel, ...]:
     pending = worker.pending
-    if pending is None or pending.phase is not OrderPhase.RUNNING:
+    if pending is None or pending.phase is not OrderPhase.RUNNING or pending.presumed_done:
         return ()
     if pending.order.operation is not Operation.LOAD or math.isinf(pending.expected_done_s):
         return ()
--- a/arrowfold/placement/fleet.py
+++ b/arrowfold/placement/fleet.py
@@ -70,7 +70,15 @@
         return {worker.zone for worker in self.holders(model)}
 
     def load_of(self, worker: WorkerState, demand: DemandEstimator, now_s: float) -> float:
-        """Requests that run on this worker, if each model's workload is spread evenly over its copies."""
-        return sum(
-            demand.model(model).workload(now_s) / max(1, self.copies(model)) for model in worker.holdings
-        )
+        """Requests that run on this worker, if each class's workload is spread evenly over its holders."""
+        load = 0.0
+        for model, holding in worker.holdings.items():
+            load += demand.of_class(ModelClass(model)).workload(now_s) / max(1, self.copies(model))
+            for adapter in holding.adapters:
+                key = ModelClass(model, adapter)
+                load += demand.of_class(key).workload(now_s) / max(1, self.adapter_copies(key))
+        return load
+
+    def adapter_copies(self, key: ModelClass) -> int:
+        """Workers that hold this adapter and will stay."""
+        return sum(1 for worker in self.holders(key.model) if worker.holds(key.model, key.adapter))
--- a/arrowfold/placement/placer.py
+++ b/arrowfold/placement/placer.py
@@ -30,6 +30,7 @@
 from arrowfold.placement.worker_state import OrderPhase, PendingOrder, WorkerState
 
 REPORT_LAG_S = 0.2  # a report shows a state that is some hundred milliseconds old
+LONGEST_REPORT_LAG_S = 0.3  # a report that is read so long after an expected end should show it
 REPORT_AGAIN_S = 0.15
 UNANSWERED_REPORT_S = 0.8  # by then an order without an answer has arrived or never will
 FAILURE_PAUSE_S = 0.25
@@ -95,7 +96,7 @@
         times = [now_s + IDLE_WAKEUP_S]
         for worker in self._fleet.workers.values():
             times.append(worker.report_due_s)
-            if worker.pending is not None:
+            if worker.pending is not None and not worker.pending.presumed_done:
                 times.append(worker.pending.expected_done_s)
         return max(now_s, min(times))
 
@@ -202,13 +203,17 @@
             self._times.unload_seen(in_time)
 
     def _finish_short_orders(self, now_s: float) -> None:
-        """Orders that take milliseconds count as done after them; the next order's revision proves it."""
+        """Orders count as done after their time; loads of weights until a report tells otherwise."""
         for worker in self._fleet.workers.values():
             pending = worker.pending
-            if pending is None or pending.phase is not OrderPhase.RUNNING or worker.report_wanted:
+            if pending is None or pending.phase is not OrderPhase.RUNNING:
                 continue
-            if now_s >= pending.expected_done_s:
+            if now_s < pending.expected_done_s:
+                continue
+            if not worker.report_wanted:
                 self._done(worker, now_s)
+            elif pending.order.loads_weights:
+                pending.presumed_done = True
 
     def _done(self, worker: WorkerState, now_s: float) -> None:
         pending = worker.pending
@@ -227,6 +232,7 @@
         worker.revision = report.revision
         if report.busy:
             worker.report_due_s = now_s + REPORT_AGAIN_S
+            self._not_done_yet(pending, now_s)
             return
         if pending is not None and pending.phase is OrderPhase.SENT:
             worker.report_due_s = now_s + REPORT_AGAIN_S  # its answer is still on the way
@@ -235,6 +241,13 @@
         self._fleet.remember(worker)
         self._measure(pending, worker, now_s)
 
+    def _not_done_yet(self, pending: PendingOrder | None, now_s: float) -> None:
+        if pending is None or not pending.presumed_done:
+            return
+        if now_s - pending.expected_done_s > LONGEST_REPORT_LAG_S:
+            pending.presumed_done = False
+            pending.expected_done_s = now_s + REPORT_AGAIN_S
+
     def _measure(self, pending: PendingOrder | None, worker: WorkerState, now_s: float) -> None:
         if pending is None or not pending.order.loads_weights or pending.phase is not OrderPhase.RUNNING:
             return
--- a/arrowfold/placement/planner.py
+++ b/arrowfold/placement/planner.py
@@ -132,8 +132,8 @@
             workload = self._demand.of_class(key).workload(context.now_s)
             if workload < ADAPTER_WORKLOAD or not context.catalogue.known(key.model, key.adapter):
                 continue
-            holders = [holder for holder in self._fleet.holders(key.model) if holder.holds(*_names(key))]
-            if holders and len(holders) < workload / ADAPTER_WORKLOAD and not self._is_coming(key):
+            copies = self._fleet.adapter_copies(key)
+            if 0 < copies < workload / ADAPTER_WORKLOAD and not self._is_coming(key):
                 self._choose_worker(context, key, urgent=False)
 
     def _loads_planned(self) -> int:
@@ -200,7 +200,3 @@
 
 def _urgency(intent: LoadIntent) -> tuple[bool, float]:
     return not intent.urgent, intent.since_s
-
-
-def _names(key: ModelClass) -> tuple[str, str]:
-    return key.model, key.adapter
--- a/arrowfold/placement/valuation.py
+++ b/arrowfold/placement/valuation.py
@@ -12,7 +12,7 @@
 from arrowfold.placement.worker_state import WorkerState
 
 MISS_COST = 1.0  # worth lost by a request that has to wait for a load, with the load's own price
-QUEUE_COST = 0.02  # worth a second that one request running beside another costs
+QUEUE_COST = 0.06  # worth a second that one request running beside another costs
 SPARE_COPY_WORTH = 0.05  # a second copy, for each request a second: the holder may fail
 SPARE_COPY_RATE_S = 2.0  # requests a second beyond which the second copy gains no more by this
 ADAPTER_MISS_COST = 0.1  # worth lost by a request that has to wait for an adapter
--- a/arrowfold/placement/worker_state.py
+++ b/arrowfold/placement/worker_state.py
@@ -37,6 +37,7 @@
     accepted_s: float = math.inf
     expected_done_s: float = math.inf
     from_own_disk: bool = False
+    presumed_done: bool = False  # its time is over; the next report will tell
 
 
 @dataclass(slots=True)
@@ -97,7 +98,9 @@
     def holds(self, model: str, adapter: str = "") -> bool:
         """True if requests for this class can be sent there now."""
         holding = self.holdings.get(model)
-        if holding is None or self.leaving_model() == model:
+        if holding is None:
+            return not adapter and self.arriving_model() == model and self._is_presumed_done()
+        if self.leaving_model() == model:
             return False
         if adapter and self._is_pending(Operation.UNLOAD, model, adapter):
             return False
@@ -158,6 +161,9 @@
             return math.inf
         return spec.weights_mb + adapters * spec.adapter_size_mb
 
+    def _is_presumed_done(self) -> bool:
+        return self.pending is not None and self.pending.presumed_done
+
     def _pending_model(self, operation: Operation) -> str | None:
         pending = self.pending
         if pending is None or pending.order.operation is not operation or pending.order.adapter:
