--- a/arrowfold/controlplane/placement_executor.py
+++ b/arrowfold/controlplane/placement_executor.py
@@ -97,7 +97,10 @@
 
 
 class PlacementExecutor:
-    """Runs the placement of one service for as long as one lease lasts."""
+    """Runs the placement of one service for as long as one tenure of its role lasts.
+
+    Until this node may act under the role it learns demand and reads reports, so that it is prepared then.
+    """
 
     def __init__(
         self,
@@ -140,8 +143,6 @@
             await self._finish()
 
     def _step(self) -> None:
-        if self._lease.remaining_s() < ARRIVAL_S:
-            return
         catalogue = self._ports.catalogue(self._service)
         if catalogue is None:
             return
@@ -153,7 +154,8 @@
             self._placer = ServicePlacer(catalogue, ceiling)
         self._placer.apply_catalogue(catalogue)
         self._placer.apply_workers(self._ports.workers(), now_s)
-        actions = self._placer.actions(now_s)
+        may_order = self._lease.remaining_s() >= ARRIVAL_S
+        actions = self._placer.actions(now_s, may_order)
         self._publish(self._placer.corrections(now_s))
         for action in actions:
             self._start(self._placer, action)
--- a/arrowfold/controlplane/placement_service.py
+++ b/arrowfold/controlplane/placement_service.py
@@ -91,10 +91,10 @@
             running = self._executors.get(service)
             if running is not None and not running[1].done():
                 continue
-            held = self._authority.held(placement_role(service))
-            if held is None:
+            tenure = self._authority.tenure(placement_role(service))
+            if tenure is None:
                 continue
-            lease = HeldRoleLease(self._authority, held, self._clock)
+            lease = HeldRoleLease(self._authority, tenure, self._clock)
             executor = PlacementExecutor(service, lease, self, self._bounds, session, self._clock)
             self._executors[service] = (executor, asyncio.create_task(executor.run()))
             self._log.info("placement.owned", service=service, token=lease.token)
--- a/arrowfold/placement/placer.py
+++ b/arrowfold/placement/placer.py
@@ -67,17 +67,20 @@
         own = [seen for seen in report.classes if seen.service == self._catalogue.service]
         self._demand.add(own, now_s)
 
-    def actions(self, now_s: float) -> list[Action]:
+    def actions(self, now_s: float, may_order: bool = True) -> list[Action]:
         """What to send now; every order and report given here is answered by a later call."""
         if self.fenced:
             return []
         self._finish_short_orders(now_s)
-        actions: list[Action] = []
+        orders = self._orders(now_s) if may_order else []
+        return orders + self._reports(now_s)
+
+    def _orders(self, now_s: float) -> list[Action]:
+        orders: list[Action] = []
         for planned in self._planner.plan(self._catalogue, now_s):
             if self._may_send(planned, now_s):
-                actions.append(self._send(planned, now_s))
-        actions.extend(self._reports(now_s))
-        return actions
+                orders.append(self._send(planned, now_s))
+        return orders
 
     def corrections(self, now_s: float) -> tuple[WorkerCorrection, ...]:
         """What the last heartbeats don't tell: what stands ready, leaves and arrives."""
@@ -95,7 +98,8 @@
         """When `actions` should be asked again at the latest."""
         times = [now_s + IDLE_WAKEUP_S]
         for worker in self._fleet.workers.values():
-            times.append(worker.report_due_s)
+            if worker.serves:
+                times.append(worker.report_due_s)
             if worker.pending is not None and not worker.pending.presumed_done:
                 times.append(worker.pending.expected_done_s)
         return max(now_s, min(times))
--- a/arrowfold/replication/roles.py
+++ b/arrowfold/replication/roles.py
@@ -9,7 +9,7 @@
 
 import hashlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from arrowfold.replication.ports import Clock
 from arrowfold.replication.proposals import Proposal, ReplicaPort
@@ -64,20 +64,26 @@
         tenure = self._replica.committed.roles.get(role)
         return tenure is not None and (tenure.member, tenure.token) == (self._replica.member, token)
 
-    def held(self, role: str) -> HeldRole | None:
-        """This member's tenure of a role, if it may act under it at this moment."""
+    def tenure(self, role: str) -> HeldRole | None:
+        """This member's tenure of a role, whether or not it may act under it yet; no authority is told."""
         tenure = self._replica.committed.roles.get(role)
-        if tenure is None or tenure.member != self._replica.member or not self._replica.is_current():
+        if tenure is None or tenure.member != self._replica.member:
             return None
         learned = self._learned.get(tenure.token)
         if learned is None:
             return None
-        since = learned + (self._wait_s if tenure.previous else 0.0)
+        return HeldRole(role, tenure.token, learned + (self._wait_s if tenure.previous else 0.0), 0.0)
+
+    def held(self, role: str) -> HeldRole | None:
+        """This member's tenure of a role, if it may act under it at this moment."""
+        tenure = self.tenure(role)
+        if tenure is None or not self._replica.is_current():
+            return None
         now = self._clock()
         authority_until = self._authority_until()
-        if now < since or now >= authority_until:
+        if now < tenure.since or now >= authority_until:
             return None
-        return HeldRole(role, tenure.token, since, authority_until)
+        return replace(tenure, authority_until=authority_until)
 
 
 class HeldRoleLease:
