--- a/arrowfold/selection/engine_worker.py
+++ b/arrowfold/selection/engine_worker.py
@@ -24,6 +24,7 @@
     sent_s: float
     prefill_tokens: float  # that the worker had to read, as far as known
     backlog_tokens: float  # of this edge's requests that it read first
+    expected_s: float = 0.0  # to the first event, had nobody else been there
     first_event_s: float | None = None
     overdue: bool = False
 
@@ -44,7 +45,7 @@
         self.heard_s: float | None = None
         self.slots = max(1, record.capacity_slots)
         self.pace = MovingMean()  # its times to the first event over those expected
-        self.refused_s = -60.0  # when it last turned a request away
+        self.delay_s, self.delay_at_s = 0.0, 0.0  # how much later than expected first events came there
         self._strikes, self._strike_s = 0.0, 0.0
         self.misdirected: dict[tuple[str, str], float] = {}  # when it denied holding a class
 
@@ -94,6 +95,21 @@
             return 0.0
         return float(self._strikes * 2 ** (-(now_s - self._strike_s) / half_life_s))
 
+    def note_delay(self, delay_s: float, now_s: float) -> None:
+        """A first event came so much later than expected."""
+        self.delay_s, self.delay_at_s = max(0.0, delay_s), now_s
+
+    def delay(self, now_s: float, half_life_s: float) -> float:
+        """How much later than expected a first event would come now: others' requests are in the way.
+
+        By the last first event, fading, and by those that are overdue.
+        """
+        delay_s = self.delay_s * 2 ** (-(now_s - self.delay_at_s) / half_life_s)
+        for flight in self.in_flight.values():
+            if flight.first_event_s is None:
+                delay_s = max(delay_s, now_s - flight.sent_s - flight.expected_s)
+        return float(delay_s)
+
     def own_tokens(self) -> float:
         """KV memory that this edge's requests there take, in tokens."""
         return float(sum(f.request.prompt_tokens + f.request.output_tokens for f in self.in_flight.values()))
--- a/arrowfold/selection/first_events.py
+++ b/arrowfold/selection/first_events.py
@@ -9,7 +9,8 @@
 from arrowfold.selection.prompt_parts import shared_parts
 
 FEWEST_SAMPLES = 5  # of a model, before its own line is trusted
-FASTEST, SLOWEST = 0.5, 3.0  # bounds of a worker's pace against the others'
+MOST_SURPRISE = 2.0  # a sample counts at most so many times what was expected
+FASTEST, SLOWEST = 0.5, 2.0  # bounds of a worker's pace against the others'
 
 
 class FirstEventEstimate:
@@ -61,11 +62,17 @@
             return 0.0
         read = prefill_tokens + worker.backlog_tokens(now_s, trend.slope)
         expected = trend.at(read) * min(SLOWEST, max(FASTEST, worker.pace.get(1.0)))
+        expected += worker.delay(now_s, self._options.delay_half_life_s)
         ahead = worker.out + others + 1 - worker.slots
         if ahead > 0:
             expected += ahead / worker.slots * self.run_s(request.service)
         return expected
 
+    def alone_s(self, request: RequestProfile, read_tokens: float) -> float:
+        """Seconds to the first event where nothing of others is in the way; 0 while nothing is known."""
+        trend = self._trend(request.service, request.model)
+        return trend.at(read_tokens) if trend is not None else 0.0
+
     def run_s(self, service: str) -> float:
         """Mean time from a send to its outcome."""
         runs = self._runs.get(service)
@@ -78,7 +85,9 @@
         read = flight.prefill_tokens + flight.backlog_tokens
         trend = self._trends.get((request.service, request.model))
         if trend is not None and trend.samples >= FEWEST_SAMPLES and (expected := trend.at(read)) > 0:
-            worker.pace.add(min(SLOWEST, took / expected))
+            worker.note_delay(took - expected, now_s)
+            took = min(took, MOST_SURPRISE * expected)  # the line is of workers that nobody else keeps busy
+            worker.pace.add(took / expected)
         for name in {(request.service, request.model), (request.service, "")}:
             self._trends.setdefault(name, Trend()).add(read, took)
 
--- a/arrowfold/selection/market_selector.py
+++ b/arrowfold/selection/market_selector.py
@@ -123,7 +123,10 @@
         if prefill_tokens is None:
             prefill_tokens = self.first_events.prefill_tokens(worker, request, None)
         backlog_tokens = worker.backlog_tokens(now_s, seconds_per_token)
-        worker.in_flight[request.request] = InFlight(request, now_s, prefill_tokens, backlog_tokens)
+        expected_s = self.first_events.alone_s(request, prefill_tokens + backlog_tokens)
+        worker.in_flight[request.request] = InFlight(
+            request, now_s, prefill_tokens, backlog_tokens, expected_s
+        )
         worker.kept.add(request)
 
     def first_event(self, request: RequestProfile, instance: str, now_s: float) -> None:
@@ -144,8 +147,6 @@
         flight = worker.in_flight.pop(request.request, None)
         if outcome in STRIKES:
             worker.strike(now_s, self.options.strike_half_life_s, STRIKES[outcome])
-        if outcome is Outcome.REJECTED_FULL:
-            worker.refused_s = now_s
         if outcome is Outcome.MISDIRECTED:
             worker.misdirected[request.model, request.adapter] = now_s
             self.market.forget_holders(class_of(request))
--- a/arrowfold/selection/options.py
+++ b/arrowfold/selection/options.py
@@ -27,6 +27,7 @@
     placement_delay_s: float = 0.8  # from a model's first request to its load, and the news of its end
     refuse_missing: bool = False  # refuse at once what a load can't serve in time, with its end as advice
     strike_half_life_s: float = 4.0  # a failure raises a worker's load, and fades
+    delay_half_life_s: float = 1.0  # what first events came later than expected at a worker fades
     others_half_life_s: float = 3.0  # what others had at a worker fades into their mean
     busy_share: float = 0.5  # a service with fewer of its places taken refuses nothing
     idle_class_s: float = 60.0  # a class that nobody asked for this long is forgotten
