--- a/arrowfold/selection/interface.py
+++ b/arrowfold/selection/interface.py
@@ -12,7 +12,6 @@
 
 from arrowfold.internal.messages import ClassDemand, WorkerRecord
 
-
 # Clients give up a stream after a silence of the longest of these (the protocol of the system, requests).
 LEAST_SILENCE_S = 2.0
 SILENCE_OBJECTIVES = 4.0
