--- a/arrowfold/selection/engine_worker.py
+++ b/arrowfold/selection/engine_worker.py
@@ -24,6 +24,7 @@
     sent_s: float
     prefill_tokens: float  # that the worker had to read, as far as known
     backlog_tokens: float  # of this edge's requests that it read first
+    expected_s: float = 0.0  # to the first event, had nobody else been there
     first_event_s: float | None = None
     overdue: bool = False
 
@@ -36,15 +37,17 @@
         self.instance = record.instance
         self.mark = name_mark(record.instance)
         self.held = {model.name: frozenset(model.adapters) for model in record.models}
+        self.arrivals: dict[tuple[str, str], float] = {}  # when what is being loaded is there
         self.tokens: list[Token[EngineWorker]] = []
         self.in_flight: dict[str, InFlight] = {}
         self.kv_tokens = max(1, record.capacity_slots) * KV_TOKENS_PER_SLOT
         self.kept = KeptParts(self.kv_tokens)
         self.others = 0.0  # requests of other edges there, by the last report
+        self.waiting_others = 0.0  # those of them that waited for their first event
         self.heard_s: float | None = None
         self.slots = max(1, record.capacity_slots)
         self.pace = MovingMean()  # its times to the first event over those expected
-        self.refused_s = -60.0  # when it last turned a request away
+        self.delay_s, self.delay_at_s = 0.0, 0.0  # how much later than expected first events came there
         self._strikes, self._strike_s = 0.0, 0.0
         self.misdirected: dict[tuple[str, str], float] = {}  # when it denied holding a class
 
@@ -58,9 +61,10 @@
         """This edge's requests there."""
         return len(self.in_flight)
 
-    def take(self, record: WorkerRecord) -> bool:
+    def take(self, record: WorkerRecord, now_s: float) -> bool:
         """Take a newer record; True if who holds what, or who serves, has changed."""
         before, self.record = self.record, record
+        self.take_arrivals(now_s)
         if record.models is not before.models and record.models != before.models:
             self.held = {model.name: frozenset(model.adapters) for model in record.models}
             self.kept.forget_model(frozenset(self.held))
@@ -68,6 +72,20 @@
             return True
         return record.state != before.state
 
+    def take_arrivals(self, now_s: float) -> None:
+        """Note when what is being loaded there is expected to be there."""
+        arriving = self.record.arriving
+        if arriving or self.arrivals:
+            self.arrivals = {(item.model, item.adapter): now_s + item.ready_in_s for item in arriving}
+
+    def arrival_s(self, model: str, adapter: str) -> float | None:
+        """When a class that is being loaded is expected to be there; None if it is not."""
+        if not self.arrivals:
+            return None
+        if adapter and model not in self.held:
+            return self.arrivals.get((model, ""))
+        return self.arrivals.get((model, adapter))
+
     def holds(self, model: str, adapter: str, now_s: float) -> bool:
         """Whether it can run requests of a class by its last record, and did not deny that lately."""
         if not model:
@@ -94,6 +112,31 @@
             return 0.0
         return float(self._strikes * 2 ** (-(now_s - self._strike_s) / half_life_s))
 
+    def note_delay(self, delay_s: float, now_s: float) -> None:
+        """A first event came so much later than expected."""
+        self.delay_s, self.delay_at_s = max(0.0, delay_s), now_s
+
+    def delay(self, now_s: float, half_life_s: float) -> float:
+        """How much later than expected a first event would come now: others' requests are in the way.
+
+        By the last first event, fading, and by those that are overdue.
+        """
+        delay_s = self.delay_s * 2 ** (-(now_s - self.delay_at_s) / half_life_s)
+        for flight in self.in_flight.values():
+            if flight.first_event_s is None:
+                delay_s = max(delay_s, now_s - flight.sent_s - flight.expected_s)
+        return float(delay_s)
+
+    def unstarted(self) -> int:
+        """This edge's requests there that have no first event yet."""
+        return sum(flight.first_event_s is None for flight in self.in_flight.values())
+
+    def waiting_of_others(self, now_s: float, half_life_s: float) -> float:
+        """Other edges' requests that wait there, by the last report, fading."""
+        if self.heard_s is None or not self.waiting_others:
+            return 0.0
+        return float(self.waiting_others * 2 ** (-(now_s - self.heard_s) / half_life_s))
+
     def own_tokens(self) -> float:
         """KV memory that this edge's requests there take, in tokens."""
         return float(sum(f.request.prompt_tokens + f.request.output_tokens for f in self.in_flight.values()))
