--- /dev/null
+++ b/benchmarks/capacity/system/__init__.py
@@ -0,0 +1,1 @@
+"""Scale tests of the whole system's roles (edge and control), behind docs/CAPACITY.md."""
--- /dev/null
+++ b/benchmarks/capacity/system/failover.py
@@ -0,0 +1,205 @@
+"""Replication over regions in virtual time: commit, fail-over and a region cut off for a while."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import statistics
+from collections.abc import Callable
+from typing import Any
+
+from result import Ok
+
+from arrowfold.internal.messages import MemberInfo
+from arrowfold.replication.durable import DurableImage, image_of
+from arrowfold.replication.identity import draw_identity
+from arrowfold.replication.member import GroupMember
+from arrowfold.replication.proposals import Proposal
+from arrowfold.replication.replica import Replica
+from arrowfold.replication.state import ConfigurationStep, ControlState
+from arrowfold.replication.timings import Timings
+from arrowfold.storage.log import SegmentedLog
+from benchmarks.capacity.results import Figures
+from benchmarks.capacity.system import target
+from benchmarks.capacity.system.documents import DIGEST, change_of_one_route, document_text
+from benchmarks.capacity.system.population import zone_name
+from benchmarks.capacity.system.virtual_time import (
+    DelayNetwork,
+    MemoryFolder,
+    NetworkCaller,
+    SilentLog,
+    TimedDiskWorker,
+    run_virtual,
+)
+
+IN_REGION_S = 0.0005  # one way
+SYNC_S = 0.005
+SETTLING_S = 10.0
+PATIENCE_S = 30.0
+LOOK_S = 0.005
+COMMITS = 20
+FAILURES = 8
+AT_REST_S = 20.0
+
+
+class Group:
+    """Control members of a fleet: their replicas, round one network."""
+
+    def __init__(self, members: int, losses: int, cross_region_s: float, seed: int) -> None:
+        self._losses = losses
+        self._draw = random.Random(seed)
+        self.addresses = [f"10.1.{number}.35:7660" for number in range(members)]
+        self.region = {address: number % target.REGIONS for number, address in enumerate(self.addresses)}
+        self.network = DelayNetwork(
+            lambda one, other: IN_REGION_S if self.region[one] == self.region[other] else cross_region_s
+        )
+        self.replicas: dict[str, Replica] = {}
+        self._running: dict[str, asyncio.Task[None]] = {}
+        self._version = 0
+        self.stuck = 0
+
+    async def start(self) -> None:
+        """Found the group and wait until every member is a witness."""
+        seeds = tuple(self.addresses[:3])
+        for number, address in enumerate(self.addresses):
+            self._start_member(number, address, seeds)
+            await asyncio.sleep(self._draw.uniform(0.0, 0.1))
+        await self._until(self._is_whole)
+
+    def _start_member(self, number: int, address: str, seeds: tuple[str, ...]) -> None:
+        clock = asyncio.get_running_loop().time
+        folder = MemoryFolder()
+        identity = draw_identity(folder, True, seeds)
+        log = SegmentedLog(folder)
+        image = DurableImage(log, TimedDiskWorker(SYNC_S), clock, image_of(log.recover()))
+        info = MemberInfo(identity.member, f"core-{number}", address, address, zone_name(number))
+        member = GroupMember(info, True, image, clock, Timings(), SilentLog())
+        caller = NetworkCaller(self.network, address)
+        draw = random.Random(self._draw.random())
+        replica = Replica(member, caller, seeds, self._losses, SilentLog(), draw)
+        self.network.handlers[address] = replica.handlers()
+        self.replicas[address] = replica
+        self._running[address] = asyncio.create_task(replica.run())
+
+    def _is_whole(self) -> bool:
+        primary = self.primary()
+        if primary is None:
+            return False
+        record = self.replicas[primary].group_member.image.record
+        return record is not None and len(record.group) == len(self.addresses)
+
+    def primary(self) -> str | None:
+        """The address of the active primary that is alive, if there is one."""
+        for address, replica in self.replicas.items():
+            if address not in self.network.dead and replica.is_primary():
+                return address
+        return None
+
+    async def _until(self, reached: Callable[[], bool]) -> float:
+        """Seconds until something holds; after `PATIENCE_S` it is counted in `stuck` and given up."""
+        clock = asyncio.get_running_loop().time
+        started = clock()
+        while not reached():
+            if clock() - started > PATIENCE_S:
+                self.stuck += 1
+                break
+            await asyncio.sleep(LOOK_S)
+        return clock() - started
+
+    async def commit(self) -> float:
+        """Seconds that one change of configuration takes at the primary."""
+        clock = asyncio.get_running_loop().time
+        started = clock()
+        while clock() - started < PATIENCE_S:
+            primary = self.primary()
+            if primary is not None:
+                result = await self.replicas[primary].propose(self._decide)
+                if isinstance(result, Ok):
+                    return clock() - started
+            await asyncio.sleep(LOOK_S)
+        self.stuck += 1
+        return clock() - started
+
+    def _decide(self, state: ControlState) -> Proposal[int]:
+        self._version += 1
+        text = document_text(target.MODELS, target.ADAPTERS, target.ROUTES, self._version)
+        digest = DIGEST[8:] + self._version.to_bytes(8, "big")
+        step = ConfigurationStep(self._version, digest, text, change_of_one_route(self._version))
+        return Proposal(state.sequence, step)
+
+    async def lose_primary(self) -> tuple[float, float]:
+        """Freeze the primary: seconds until another leads, and until a change is committed; then thaw it."""
+        clock = asyncio.get_running_loop().time
+        await self._until(lambda: self.primary() is not None)
+        lost = self.primary() or self.addresses[0]
+        started = clock()
+        self.network.dead.add(lost)
+        await self._until(lambda: self.primary() is not None)
+        leads_s = clock() - started
+        await self.commit()
+        committed_s = clock() - started
+        self.network.dead.discard(lost)
+        await self._until(self._is_whole)
+        await asyncio.sleep(2.0 + self._draw.random())
+        return leads_s, committed_s
+
+    async def cut_off_region(self, length_s: float) -> Figures:
+        """Cut the primary's region off for a while, with changes meanwhile, and heal it."""
+        clock = asyncio.get_running_loop().time
+        await self._until(lambda: self.primary() is not None)
+        lost = self.primary() or self.addresses[0]
+        for address in self.addresses:
+            self.network.islands[address] = int(self.region[address] == self.region[lost])
+        started = clock()
+        await self._until(
+            lambda: any(
+                self.replicas[address].is_primary() for address in self.addresses if not self.network.islands[address]
+            )
+        )
+        away_s = clock() - started
+        both = sum(replica.is_primary() for replica in self.replicas.values())
+        await asyncio.sleep(max(0.0, length_s - away_s))
+        before = self.network.call_bytes
+        self.network.islands.clear()
+        healed = clock()
+        await self._until(self._is_whole)
+        return {
+            "cut_leads_s": away_s,
+            "cut_primaries": float(both),
+            "heal_s": clock() - healed,
+            "heal_bytes": float(self.network.call_bytes - before),
+        }
+
+
+async def _story(members: int, losses: int, cross_region_s: float, seed: int) -> Figures:
+    group = Group(members, losses, cross_region_s, seed)
+    await group.start()
+    await asyncio.sleep(SETTLING_S)
+    commits = [await group.commit() for _ in range(COMMITS)]
+    before_calls, before_bytes = sum(group.network.calls.values()), group.network.call_bytes
+    await asyncio.sleep(AT_REST_S)
+    rest_calls = (sum(group.network.calls.values()) - before_calls) / AT_REST_S
+    rest_bytes = (group.network.call_bytes - before_bytes) / AT_REST_S
+    before_bytes = group.network.call_bytes
+    await group.commit()
+    commit_bytes = group.network.call_bytes - before_bytes
+    losses_s = [await group.lose_primary() for _ in range(FAILURES)]
+    cut = await group.cut_off_region(60.0)
+    return {
+        "commit_ms": statistics.median(commits) * 1000,
+        "rest_calls_a_second": rest_calls,
+        "rest_bytes_a_second": rest_bytes,
+        "commit_bytes": float(commit_bytes),
+        "failover_s": statistics.median(leads for leads, _ in losses_s),
+        "failover_most_s": max(leads for leads, _ in losses_s),
+        "failover_commit_s": max(committed for _, committed in losses_s),
+        **cut,
+        "stuck": float(group.stuck),
+    }
+
+
+def failover(members: int, losses: int, cross_region_ms: float, seed: int) -> Figures:
+    """A group of so many members over six regions, with this delay one way between regions."""
+    story: Any = _story(members, losses, cross_region_ms / 1000, seed)
+    figures: Figures = run_virtual(story)
+    return figures
--- /dev/null
+++ b/benchmarks/capacity/system/hollow_edges.py
@@ -0,0 +1,135 @@
+"""Hollow edges: the program's own pulls and tables, many in one process, without fronts and requests.
+
+Edges may begin with the tables of the first one, which are immutable, so that hundreds can share a process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+import sys
+from typing import Any
+
+from arrowfold.dataplane.puller import ControlPuller
+from arrowfold.dataplane.tables import FleetTables
+from arrowfold.internal.channel import ChannelClient
+from arrowfold.node.logs import RateLimitedLog, configure
+from benchmarks.capacity.system.hollow_processes import Answer, serve_commands
+from benchmarks.capacity.system.population import edge_identity
+
+BYTES_ACKED_AT = 120  # in the kernel's `tcp_info`: bytes_acked, then bytes_received
+TCP_INFO_BYTES = 136
+LOOK_S = 0.05
+
+
+def connection_bytes(client: ChannelClient) -> tuple[int, int]:
+    """Bytes sent and received on the connections that are open, headers of packets apart."""
+    sent = received = 0
+    for connection in client._connections.values():
+        endpoint = connection.writer.get_extra_info("socket")
+        if endpoint is None or connection.closed:
+            continue
+        info = endpoint.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        acked, got = struct.unpack_from("QQ", info, BYTES_ACKED_AT)
+        sent, received = sent + acked, received + got
+    return sent, received
+
+
+class HollowEdge:
+    """One edge's pulls and tables."""
+
+    def __init__(self, number: int, seeds: tuple[str, ...]) -> None:
+        self.number = number
+        self._seeds = seeds
+        self.changes = 0
+        self.tables = FleetTables()
+        self.client = ChannelClient()
+        self.puller: ControlPuller | None = None
+
+    def start(self, like: HollowEdge | None) -> None:
+        """Begin to pull, with nothing or with what another edge holds."""
+        if like is not None:
+            self.tables.snapshot = like.tables.snapshot
+            self.tables.vector = dict(like.tables.vector)
+        log = RateLimitedLog(f"hollow-{self.number}")
+        identity = edge_identity(self.number)
+        self.puller = ControlPuller(self.client, self.tables, identity, self._seeds, self._changed, log)
+        self.puller.start()
+
+    def _changed(self) -> None:
+        self.changes += 1
+
+    def stop(self) -> None:
+        """End all pulls and forget all tables."""
+        assert self.puller is not None
+        self.puller.stop()
+        self.client.close()
+        self.client = ChannelClient()
+        self.tables = FleetTables()
+
+    def knows(self, workers: int) -> bool:
+        """Whether a configuration and so many workers are known."""
+        snapshot = self.tables.snapshot
+        return snapshot.configuration is not None and len(snapshot.workers) >= workers
+
+
+class HollowEdges:
+    """All hollow edges of this process."""
+
+    def __init__(self, first: int, count: int, seeds: list[str], workers: int) -> None:
+        self._edges = [HollowEdge(first + number, tuple(seeds)) for number in range(count)]
+        self._workers = workers
+
+    async def handle(self, command: str) -> Answer:
+        """`start`, `restart` (with empty tables, all at once) or `figures`."""
+        if command == "start":
+            await self._start()
+        elif command == "restart":
+            return {"all_s": await self._restart()}
+        return self._figures()
+
+    async def _start(self) -> None:
+        first = self._edges[0]
+        first.start(None)
+        while not first.knows(self._workers):
+            await asyncio.sleep(LOOK_S)
+        for edge in self._edges[1:]:
+            edge.start(first)
+            await asyncio.sleep(0.003)
+
+    async def _restart(self) -> float:
+        loop = asyncio.get_running_loop()
+        for edge in self._edges:
+            edge.stop()
+        started = loop.time()
+        for edge in self._edges:
+            edge.start(None)
+        while not all(edge.knows(self._workers) for edge in self._edges):
+            await asyncio.sleep(LOOK_S)
+            if loop.time() - started > 60.0:
+                break
+        return loop.time() - started
+
+    def _figures(self) -> Answer:
+        totals = [connection_bytes(edge.client) for edge in self._edges]
+        return {
+            "sent": sum(sent for sent, _ in totals),
+            "received": sum(received for _, received in totals),
+            "changes": sum(edge.changes for edge in self._edges),
+            "connections": sum(len(edge.client._connections) for edge in self._edges),
+            "versions": [
+                edge.tables.snapshot.configuration.version if edge.tables.snapshot.configuration else 0
+                for edge in self._edges
+            ],
+        }
+
+
+async def _run(arguments: dict[str, Any]) -> None:
+    await serve_commands(HollowEdges(**arguments).handle)
+
+
+if __name__ == "__main__":
+    configure("ERROR")
+    asyncio.run(_run(json.loads(sys.argv[1])))
--- /dev/null
+++ b/benchmarks/capacity/system/pulls.py
@@ -0,0 +1,190 @@
+"""Pulls between edges and control nodes: the codec's bytes and time, one change to many edges, edge tables."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+from arrowfold.controlplane.distribution import Distributor
+from arrowfold.controlplane.presence import EdgePresence
+from arrowfold.dataplane.tables import FleetTables
+from arrowfold.internal.codec import decode, encode
+from arrowfold.internal.messages import (
+    STATE_ORIGIN,
+    ConfigurationUpdate,
+    MemberInfo,
+    PullRequest,
+    PullResponse,
+    WorkerRecord,
+)
+from arrowfold.replication.state import ControlState
+from benchmarks.capacity.results import Figures
+from benchmarks.capacity.system import target
+from benchmarks.capacity.system.documents import document_text
+from benchmarks.capacity.system.measuring import MEGABYTE, MICROSECOND, MILLISECOND, held_bytes, processor_s
+from benchmarks.capacity.system.population import (
+    cluster_view,
+    edge_identity,
+    member_name,
+    vector,
+    worker_records,
+)
+from benchmarks.capacity.system.registries import filled_registry
+
+FRAME_BYTES = 4 + 6  # a frame's length, and its head around the body
+EDGE_LIFE_S = 3_600.0
+
+
+def pull(origins: int, seed: int) -> Figures:
+    """One pull at rest and its answer, by the length of the version vector."""
+    del seed
+    request = PullRequest(edge_identity(7), vector(origins), target.EDGE_PULL_S)
+    response = PullResponse(True, cluster_view(target.CONTROL_MACHINES, target.NODES), vector(origins))
+    sent, answered = encode(request), encode(response)
+    codec_s = (
+        processor_s(lambda: encode(request))
+        + processor_s(lambda: decode(sent))
+        + processor_s(lambda: encode(response))
+        + processor_s(lambda: decode(answered))
+    )
+    return {
+        "request_bytes": float(len(sent) + FRAME_BYTES),
+        "response_bytes": float(len(answered) + FRAME_BYTES),
+        "codec_us": codec_s / MICROSECOND,
+        "server_us": (processor_s(lambda: decode(sent)) + processor_s(lambda: encode(response))) / MICROSECOND,
+    }
+
+
+class FixedReplica:
+    """A member whose committed state the test sets."""
+
+    member = member_name(0)
+    epoch = 3
+
+    def __init__(self, members: int) -> None:
+        self.committed = ControlState(sequence=1_500)
+        self._members = cluster_view(members, 0).members
+
+    def members(self) -> tuple[MemberInfo, ...]:
+        """The whole group."""
+        return self._members
+
+    def primary(self) -> MemberInfo | None:
+        """The first member."""
+        return self._members[0]
+
+    def is_primary(self) -> bool:
+        """It is."""
+        return True
+
+    def is_current(self) -> bool:
+        """It is."""
+        return True
+
+    async def propose(self, decide: object) -> object:
+        """Not used here."""
+        raise NotImplementedError
+
+
+def _changed(record: WorkerRecord) -> WorkerRecord:
+    return replace(record, capacity_slots=record.capacity_slots + 1, call_sequence=record.call_sequence + 1)
+
+
+async def _answer_all(edges: int, records: list[WorkerRecord], changes: int, together: bool) -> Figures:
+    registry = filled_registry(records)
+    presence = EdgePresence(time.monotonic, EDGE_LIFE_S)
+    distributor = Distributor(FixedReplica(target.CONTROL_MACHINES), registry, presence, lambda: ())  # type: ignore[arg-type]
+    sent = answers = 0
+    vectors = [distributor.vector() for _ in range(edges)]
+
+    async def follow(edge: int) -> None:
+        nonlocal sent, answers
+        while True:
+            request = PullRequest(edge_identity(edge), vectors[edge], target.EDGE_PULL_S)
+            answer = await distributor.pull(request)
+            sent += len(encode(answer))
+            answers += 1
+            vectors[edge] = answer.vector
+
+    tasks = [asyncio.create_task(follow(edge)) for edge in range(edges)]
+    await asyncio.sleep(0)
+    sent = answers = 0
+    own = [record for record in records if registry.records()[record.instance] is record][:changes]
+    started = time.process_time()
+    for record in own:
+        registry.heard(_changed(record))
+        distributor.wake()
+        if not together:
+            await _settle()
+    await _settle()
+    used_s = time.process_time() - started
+    for task in tasks:
+        task.cancel()
+    count = len(own)
+    return {
+        "change_ms": used_s / count / MILLISECOND,
+        "answers_a_change": answers / count,
+        "bytes_a_change": sent / count,
+    }
+
+
+async def _settle() -> None:
+    for _ in range(6):
+        await asyncio.sleep(0)
+
+
+def distribution(edges: int, workers: int, seed: int) -> Figures:
+    """One worker's news to so many edges that wait in pulls, at one control node; 20 in a row, then at once."""
+    records = worker_records(workers, seed)
+    apart = asyncio.run(_answer_all(edges, records, 10, together=False))
+    burst = asyncio.run(_answer_all(edges, records, 20, together=True))
+    return {
+        **apart,
+        "burst_change_ms": burst["change_ms"],
+        "burst_answers_a_change": burst["answers_a_change"],
+    }
+
+
+def _first_answer(records: list[WorkerRecord]) -> PullResponse:
+    registry = filled_registry(records)
+    document = document_text(target.MODELS, target.ADAPTERS, target.ROUTES)
+    counters = {**registry.vector(), STATE_ORIGIN: 1}
+    updates = (ConfigurationUpdate(1, 1, document), *registry.missing({}))
+    return PullResponse(True, cluster_view(target.CONTROL_MACHINES, target.NODES), counters, updates)
+
+
+def edge_tables(workers: int, seed: int) -> Figures:
+    """An edge's tables of so many workers: the first answer, an answer without news, one change, memory."""
+    records = worker_records(workers, seed)
+    first = _first_answer(records)
+    encoded = encode(first)
+    tables = FleetTables()
+    tables.take(first)
+    idle = PullResponse(True, first.view, first.vector)
+    changed = _changed(records[0])
+
+    def take_change() -> None:
+        nonlocal changed
+        changed = replace(changed, call_sequence=changed.call_sequence + 1)
+        update = replace(first.updates[1], record=changed)
+        tables.take(PullResponse(True, first.view, first.vector, (update,)))
+
+    def take_first() -> FleetTables:
+        empty = FleetTables()
+        empty.take(first)
+        return empty
+
+    def decoded_tables() -> Callable[[], object]:
+        fresh = FleetTables()
+        fresh.take(decode(encoded))
+        return lambda: fresh
+
+    return {
+        "first_bytes": float(len(encoded)),
+        "first_ms": (processor_s(lambda: decode(encoded)) + processor_s(take_first)) / MILLISECOND,
+        "idle_us": processor_s(lambda: tables.take(idle)) / MICROSECOND,
+        "change_us": processor_s(take_change) / MICROSECOND,
+        "megabytes": held_bytes(decoded_tables) / MEGABYTE,
+    }
