--- a/arrowfold/programs/edge.py
+++ b/arrowfold/programs/edge.py
@@ -13,18 +13,20 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import signal
 import sys
 from pathlib import Path
 
+import uvloop
 from docopt import docopt
 from result import Err
 
-from arrowfold.dataplane.least_loaded import LeastLoadedSelector
 from arrowfold.dataplane.node import EdgeNode
 from arrowfold.node.logs import RateLimitedLog, configure
 from arrowfold.node.result_codes import ResultCode
 from arrowfold.node.settings import NodeSettings, load_settings, settings_path
+from arrowfold.selection.market_selector import MarketSelector
 
 SETTINGS_LOOK_S = 1.0  # between looks at the settings file, which may change without a signal
 
@@ -32,7 +34,7 @@
 async def run(path: Path, settings: NodeSettings) -> None:
     """Run an edge node until SIGTERM."""
     log = RateLimitedLog(settings.nodeName)
-    node = EdgeNode(settings, LeastLoadedSelector(), log)
+    node = EdgeNode(settings, MarketSelector(settings.zone, secrets.randbits(64)), log)
     stopped = asyncio.Event()
     reread = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -89,7 +91,8 @@
     if isinstance(loaded, Err):
         print(f"error {ResultCode.SETTINGS_INVALID}: {loaded.unwrap_err()}", file=sys.stderr)
         return 2
-    asyncio.run(run(path, loaded.unwrap()))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run(path, loaded.unwrap()))
     return 0
 
 
