--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -7,8 +7,11 @@
 import click
 
 from benchmarks.capacity import page
-from benchmarks.capacity.points import POINTS
+from benchmarks.capacity.points import POINTS as SERVICE_POINTS
 from benchmarks.capacity.results import Faulty, Point, TooLarge, measure, place, read, write
+from benchmarks.capacity.system.points import POINTS as SYSTEM_POINTS
+
+POINTS: list[Point] = [*SYSTEM_POINTS, *SERVICE_POINTS]
 
 
 def wanted(names: tuple[str, ...], again: bool) -> list[Point]:
--- a/benchmarks/capacity/system/control_processes.py
+++ b/benchmarks/capacity/system/control_processes.py
@@ -30,9 +30,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessUse:
-    """What a process has used: seconds of processor time, and resident bytes now and at its most."""
+    """What a process has used: seconds of processor time, and resident bytes now and at its most.
+
+    `own_s` is the part spent in the program; the rest of `processor_s` is the kernel's work for it.
+    """
 
     processor_s: float
+    own_s: float
     resident_bytes: int
     peak_bytes: int
 
@@ -45,6 +49,7 @@
     )
     return ProcessUse(
         (int(fields[11]) + int(fields[12])) / TICKS_PER_S,
+        int(fields[11]) / TICKS_PER_S,
         int(status["VmRSS"].split()[0]) * KILOBYTE,
         int(status["VmHWM"].split()[0]) * KILOBYTE,
     )
@@ -96,6 +101,11 @@
         """What each control node has used."""
         return [process_use(process.pid) for process in self.processes]
 
+    def elections(self) -> int:
+        """How often a member began to lead or ceased to, by the logs: a sign of an overloaded machine."""
+        texts = [path.read_text(errors="replace") for path in self.folder.glob("control-*.log")]
+        return sum(text.count("event=election.won") + text.count("event=primary.ended") for text in texts)
+
     def put_configuration(self, text: bytes, if_match: int) -> None:
         """Send the operator's configuration until a node takes it."""
         ends = time.monotonic() + STARTED_WITHIN_S
@@ -124,7 +134,9 @@
 
 
 @contextlib.contextmanager
-def control_group(members: int = target.CONTROL_MACHINES, routes: int = target.ROUTES) -> Iterator[ControlGroup]:
+def control_group(
+    members: int = target.CONTROL_MACHINES, routes: int = target.ROUTES
+) -> Iterator[ControlGroup]:
     """So many control nodes with a configuration in force; they end with the block."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
--- a/benchmarks/capacity/system/documents.py
+++ b/benchmarks/capacity/system/documents.py
@@ -46,7 +46,9 @@
     assert isinstance(prepared, Ok)
     changed = prepared.ok_value
     step = delta(current, changed)
-    put = json.dumps({**configuration(models, adapters, routes), "version": 2}, separators=(",", ":")).encode()
+    put = json.dumps(
+        {**configuration(models, adapters, routes), "version": 2}, separators=(",", ":")
+    ).encode()
     entry = ConfigurationStep(2, DIGEST, changed.to_json(), step)
     view = cluster_view(target.CONTROL_MACHINES, target.NODES)
     whole = PullResponse(True, view, {"state": 1}, (ConfigurationUpdate(1, 1, text),))
--- /dev/null
+++ b/benchmarks/capacity/system/placements.py
@@ -0,0 +1,114 @@
+"""The owner of a service's placement: steps of its plan, demand reports, memory, by workers and models."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from arrowfold.configuration.json_text import read_object
+from arrowfold.internal.codec import decode, encode
+from arrowfold.internal.messages import ClassDemand, DemandReport, WorkerRecord
+from arrowfold.placement.catalogue import ModelCatalogue, catalogue_of
+from arrowfold.placement.ceiling import LoadCeiling
+from arrowfold.placement.orders import WorkerReport
+from arrowfold.placement.placer import ServicePlacer
+from benchmarks.capacity.results import Figures
+from benchmarks.capacity.system import target
+from benchmarks.capacity.system.documents import document_text
+from benchmarks.capacity.system.measuring import MEGABYTE, MICROSECOND, MILLISECOND, held_bytes, processor_s
+from benchmarks.capacity.system.population import (
+    SERVICE,
+    adapter_name,
+    edge_identity,
+    model_name,
+    worker_records,
+)
+
+WINDOW_S = 5.0
+OVERAGE = 1.1
+RUN_S = 4.0
+LEAST_LOAD_RATE_S = target.LOADS_PER_HOUR / 3_600
+ASKED_SHARE = 0.1  # of the classes, that get requests
+
+
+def model_catalogue(models: int) -> ModelCatalogue:
+    """The catalogue of the service in a configuration of so many models."""
+    document = read_object(document_text(models, target.ADAPTERS, 1)).ok()
+    assert document is not None
+    found = catalogue_of(document["services"][0])
+    assert found is not None
+    return found
+
+
+def demand_report(edge: int, classes: int, draw: random.Random) -> DemandReport:
+    """What one edge saw in half a second: so many classes, a request each."""
+    most = target.ADAPTERS // target.MODELS
+    seen = tuple(
+        ClassDemand(
+            SERVICE,
+            model_name(draw.randrange(target.MODELS)),
+            adapter_name(draw.randint(1, most)),
+            1.0,
+            RUN_S,
+        )
+        for _ in range(classes)
+    )
+    return DemandReport(edge_identity(edge), target.REPORT_INTERVAL_S, seen)
+
+
+def settled_placer(records: list[WorkerRecord], now_s: float) -> ServicePlacer:
+    """An owner that has read every worker's report and knows no demand."""
+    ceiling = LoadCeiling(LEAST_LOAD_RATE_S, WINDOW_S, OVERAGE, now_s - 60.0)
+    placer = ServicePlacer(model_catalogue(target.MODELS), ceiling)
+    placer.apply_workers(records, now_s)
+    for record in records:
+        placer.report_answered(record.instance, WorkerReport(record.models, False, 0), now_s)
+    return placer
+
+
+def _asked(placer: ServicePlacer, draw: random.Random, now_s: float) -> None:
+    """Reports of some seconds from all edges, with an edge's share of the requests in each."""
+    for edge in range(target.NODES):
+        placer.apply_demand(demand_report(edge, 2, draw), now_s)
+
+
+def quiet_plan(workers: int, seed: int) -> Figures:
+    """What each step does without demand: the list of workers, and a plan with nothing to do."""
+    records = worker_records(workers, seed)
+    placer = settled_placer(records, 100.0)
+    return {
+        "apply_workers_ms": processor_s(lambda: placer.apply_workers(records, 100.0)) / MILLISECOND,
+        "quiet_ms": processor_s(lambda: placer.actions(100.0)) / MILLISECOND,
+        "corrections_ms": processor_s(lambda: placer.corrections(100.0)) / MILLISECOND,
+        "megabytes": held_bytes(lambda: settled_placer(records, 100.0)) / MEGABYTE,
+    }
+
+
+def busy_plan(workers: int, seed: int) -> Figures:
+    """Two steps of the plan with demand for many classes, most of which stand nowhere."""
+    records = worker_records(workers, seed)
+    placer = settled_placer(records, 100.0)
+    _asked(placer, random.Random(seed), 100.0)
+    started = time.process_time()
+    placer.actions(100.1)
+    first_s = time.process_time() - started
+    started = time.process_time()
+    placer.actions(100.2)
+    return {
+        "step_ms": first_s / MILLISECOND,
+        "next_step_ms": (time.process_time() - started) / MILLISECOND,
+    }
+
+
+def reports(classes: int, seed: int) -> Figures:
+    """One edge's demand report with so many classes."""
+    draw = random.Random(seed)
+    report = demand_report(1, classes, draw)
+    encoded = encode(report)
+    placer = settled_placer(worker_records(10, seed), 100.0)
+    return {
+        "report_bytes": float(len(encoded)),
+        "encode_us": processor_s(lambda: encode(report)) / MICROSECOND,
+        "decode_us": processor_s(lambda: decode(encoded)) / MICROSECOND,
+        "apply_us": processor_s(lambda: placer.apply_demand(report, 100.0)) / MICROSECOND,
+    }
