--- a/benchmarks/capacity/system/stream_clients.py
+++ b/benchmarks/capacity/system/stream_clients.py
@@ -136,8 +136,8 @@
                 writer.write(self._request_head() + BODY)
                 whole = await self._read(reader)
                 writer.close()
-        except (OSError, asyncio.IncompleteReadError, TimeoutError):
-            whole = False
+        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+            whole = False  # broken off, or not whole in time
         self._done += whole
         self._failed += not whole
 
