--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -1,15 +1,15 @@
-"""The tables of docs/CAPACITY.md, made of results, between `<!-- table: NAME -->` and `<!-- end -->`."""
+"""The tables of docs/CAPACITY-service.md, made of results, between `<!-- table: NAME -->` and `<!-- end -->`."""
 
 from __future__ import annotations
 
-import json
 import re
 from collections.abc import Callable
 from pathlib import Path
 
+from benchmarks.capacity.fitting import FitSpec, Results, fit_all, read_fits, write_fits
 from benchmarks.capacity.results import FOLDER, ROOT, Result, load
 
-PAGE = ROOT / "docs" / "CAPACITY.md"
+PAGE = ROOT / "docs" / "CAPACITY-service.md"
 FITS = FOLDER / "fits.json"
 MISSING = "not measured yet"
 MARKED = re.compile(r"(<!-- table: (\w+) -->\n).*?(<!-- end -->)", re.S)
@@ -21,21 +21,6 @@
 FLEETS = (200, 700, 2700)
 
 
-class Results:
-    """Results by test and size."""
-
-    def __init__(self, rows: list[Result]) -> None:
-        self.rows = rows
-
-    def of(self, test: str, **size: float | str) -> list[Result]:
-        return [row for row in self.rows if row.test == test
-                and all(row.size.get(key) == value for key, value in size.items())]
-
-    def one(self, test: str, **size: float | str) -> Result | None:
-        found = self.of(test, **size)
-        return found[0] if len(found) == 1 else None
-
-
 def table(head: list[str], rows: Rows) -> str:
     lines = [head, ["---"] * len(head), *rows]
     return "\n".join("| " + " | ".join(line) + " |" for line in lines) + "\n"
@@ -177,11 +162,10 @@
 
 def fits(results: Results) -> str:
     del results
-    found = json.loads(FITS.read_text()) if FITS.exists() else {}
     return table(["figure", "over", "measured from", "to", "intercept", "slope", "its 95 % interval"],
-                 [[row["figure"], row["over"], number(row["from"], 5), number(row["to"], 5),
-                   number(row["intercept"]), f"{number(row['slope'])} {row['unit']}",
-                   f"{number(row['low'])} to {number(row['high'])}"] for row in found.get("fits", [])])
+                 [[line.figure, line.over, number(line.start, 5), number(line.end, 5),
+                   number(line.intercept), f"{number(line.slope)} {line.unit}",
+                   f"{number(line.low)} to {number(line.high)}"] for line in read_fits(FITS)])
 
 
 def _of(result: Result | None, figure: str) -> float | None:
@@ -288,29 +272,22 @@
     return MARKED.sub(lambda found: found[1] + TABLES[found[2]](results) + found[3], text)
 
 
+SPECS = (
+    FitSpec("module, core % at 20 jobs a second", "% a 1,000 servers", "module", "core_share", "servers",
+            {"jobs": 20}, 100.0, 400),
+    FitSpec("module, a change, ms", "ms a 1,000 servers", "module", "one_change_ms", "servers",
+            {"jobs": 20}, 1.0, 400),
+    FitSpec("module, first list, ms", "ms a 1,000 servers", "module", "first_list_ms", "servers",
+            {"jobs": 20}, 1.0, 400),
+    FitSpec("module, core % at 2,700 servers", "% a 1,000 jobs a second", "module", "core_share", "jobs",
+            {"servers": SERVERS}, 100.0, 2),
+    FitSpec("node, resident MB, no jobs", "MB a 1,000 servers", "node", "memory_mb", "servers",
+            {"jobs": 0, "changes": "none"}, 1.0, 100),
+    FitSpec("node, whole list, processor ms", "ms a 1,000 servers", "events", "whole_cpu_ms", "servers",
+            {}, 1.0, 100),
+)
+
+
 def fit(folder: Path = FOLDER) -> None:
     """Lines through the results, by least squares; written beside them."""
-    from scipy import stats  # only here: whoever checks the page needs none of it
-
-    results, found = Results(load(folder)), []
-    for label, unit, test, size, figure, over, factor, least in (
-            ("module, core % at 20 jobs a second", "% a 1,000 servers", "module", {"jobs": 20}, "core_share",
-             "servers", 100.0, 400), ("module, a change, ms", "ms a 1,000 servers", "module", {"jobs": 20},
-             "one_change_ms", "servers", 1.0, 400),
-            ("module, first list, ms", "ms a 1,000 servers", "module", {"jobs": 20}, "first_list_ms",
-             "servers", 1.0, 400), ("module, core % at 2,700 servers", "% a 1,000 jobs a second", "module",
-                         {"servers": SERVERS}, "core_share", "jobs", 100.0, 2),
-            ("node, resident MB, no jobs", "MB a 1,000 servers", "node", {"jobs": 0, "changes": "none"},
-             "memory_mb", "servers", 1.0, 100),
-            ("node, whole list, processor ms", "ms a 1,000 servers", "events", {}, "whole_cpu_ms", "servers",
-             1.0, 100)):
-        rows = [row for row in results.of(test, **size) if float(row.size[over]) >= least]
-        if len(rows) < 3:
-            continue
-        xs = [float(row.size[over]) / 1000 for row in rows]
-        line = stats.linregress(xs, [row[figure] * factor for row in rows])
-        wide = stats.t.ppf(0.975, len(rows) - 2) * line.stderr
-        found.append({"figure": label, "over": over, "from": min(xs) * 1000, "to": max(xs) * 1000,
-                      "intercept": round(line.intercept, 5), "slope": round(line.slope, 5), "unit": unit,
-                      "low": round(line.slope - wide, 5), "high": round(line.slope + wide, 5)})
-    FITS.write_text(json.dumps({"fits": found}, indent=1) + "\n")
+    write_fits(fit_all(SPECS, Results(load(folder))), FITS)
