--- a/arrowfold/placement/worker_state.py
+++ b/arrowfold/placement/worker_state.py
@@ -37,6 +37,7 @@
     accepted_s: float = math.inf
     expected_done_s: float = math.inf
     from_own_disk: bool = False
+    presumed_done: bool = False  # its time is over; the next report will tell
 
 
 @dataclass(slots=True)
@@ -61,6 +62,7 @@
         self.report_due_s = now_s  # inf: none is wanted
         self.report_under_way = False
         self.failures = 0  # reports and orders without an answer, in a row
+        self.unload_unproven = False  # its last unload is taken to be done, but nothing has told so
         self.unusable = False  # another worker has its address, or it refuses our fence
         self._take_models(record.models, now_s)
 
@@ -96,7 +98,9 @@
     def holds(self, model: str, adapter: str = "") -> bool:
         """True if requests for this class can be sent there now."""
         holding = self.holdings.get(model)
-        if holding is None or self.leaving_model() == model:
+        if holding is None:
+            return not adapter and self.arriving_model() == model and self._is_presumed_done()
+        if self.leaving_model() == model:
             return False
         if adapter and self._is_pending(Operation.UNLOAD, model, adapter):
             return False
@@ -157,6 +161,9 @@
             return math.inf
         return spec.weights_mb + adapters * spec.adapter_size_mb
 
+    def _is_presumed_done(self) -> bool:
+        return self.pending is not None and self.pending.presumed_done
+
     def _pending_model(self, operation: Operation) -> str | None:
         pending = self.pending
         if pending is None or pending.order.operation is not operation or pending.order.adapter:
