Candidates yield to one another; a primary outbids a higher promise; stories of failures

Found by the stories: two seeds of three stood against each other for as long as the third was silent, since each waited 0.4 s for it; two backups did the same after a frozen primary. A member that promised an epoch to another now waits before it stands, and an elected primary goes on under a higher epoch where a witness promised one. A lease is granted before an accepted record is written, so that no promise slips in beside it.

--- a/arrowfold/replication/epochs.py
+++ b/arrowfold/replication/epochs.py
@@ -32,7 +32,7 @@
 )
 from arrowfold.replication.state import ControlState
 
-LATE_ANSWER_S = 0.08  # for further answers, once those that are needed are there
+LATE_ANSWER_S = 0.06  # for further answers, once those that are needed are there
 
 
 class EpochFault(Exception):
@@ -182,8 +182,7 @@
             if enough_at is None:
                 await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
                 continue
-            patience_s = LATE_ANSWER_S if record is not None else self._timings.founding_wait_s
-            remaining_s = enough_at + patience_s - self._member.clock()
+            remaining_s = enough_at + self._patience_s(record, trial) - self._member.clock()
             if remaining_s <= 0:
                 break
             await asyncio.wait(waiting, timeout=remaining_s, return_when=asyncio.FIRST_COMPLETED)
@@ -191,6 +190,12 @@
             return Err(EpochFault(self._shortfall(inquiry), inquiry.highest_promise()))
         return Ok(found)
 
+    def _patience_s(self, record: EpochRecord | None, trial: bool) -> float:
+        """How long to wait for further answers, once those that are needed are there."""
+        if trial:
+            return 0.0
+        return LATE_ANSWER_S if record is not None else self._timings.founding_wait_s
+
     def _known_addresses(self) -> list[str]:
         record = self._member.image.record
         if record is not None:
--- a/arrowfold/replication/member.py
+++ b/arrowfold/replication/member.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from result import Err, Ok, Result
@@ -68,6 +69,7 @@
         has_record = durable.image.record is not None
         self._lease_until = clock() + timings.lease_s if has_record else 0.0
         self._lease_holder = ""
+        self.yielded_at = -math.inf  # when this member last promised an epoch to another
         self.heard_at = clock()  # when the primary's last heartbeat came
         self.committed_known = -1  # how far the primary's last message said that the log is committed
         self._authority_until = 0.0
@@ -139,6 +141,8 @@
             if self._promising == request.epoch:
                 self._promising = 0
 
+        if request.candidate.member != self.info.member:
+            self.yielded_at = self.clock()
         self._promising = request.epoch
         written = await self.durable.change(decide, self.timings.disk_s, abandoned)
         return self._prepare_answer(str(written.err_value) if isinstance(written, Err) else None)
@@ -177,6 +181,7 @@
                 return _refuse(f"epoch {image.promised} is promised")
             if record.epoch == image.promised and record.primary != image.promised_to:
                 return _refuse(f"epoch {image.promised} is promised to {image.promised_to}")
+            self.grant_lease(record.primary)  # before the write, so that no promise slips in beside it
             return Ok(RecordAccepted(record))
 
         known = self.image.record
--- a/arrowfold/replication/primary.py
+++ b/arrowfold/replication/primary.py
@@ -79,6 +79,7 @@
         self._queue: list[_Waiting] = []
         self._work = asyncio.Event()
         self._wanted: Membership | None = None
+        self._outbid = 0  # a higher epoch that some witness promised to somebody
         self._heartbeats: set[asyncio.Task[None]] = set()
         self._committed = member.image.state.sequence
         self._ever_active = False
@@ -169,7 +170,8 @@
             if found.record_epoch < record.epoch:
                 await self._caller.call(witness.address, AcceptEpoch(record), self._timings.durable_call_s)
         elif found.promised > self._member.highest_epoch:
-            self._end(f"epoch {found.promised} is promised")
+            self._outbid = max(self._outbid, found.promised)
+            self._work.set()
 
     def _end(self, reason: str) -> None:
         if not self.ended:
@@ -294,7 +296,9 @@
                 self._work.clear()
                 if self.ended:
                     break
-                if self._wanted is not None:
+                if self._outbid > self.record.epoch:
+                    await self._outbid_again()
+                elif self._wanted is not None:
                     await self._change_members()
                 while self._queue and not self.ended:
                     await self._commit_batch()
@@ -373,7 +377,13 @@
             self._peer(member).left_out_at = now
         await self._new_epoch(wanted)
 
-    async def _new_epoch(self, wanted: Membership) -> bool:
+    async def _outbid_again(self) -> None:
+        """A witness promised a higher epoch: go on under a still higher one, unless another leads already."""
+        trial = await self._new_epoch(Membership(self.record.group, self.record.witnesses), trial=True)
+        if trial:
+            await self._new_epoch(Membership(self.record.group, self.record.witnesses))
+
+    async def _new_epoch(self, wanted: Membership, trial: bool = False) -> bool:
         """Bring a new membership about; the state with all that was appended is committed by it."""
         copies = copies_required(self._losses, len(wanted.witnesses))
 
@@ -387,11 +397,13 @@
 
         newcomers = [witness for witness in wanted.witnesses if self.record.find(witness.member) is None]
         for _ in range(CHANGE_ATTEMPTS):
-            epoch = self._member.highest_epoch + 1
-            result = await self._change.run(epoch, compose, newcomers)
+            epoch = max(self._member.highest_epoch, self._outbid) + 1
+            result = await self._change.run(epoch, compose, newcomers, trial)
             if isinstance(result, Ok):
-                self._adopt(result.ok_value)
+                if not trial:
+                    self._adopt(result.ok_value)
                 return True
+            self._outbid = max(self._outbid, result.err_value.promised)
             self._log.warning("epoch.change_failed", epoch=epoch, reason=str(result.err_value))
         self._end("no new epoch came about")
         return False
--- a/arrowfold/replication/replica.py
+++ b/arrowfold/replication/replica.py
@@ -32,7 +32,7 @@
 from arrowfold.replication.roles import next_grant, propose_grant
 from arrowfold.replication.state import ControlState
 
-FOUNDING_STEP_S = 0.25  # between the moments at which the seeds offer to found the first group
+FOUNDING_STEP_S = 0.6  # between the moments at which the seeds offer to found the first group
 
 
 class Replica:
@@ -235,6 +235,8 @@
         rank = self._seeds.index(self._member.info.address)
         if self._clock() < max(self._next_attempt, self._started_at + rank * FOUNDING_STEP_S):
             return
+        if self._clock() - self._member.yielded_at < self._timings.founding_yield_s:
+            return
         await self._attempt(self._compose_first_group)
 
     def _compose_first_group(self, found: Found) -> Result[Composition, EpochFault]:
@@ -259,6 +261,8 @@
         now = self._clock()
         if now - self._member.heard_at < patience_s or now < self._next_attempt:
             return
+        if now - self._member.yielded_at < self._timings.yield_s:
+            return
         await self._attempt(self._compose_same_witnesses)
 
     def _compose_same_witnesses(self, found: Found) -> Result[Composition, EpochFault]:
--- a/arrowfold/replication/timings.py
+++ b/arrowfold/replication/timings.py
@@ -19,9 +19,11 @@
     lease_s: float = 0.8
     lease_margin: float = 0.9
     suspicion_s: float = 0.85  # without a heartbeat, before a backup stands for election
-    suspicion_step_s: float = 0.12  # more for each further member, so that they do not stand at once
+    suspicion_step_s: float = 0.2  # more for each further member, so that they do not stand at once
     leaderless_s: float = 1.0  # without its lease, before a primary gives up its term
     election_retry_s: float = 0.25
+    yield_s: float = 0.5  # for a candidate that this member promised an epoch, before it stands itself
+    founding_yield_s: float = 1.2  # the same, for a founder of the first group
     call_s: float = 0.5  # for an answer that needs no disk
     disk_s: float = 0.45  # for a write and sync, at the member that does it
     durable_call_s: float = 0.6  # for an answer that needs a write and sync
--- a/tests/system/control_simulation/world.py
+++ b/tests/system/control_simulation/world.py
@@ -91,14 +91,23 @@
         """A machine as a caller picks it: it may be down."""
         return self.draw.choice(list(self.machines.values()))
 
-    async def change(self, base: int, version: int, patience_s: float) -> int | None:
-        """Send one change until there is a clear answer; its version if it was acknowledged."""
+    async def change(
+        self, base: int, version: int, patience_s: float, avoiding: Machine | None = None
+    ) -> int | None:
+        """Send one change to one machine after the other until there is a clear answer.
+
+        The answer is its version if it was acknowledged.
+        """
         self._changes += 1
         marker = f"m{self._changes}"
         request = OperatorChange("PUT", str(base), document(version, marker))
         deadline = asyncio.get_running_loop().time() + patience_s
+        order: list[Machine] = []
         while asyncio.get_running_loop().time() < deadline:
-            answer = await self.call(self.any_machine(), request)
+            if not order:
+                order = [machine for machine in self.machines.values() if machine is not avoiding]
+                self.draw.shuffle(order)
+            answer = await self.call(order.pop(), request)
             if isinstance(answer, SubmitResult) and answer.status == 200:
                 self.trace.add("operator", "acknowledged", version=version, marker=marker)
                 self.check(lambda: self.history.acknowledge(version, base, marker.encode()))
--- /dev/null
+++ b/tests/system/test_control_failures.py
@@ -0,0 +1,255 @@
+"""What is acknowledged outlives the machines that acknowledged it; who was superseded answers nothing."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from arrowfold.internal.messages import SubmitResult
+from tests.system.control_simulation.history import document
+from tests.system.control_simulation.machines import Machine
+from tests.system.control_simulation.outside import OperatorChange, OperatorRead, WorkerDeparts
+from tests.system.control_simulation.world import World, run_world
+
+LONGEST_FAIL_OVER_S = 2.0
+
+
+async def _core(seed: int, machines: int = 3, losses: int = 1) -> tuple[World, Machine]:
+    """A core whose group is whole, with version 1 acknowledged, and its primary."""
+    world = World(seed, machines, losses)
+    world.start_all()
+    assert await world.change(0, 1, 9.0) == 1
+    await world.until(world.is_whole, 5.0, "a whole group")
+    return world, await world.until_primary()
+
+
+def _others(world: World, machine: Machine) -> list[Machine]:
+    return [other for other in world.machines.values() if other is not machine]
+
+
+def _cut_off(world: World, machine: Machine, both_ways: bool = True) -> None:
+    for other in _others(world, machine):
+        world.network.cut(machine.address, other.address)
+        if both_ways:
+            world.network.cut(other.address, machine.address)
+
+
+async def _timed_change(world: World, base: int, version: int, avoiding: Machine | None = None) -> float:
+    started = asyncio.get_running_loop().time()
+    assert await world.change(base, version, 9.0, avoiding) == version
+    return asyncio.get_running_loop().time() - started
+
+
+async def _primary_fails(kind: str) -> None:
+    world, primary = await _core(seed=11)
+    # When the primary fails right after an acknowledgement
+    strike = {
+        "kill": primary.kill,
+        "power": primary.lose_power,
+        "wipe": primary.wipe,
+        "freeze": primary.freeze,
+        "cut": lambda: _cut_off(world, primary),
+        "cut one way": lambda: _cut_off(world, primary, both_ways=False),
+        "hang": lambda: primary.hang_disk(True),
+        "full": lambda: setattr(primary.folder, "full", True),
+    }[kind]
+    strike()
+    # Then the next change is acknowledged by another soon, and nothing is lost
+    assert await _timed_change(world, 1, 2, avoiding=primary) < LONGEST_FAIL_OVER_S
+    assert world.primary() is not primary
+    # And the old one comes back as a backup
+    await world.settle()
+    await world.until(world.is_whole, 6.0, "the old primary in the group again")
+    assert await _timed_change(world, 2, 3) < 1.0
+    world.require_sound()
+
+
+@pytest.mark.parametrize("kind", ["kill", "power", "wipe", "freeze", "cut", "cut one way", "hang", "full"])
+def test_given_a_primary_that_fails_then_another_acknowledges_within_two_seconds(kind: str) -> None:
+    run_world(_primary_fails(kind))
+
+
+async def _backup_fails(kind: str) -> None:
+    world, primary = await _core(seed=12)
+    backup = _others(world, primary)[0]
+    {"hang": lambda: backup.hang_disk(True), "kill": backup.kill, "freeze": backup.freeze}[kind]()
+    # When a change comes while a backup does not answer, it is acknowledged without it
+    assert await _timed_change(world, 1, 2, avoiding=backup) < 1.0
+    assert primary.replica is not None and primary.replica.term is not None
+    assert len(primary.replica.term.record.group) == 2
+    await world.settle()
+    await world.until(world.is_whole, 6.0, "the backup in the group again")
+    world.require_sound()
+
+
+@pytest.mark.parametrize("kind", ["hang", "kill", "freeze"])
+def test_given_a_backup_that_hangs_then_it_is_left_out_and_taken_in_again(kind: str) -> None:
+    run_world(_backup_fails(kind))
+
+
+async def _frozen_primary_wakes() -> None:
+    world, primary = await _core(seed=13)
+    primary.freeze()
+    assert await world.change(1, 2, 9.0) == 2
+    # When the old primary wakes and is asked at once
+    primary.thaw()
+    read = await world.call(primary, OperatorRead())
+    change = await world.call(primary, OperatorChange("PUT", "1", b"{}"))
+    # Then it neither reads back the old version nor decides on a change
+    for answer in (read, change):
+        if isinstance(answer, SubmitResult) and answer.status == 200:
+            world.check(lambda body=answer.body: world.history.read(body, 2))  # type: ignore[misc]
+        elif isinstance(answer, SubmitResult):
+            assert answer.status == 503 or answer is change
+    await world.settle()
+    world.require_sound()
+
+
+def test_given_a_frozen_primary_that_wakes_then_it_answers_nothing_old() -> None:
+    run_world(_frozen_primary_wakes())
+
+
+async def _minority_answers_nothing() -> None:
+    world, primary = await _core(seed=14)
+    _cut_off(world, primary)
+    await asyncio.sleep(1.5)
+    # When the operator and a worker reach the side that lost the majority
+    read = await world.call(primary, OperatorRead())
+    assert isinstance(read, SubmitResult) and read.status == 503
+    assert await world.call(primary, WorkerDeparts("i-1")) is not True
+
+
+def test_given_a_side_without_majority_then_it_neither_reads_back_nor_acknowledges_a_departure() -> None:
+    run_world(_minority_answers_nothing())
+
+
+async def _whole_core_loses_power() -> None:
+    for moment in range(60):
+        world, _ = await _core(seed=200 + moment)
+        change = asyncio.create_task(world.change(1, 2, 12.0))
+        # When all machines lose power at any moment while a change is under way
+        await asyncio.sleep(moment * 0.0005)
+        for machine in world.machines.values():
+            machine.lose_power()
+        world.start_all()
+        # Then what was acknowledged is there, and the change gets a clear answer
+        await world.until_primary(4.0)
+        assert await change == 2
+        await world.settle()
+        world.require_sound()
+        for machine in world.machines.values():
+            machine.kill()
+
+
+def test_given_power_lost_everywhere_at_any_moment_then_acknowledged_changes_are_there() -> None:
+    run_world(_whole_core_loses_power())
+
+
+async def _wiped_and_dark_together() -> None:
+    # Given an acknowledged change
+    for victim in ("core1", "core2", "core3"):
+        world, _ = await _core(seed=15)
+        assert await world.change(1, 2, 9.0) == 2
+        # When one machine loses its disk while the others lose power
+        for machine in world.machines.values():
+            if machine.name == victim:
+                machine.wipe()
+            else:
+                machine.lose_power()
+        world.machines[victim].start()
+        await asyncio.sleep(2.0)
+        # Then the wiped one does nothing alone
+        assert world.primary() is None
+        world.start_all()
+        await world.settle()
+        assert await world.change(2, 3, 9.0) == 3
+        world.require_sound()
+        for machine in world.machines.values():
+            machine.kill()
+
+
+def test_given_a_wiped_machine_and_the_others_dark_then_nothing_is_lost() -> None:
+    run_world(_wiped_and_dark_together())
+
+
+async def _replaced_twice() -> None:
+    world, _ = await _core(seed=16)
+    for number, name in enumerate(("core1", "core2")):
+        # When a machine goes for good and an empty one comes at another address
+        world.machines.pop(name).kill()
+        newcomer = world.add_machine(f"core{4 + number}")
+        newcomer.seeds = tuple(machine.address for machine in world.machines.values())[:3]
+        newcomer.start()
+        # Then it is a witness and in the group before it stops counting as lost
+        await world.until(world.is_whole, 4.0, "the newcomer in the group")
+    assert await world.change(1, 2, 9.0) == 2
+    # And the group bears the loss of the last of the first three
+    world.machines["core3"].kill()
+    assert await world.change(2, 3, 9.0) == 3
+    world.require_sound()
+
+
+def test_given_two_replacements_in_a_row_then_the_group_bears_another_loss() -> None:
+    run_world(_replaced_twice())
+
+
+async def _removed_one_comes_back() -> None:
+    world, primary = await _core(seed=17)
+    primary.freeze()
+    newcomer = world.add_machine("core4")
+    newcomer.start()
+    await asyncio.sleep(4.0)
+    # When the primary that was replaced wakes
+    primary.thaw()
+    await world.until(world.is_whole, 6.0, "everyone in the group")
+    # Then it is a member like others
+    assert await world.change(1, 2, 9.0) == 2
+    world.require_sound()
+
+
+def test_given_a_replaced_primary_that_wakes_then_it_joins_again() -> None:
+    run_world(_removed_one_comes_back())
+
+
+async def _answer_lost() -> None:
+    world, primary = await _core(seed=18)
+    request = OperatorChange("PUT", "1", document(2, "again"))
+    # Given a change that is committed while its answer is lost
+    world.network.cut(primary.address, "operator:1")
+    assert await world.call(primary, request) is None
+    world.network.heal()
+    # When it comes again: to the same node, to another, after a fail-over, and eight times at once
+    for machine in (primary, *_others(world, primary)):
+        answer = await world.call(machine, request)
+        assert isinstance(answer, SubmitResult) and answer.status == 200
+    primary.kill()
+    successor = await world.until_primary()
+    answers = await asyncio.gather(*(world.call(successor, request) for _ in range(8)))
+    # Then it is acknowledged each time
+    assert [answer.status for answer in answers] == [200] * 8
+    # And another change with the same number is refused
+    other = await world.call(successor, OperatorChange("PUT", "1", document(2, "other")))
+    assert other.status == 412
+
+
+def test_given_a_lost_answer_then_the_same_change_is_acknowledged_wherever_it_comes_again() -> None:
+    run_world(_answer_lost())
+
+
+async def _one_way_suspicion() -> None:
+    world, primary = await _core(seed=19)
+    deaf = _others(world, primary)[0]
+    epoch = primary.replica.epoch if primary.replica else 0
+    # When a backup stops hearing the primary but is heard by all
+    world.network.cut(primary.address, deaf.address)
+    await asyncio.sleep(6.0)
+    # Then the primary stays, and only leaves that backup out
+    assert world.primary() is primary
+    assert primary.replica is not None and primary.replica.epoch <= epoch + 2
+    assert await world.change(1, 2, 9.0) == 2
+    world.require_sound()
+
+
+def test_given_a_backup_that_hears_nothing_then_the_primary_is_not_replaced() -> None:
+    run_world(_one_way_suspicion())
