--- a/arrowfold/selection/market_selector.py
+++ b/arrowfold/selection/market_selector.py
@@ -12,7 +12,7 @@
 
 from arrowfold.internal.messages import ClassDemand, WorkerRecord
 from arrowfold.market.tokens import SECOND, Token
-from arrowfold.selection.admission import Admission
+from arrowfold.selection.admission import Admission, Shortage
 from arrowfold.selection.class_market import ClassMarket, ClassTable, RequestClass
 from arrowfold.selection.engine_worker import SILENT, EngineWorker, InFlight
 from arrowfold.selection.first_events import FirstEventEstimate
@@ -29,6 +29,7 @@
 
 COMPARED = 4  # workers drawn by chance that a drawn holder is compared with
 SMALL_POOL = 8  # of up to so many holders all are compared
+MISSING_AGAIN_S = 0.5  # a request that still waits is counted as missing again: its owner may have changed
 MOST_WAITING = 4096  # requests remembered as counted while they wait
 STRIKES = {Outcome.FAILED: 1.0, Outcome.UNREACHABLE: 1.0, Outcome.LOST: 1.0, Outcome.REJECTED_FULL: 0.5}
 
@@ -60,7 +61,7 @@
         self.admission = Admission(self.options, self._draw)
         self._demand: dict[RequestClass, list[float]] = {}
         self._expected_prefill: dict[str, float] = {}  # of requests that were chosen for and not sent yet
-        self._counted: dict[str, None] = {}  # requests that wait, and were counted as demand
+        self._counted: dict[str, float] = {}  # requests that wait, and when they were last counted as missing
 
     # --- what the edge tells ------------------------------------------------------------------------------
 
@@ -75,9 +76,10 @@
             if worker is None:
                 worker = EngineWorker(record, record.zone == self._zone)
                 self._apply_facts(worker)
+                worker.take_arrivals(now_s)
                 changed = True
             elif record is not worker.record:
-                changed |= worker.take(record)
+                changed |= worker.take(record, now_s)
             self._workers[record.instance] = worker
         if changed or known:
             self._index(list(known.values()))
@@ -89,6 +91,9 @@
         for worker in gone:
             self.market.leave(worker)
         self.market.rehouse(gone + workers)
+        for request_class in self.admission.missing_classes():
+            if self.market.holders(request_class):
+                self.admission.found(request_class, self.market.now_s)
 
     def apply_edges(self, edges: int) -> None:
         """Take how many edge nodes share the workers."""
@@ -123,7 +128,11 @@
         if prefill_tokens is None:
             prefill_tokens = self.first_events.prefill_tokens(worker, request, None)
         backlog_tokens = worker.backlog_tokens(now_s, seconds_per_token)
-        worker.in_flight[request.request] = InFlight(request, now_s, prefill_tokens, backlog_tokens)
+        self.first_events.sent(request.service, prefill_tokens)
+        expected_s = self.first_events.alone_s(request, prefill_tokens + backlog_tokens)
+        worker.in_flight[request.request] = InFlight(
+            request, now_s, prefill_tokens, backlog_tokens, expected_s
+        )
         worker.kept.add(request)
 
     def first_event(self, request: RequestProfile, instance: str, now_s: float) -> None:
@@ -144,8 +153,6 @@
         flight = worker.in_flight.pop(request.request, None)
         if outcome in STRIKES:
             worker.strike(now_s, self.options.strike_half_life_s, STRIKES[outcome])
-        if outcome is Outcome.REJECTED_FULL:
-            worker.refused_s = now_s
         if outcome is Outcome.MISDIRECTED:
             worker.misdirected[request.model, request.adapter] = now_s
             self.market.forget_holders(class_of(request))
@@ -192,7 +199,7 @@
             self.admission.note_arrival(request)
         holders = self.market.holders(request_class) or self._silent_holders(request_class)
         if not holders:
-            return self._missing(request, request_class, first_time)
+            return self._missing(request, request_class)
         self.admission.found(request_class, now_s)
         fit = [w for w in holders if w.instance not in excluded]
         if not fit:
@@ -205,17 +212,26 @@
         now_s = self.market.now_s
         return [w for w in self._silent if w.record.service == service and w.holds(model, adapter, now_s)]
 
-    def _missing(self, request: RequestProfile, request_class: RequestClass, first_time: bool) -> Choice:
-        if first_time:
+    def _missing(self, request: RequestProfile, request_class: RequestClass) -> Choice:
+        counted_s = self._counted.get(request.request)
+        if counted_s is None or self.market.now_s - counted_s > MISSING_AGAIN_S:
             self._demand.setdefault(request_class, [0.0, 0.0])[1] += 1
-            self._counted[request.request] = None
+            self._counted[request.request] = self.market.now_s
             if len(self._counted) > MOST_WAITING:
                 del self._counted[next(iter(self._counted))]
         serving = [w for w in self._workers.values() if w.available and w.record.service == request.service]
         now_s = self.market.now_s
-        has_model = any(w.holds(request.model, "", now_s) for w in serving)
-        facts = self._facts.get(request.service)
-        choice = self.admission.missing(request, request_class, facts, has_model, bool(serving), now_s)
+        shortage = Shortage(
+            request_class,
+            model_is_held=any(w.holds(request.model, "", now_s) for w in serving),
+            served=bool(serving),
+            arrival_s=min(
+                (a for w in serving if (a := w.arrival_s(request.model, request.adapter)) is not None),
+                default=None,
+            ),
+            facts=self._facts.get(request.service),
+        )
+        choice = self.admission.missing(request, shortage, now_s)
         self.counters["refused_missing" if isinstance(choice, RefusedRequest) else "waits"] += 1
         return choice
 
@@ -240,9 +256,9 @@
         if len(self._expected_prefill) > MOST_WAITING:
             del self._expected_prefill[next(iter(self._expected_prefill))]
         self.counters["homes" if chosen.worker in homes else "drawn"] += 1
-        return ChosenWorker(
-            chosen.worker.instance, chosen.worker.record.address, self.admission.priority_header(request)
-        )
+        mean_prefill = self.first_events.mean_prefill(request.service)
+        priority = self.admission.priority_header(request, chosen.prefill_tokens, mean_prefill)
+        return ChosenWorker(chosen.worker.instance, chosen.worker.record.address, priority)
 
     def _draw_token(
         self, table: ClassTable, homes: list[EngineWorker], excluded: Collection[str]
