--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -9,6 +9,7 @@
 from benchmarks.capacity import page
 from benchmarks.capacity.points import POINTS as SERVICE_POINTS
 from benchmarks.capacity.results import Faulty, Point, TooLarge, measure, place, read, write
+from benchmarks.capacity.system import page as system_page
 from benchmarks.capacity.system.points import POINTS as SYSTEM_POINTS
 
 POINTS: list[Point] = [*SYSTEM_POINTS, *SERVICE_POINTS]
@@ -51,7 +52,10 @@
             raise click.ClickException(str(error)) from error
     with click.progressbar(points, item_show_func=lambda point: point.name if point else "") as bar:
         for point in bar:
-            write(measure(point))
+            try:
+                write(measure(point))
+            except TimeoutError as error:
+                click.echo(f"not measured: {point.name}: {error}", err=True)
 
 
 @main.command(name="list")
@@ -67,10 +71,12 @@
 @main.command()
 @click.option("--fit/--no-fit", default=True, help="Fit the slopes anew, which needs scipy.")
 def tables(fit: bool) -> None:
-    """Make the tables of docs/CAPACITY.md from the results."""
+    """Make the tables of docs/CAPACITY.md and docs/CAPACITY-service.md from the results."""
     if fit:
         page.fit()
+        system_page.fit()
     page.PAGE.write_text(page.filled(page.PAGE.read_text()))
+    system_page.PAGE.write_text(system_page.filled(system_page.PAGE.read_text()))
 
 
 if __name__ == "__main__":
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -1,4 +1,4 @@
-"""The tables of docs/CAPACITY-service.md, made of results, between `<!-- table: NAME -->` and `<!-- end -->`."""
+"""The tables of docs/CAPACITY-service.md, made of results, between `<!-- table: NAME -->` and an end."""
 
 from __future__ import annotations
 
@@ -259,17 +259,18 @@
                   "7 KB a second each, MB a second in all"], rows)
 
 
-TABLES: dict[str, Callable[[Results], str]] = {
+Tables = dict[str, Callable[[Results], str]]
+TABLES: Tables = {
     "verdict": verdict, "module": module, "rates": rates, "steps": steps, "memory": memory, "node": node,
     "events": events, "watches": watches, "peak": peak, "looks": looks, "quotas": quotas,
     "configuration": configuration,
     "fits": fits, "fleets": fleets}
 
 
-def filled(text: str, folder: Path = FOLDER) -> str:
-    """The page with its tables made anew."""
-    results = Results(load(folder))
-    return MARKED.sub(lambda found: found[1] + TABLES[found[2]](results) + found[3], text)
+def filled(text: str, folder: Path = FOLDER, tables: Tables | None = None) -> str:
+    """A page with its tables made anew; this one's tables, if none are given."""
+    results, makers = Results(load(folder)), TABLES if tables is None else tables
+    return MARKED.sub(lambda found: found[1] + makers[found[2]](results) + found[3], text)
 
 
 SPECS = (
--- a/benchmarks/capacity/system/target.py
+++ b/benchmarks/capacity/system/target.py
@@ -30,6 +30,7 @@
 MODELS_PER_WORKER = 3  # 230 GB of memory for weights of 72.7 GB each
 ADAPTERS_PER_WORKER = 8
 TOKENS_PER_EVENT = 4
+FEW_CONTROL = 3  # control nodes round which larger fleets are held, since they share this machine
 ROUTES = 130  # one a model
 EDGE_PULL_S = 1.0  # `dataplane.puller.POLL_S`
 REPORT_INTERVAL_S = 0.5  # `dataplane.node.ROUND_S`
--- /dev/null
+++ b/benchmarks/capacity/system/worked_out.py
@@ -0,0 +1,269 @@
+"""What the measured costs make of the operators' size, and of several times it: all of it worked out.
+
+Everything grows by the same factor (nodes, workers, requests, loads, changes) but the machines for control.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from arrowfold.controlplane.placement_executor import SHORTEST_PAUSE_S
+from arrowfold.dataplane.puller import ANSWER_SLACK_S, POLL_S
+from arrowfold.internal.channel import LARGEST_FRAME
+from benchmarks.capacity.fitting import Results
+from benchmarks.capacity.system import target
+from benchmarks.capacity.system.fits import Label, Lines, Unmeasured
+
+FACTORS = (1, 2, 4, 10)
+MILLI = 1e-3
+MICRO = 1e-6
+PERCENT = 100.0
+RECORDS_A_LOAD = 2  # the heartbeat that tells the load, and the one that tells the unload before it
+NOTICES_A_LOAD = 4  # placement updates: two orders, each sent and done
+CONTROL_SHARE = target.CONTROL_MACHINES / (target.NODES + target.CONTROL_MACHINES)
+LARGEST_FACTOR = 1_000.0  # beyond this nothing is said
+SEARCH_STEPS = 40
+
+
+@dataclass(frozen=True)
+class Scaled:
+    """The costs at a factor of the operators' size."""
+
+    lines: Lines
+    results: Results
+    factor: float = 1.0
+
+    @property
+    def edges(self) -> float:
+        """Nodes that take requests."""
+        return target.NODES * self.factor
+
+    @property
+    def workers(self) -> float:
+        """Workers."""
+        return target.WORKERS * self.factor
+
+    @property
+    def loads_a_second(self) -> float:
+        """Loads of weights or adapters that are ordered."""
+        return target.LOADS_PER_HOUR / 3_600 * self.factor
+
+    @property
+    def records_a_second(self) -> float:
+        """Records of workers that are news to everybody."""
+        restarts = target.RESTARTS_PER_DAY * self.factor / target.SECONDS_PER_DAY
+        return self.loads_a_second * RECORDS_A_LOAD + restarts
+
+    @property
+    def heartbeats_a_second(self) -> float:
+        """Heartbeats at each control node."""
+        return self.workers / target.HEARTBEAT_S / target.CONTROL_MACHINES
+
+    @property
+    def origins_a_day(self) -> float:
+        """Lives of control nodes that begin in a day, by their share of all restarts."""
+        return target.RESTARTS_PER_DAY * CONTROL_SHARE
+
+    def figure(self, test: str, name: str, **size: float | str) -> float:
+        """A measured figure; raises Unmeasured."""
+        found = self.results.one(test, **size)
+        if found is None or name not in found.figures:
+            raise Unmeasured(test)
+        return found[name]
+
+    # An edge
+
+    def pull_bytes(self, origins: float = target.CONTROL_MACHINES) -> float:
+        """One pull without news, both ways."""
+        return self.lines.at(Label.REQUEST_BYTES, origins) + self.lines.at(Label.RESPONSE_BYTES, origins)
+
+    def edge_bytes_at_rest(self, origins: float = target.CONTROL_MACHINES) -> float:
+        """Bytes a second of an edge's pulls without news."""
+        return target.CONTROL_MACHINES * self.pull_bytes(origins) / POLL_S
+
+    def news_bytes(self) -> float:
+        """One worker's news to one edge, by one control node, with the pull that asks for it."""
+        size = {"edges": target.NODES, "workers": target.WORKERS}
+        answer = self.figure("distribution", "bytes_a_change", **size) / target.NODES
+        return answer + self.lines.at(Label.REQUEST_BYTES, target.CONTROL_MACHINES)
+
+    def edge_bytes(self) -> float:
+        """Bytes a second with the operators' loads: records come by all control nodes, notices by one."""
+        records = self.records_a_second * target.CONTROL_MACHINES
+        return (
+            self.edge_bytes_at_rest() + (records + self.loads_a_second * NOTICES_A_LOAD) * self.news_bytes()
+        )
+
+    def edge_news_core(self) -> float:
+        """Share of a core that an edge spends on news: once for the change, and for each repetition of it."""
+        first = self.lines.at(Label.SELECT_CHANGE, self.workers)
+        again = self.lines.at(Label.SELECT_SAME, self.workers)
+        tables = self.lines.at(Label.EDGE_CHANGE, self.workers) * MICRO / MILLI
+        repeated = target.CONTROL_MACHINES - 1
+        record_ms = first + repeated * again + target.CONTROL_MACHINES * tables
+        notice_ms = first + tables
+        notices = self.loads_a_second * NOTICES_A_LOAD
+        return (self.records_a_second * record_ms + notices * notice_ms) * MILLI
+
+    def edge_state_mb(self) -> float:
+        """Tables and selection of an edge."""
+        return self.lines.at(Label.EDGE_MB, self.workers) + self.lines.at(Label.SELECT_MB, self.workers)
+
+    # A control node
+
+    def fan_out_ms(self) -> float:
+        """Processor time of one worker's news to all edges at one control node."""
+        a_hundred = self.lines.at(Label.CHANGE_WORKERS, self.workers)
+        return a_hundred * self.edges / 100
+
+    def fan_out_core(self) -> float:
+        """Share of a core that news to edges take at each control node."""
+        return self.records_a_second * self.fan_out_ms() * MILLI
+
+    def heartbeat_core(self) -> float:
+        """Share of a core that heartbeats take at each control node, HTTP and the kernel's work with it."""
+        line = self.lines.line(Label.CONTROL_WORKERS)
+        measured_with = target.FEW_CONTROL / target.CONTROL_MACHINES
+        return (line.at(self.workers) - line.intercept) / PERCENT * measured_with
+
+    def pull_core(self) -> float:
+        """Share of a core that pulls without news take at each control node, the kernel's work with it."""
+        line = self.lines.line(Label.CONTROL_EDGES)
+        return (line.at(self.edges) - line.intercept) / PERCENT
+
+    def owner_step_ms(self) -> float:
+        """One step of the owner of a placement, without any plan to make."""
+        parts = (Label.OWNER_APPLY, Label.OWNER_QUIET, Label.OWNER_CORRECTIONS)
+        return sum(self.lines.at(label, self.workers) for label in parts)
+
+    def reports_a_second(self) -> float:
+        """Demand reports that reach the owner."""
+        return self.edges / target.REPORT_INTERVAL_S
+
+    def owner_steps_a_second(self) -> float:
+        """Steps that the reports ask for: each sets the owner off, at most one in its shortest pause."""
+        return min(self.reports_a_second(), 1 / SHORTEST_PAUSE_S)
+
+    def owner_core(self) -> float:
+        """Share of a core that the owner's steps would take without a plan; over 1 it falls behind."""
+        return self.owner_steps_a_second() * self.owner_step_ms() * MILLI
+
+    def mass_restart_s(self) -> float:
+        """Seconds until a control node has answered all edges that begin at once, each table encoded anew."""
+        return self.edges * self.lines.at(Label.TABLE_ENCODE, self.workers) * MILLI
+
+    def mass_restart_mb(self) -> float:
+        """What each edge gets then: the whole table by every control node."""
+        return target.CONTROL_MACHINES * self.lines.at(Label.TABLE_BYTES, self.workers) * MILLI
+
+    def table_bytes(self) -> float:
+        """One frame with the whole table of workers."""
+        return self.lines.at(Label.TABLE_BYTES, self.workers) / MILLI
+
+    def vector_days(self) -> float:
+        """Days of ordinary restarts until pulls without news alone reach the bound of bytes."""
+        slope = target.CONTROL_MACHINES / POLL_S
+        entry = self.lines.line(Label.REQUEST_BYTES).slope + self.lines.line(Label.RESPONSE_BYTES).slope
+        left = target.CONTROL_BYTES_PER_S - self.edge_bytes_at_rest()
+        return left / (slope * entry) / self.origins_a_day
+
+    def commit_bytes_a_day(self) -> float:
+        """Bytes from the primary to its backups for a day's changes: each carries the whole document."""
+        size = {"models": target.MODELS, "routes": target.MODELS}
+        entry = self.figure("document", "entry_bytes", **size)
+        return target.CHANGES_PER_DAY * self.factor * entry * (target.CONTROL_MACHINES - 1)
+
+
+PULL_PATIENCE_S = POLL_S + ANSWER_SLACK_S
+
+
+@dataclass(frozen=True)
+class Bounded:
+    """A cost that has a bound: where it is paid, what it is, in which unit."""
+
+    name: str
+    place: str
+    unit: str
+    bound: float
+    value: Callable[[Scaled], float]
+
+    def breaks_at(self, lines: Lines, results: Results) -> float:
+        """The factor of the operators' size at which the bound is met, between 0 and `LARGEST_FACTOR`."""
+        low, high = 0.0, LARGEST_FACTOR
+        if self.value(Scaled(lines, results, high)) <= self.bound:
+            return high
+        for _ in range(SEARCH_STEPS):
+            middle = (low + high) / 2
+            if self.value(Scaled(lines, results, middle)) <= self.bound:
+                low = middle
+            else:
+                high = middle
+        return low
+
+
+BOUNDED: tuple[Bounded, ...] = (
+    Bounded(
+        "owner's steps at each demand report, without a plan",
+        "`controlplane/placement_executor.py`, `placement/`",
+        "of a core",
+        1.0,
+        Scaled.owner_core,
+    ),
+    Bounded(
+        "the whole table to all edges after a mass restart, against an edge's patience with a pull",
+        "`controlplane/distribution.py`",
+        "s",
+        PULL_PATIENCE_S,
+        Scaled.mass_restart_s,
+    ),
+    Bounded(
+        "bytes of an edge with the operators' loads",
+        "`dataplane/puller.py`, `controlplane/distribution.py`",
+        "bytes a second",
+        target.CONTROL_BYTES_PER_S,
+        Scaled.edge_bytes,
+    ),
+    Bounded(
+        "news of workers to all edges at each control node",
+        "`controlplane/distribution.py`, `registry/workers.py`",
+        "of a core",
+        1.0,
+        Scaled.fan_out_core,
+    ),
+    Bounded(
+        "an edge's work on news of workers",
+        "`dataplane/node.py`, `selection/market_selector.py`",
+        "of a core",
+        target.CONTROL_CORE_SHARE,
+        Scaled.edge_news_core,
+    ),
+    Bounded(
+        "state of an edge: tables and selection",
+        "`dataplane/tables.py`, `selection/`",
+        "MB",
+        target.CONTROL_MEMORY_MB,
+        Scaled.edge_state_mb,
+    ),
+    Bounded(
+        "heartbeats at each control node",
+        "`controlplane/registration.py`, Sanic",
+        "of a core",
+        1.0,
+        Scaled.heartbeat_core,
+    ),
+    Bounded(
+        "pulls without news at each control node",
+        "`controlplane/distribution.py`",
+        "of a core",
+        1.0,
+        Scaled.pull_core,
+    ),
+    Bounded(
+        "the whole table in one frame",
+        "`internal/channel.py`",
+        "bytes",
+        float(LARGEST_FRAME),
+        Scaled.table_bytes,
+    ),
+)
