Hold pulls between control nodes open again: placement origins made them spin

Cause: a control node that owns a placement tells its origin in its vector; other control nodes never took that origin, so each of their pulls was answered at once, without end. Ruled out: the updates' own size (a few hundred bytes), the edges' pulls (one round trip each). Change: what a control node does not take it counts as known at any position. Test seen red without it.

--- a/arrowfold/controlplane/peers.py
+++ b/arrowfold/controlplane/peers.py
@@ -24,6 +24,7 @@
 PULL_MARGIN_S = 0.7
 RETRY_PAUSE_S = 0.3
 SIGHTINGS_INTERVAL_S = 2.0
+ANY_POSITION = 2**62
 LIVE_S = PULL_WAIT_S + PULL_MARGIN_S + RETRY_PAUSE_S + 0.5  # after its last answer, a node counts as live
 
 
@@ -49,6 +50,7 @@
         self._on_change = on_change
         self._answered_at: dict[str, float] = {}
         self._pulls: dict[str, asyncio.Task[None]] = {}
+        self._skipped = {STATE_ORIGIN}  # origins met that control nodes do not hand on to one another
 
     def is_live(self, origin: str) -> bool:
         """Whether the control node that this origin belongs to answered lately."""
@@ -87,15 +89,13 @@
                 await self._caller.call(info.address, EdgeSightings(self._presence.ages()), PULL_MARGIN_S)
 
     def _vector(self) -> dict[str, int]:
-        # The replicated state comes by replication; any position of it counts as known here.
-        return {**self._registry.vector(), STATE_ORIGIN: 2**62}
+        # The replicated state comes by replication, and placements go from their owner to the edges: any
+        # position of them counts as known here. Else each pull would be answered at once, for ever.
+        return {**self._registry.vector(), **dict.fromkeys(self._skipped, ANY_POSITION)}
 
     def _take(self, response: PullResponse) -> None:
         updates = tuple(update for update in response.updates if isinstance(update, WorkerUpdate))
-        vector = {
-            origin: count
-            for origin, count in response.vector.items()
-            if origin != STATE_ORIGIN and not is_placement_origin(origin)
-        }
+        self._skipped.update(filter(is_placement_origin, response.vector))
+        vector = {origin: count for origin, count in response.vector.items() if origin not in self._skipped}
         if self._registry.merge(updates, vector):
             self._on_change()
