--- a/tests/system/test_control_peers.py
+++ b/tests/system/test_control_peers.py
@@ -25,7 +25,7 @@
 
 
 class _OwnerOfAPlacement:
-    """A control node that owns a placement; it answers a pull at once if the puller seems to lack something."""
+    """Owns a placement, and answers a pull at once if the puller seems to lack something."""
 
     def __init__(self) -> None:
         self.pulls = 0
