--- a/arrowfold/controlplane/changes.py
+++ b/arrowfold/controlplane/changes.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 from result import Err, Ok
@@ -14,14 +12,14 @@
 from arrowfold.configuration.documents import ConfigurationDocument
 from arrowfold.configuration.faults import ConfigurationFault, fault_status
 from arrowfold.configuration.validity import parse_configuration
+from arrowfold.controlplane.primary_calls import PrimaryCalls
 from arrowfold.internal.messages import ReadConfiguration, SubmitChange, SubmitResult
 from arrowfold.node.result_codes import ResultCode
 from arrowfold.replication.ports import Caller
 from arrowfold.replication.proposals import Proposal, ReplicaPort, ReplicationFault
 from arrowfold.replication.state import ConfigurationStep, ControlState
 
-LOCAL_TIMEOUT_S = 0.9  # for the primary's answer; a caller moves on after a second of silence
-FORWARD_TIMEOUT_S = 0.85  # for an answer of the primary to another member
+UNAVAILABLE = 503
 PUT = "PUT"
 
 
@@ -35,7 +33,7 @@
 
 def unavailable(code: ResultCode, text: str) -> SubmitResult:
     """The answer that sends the caller to another node."""
-    return SubmitResult(503, fault_body(code, text))
+    return SubmitResult(UNAVAILABLE, fault_body(code, text))
 
 
 class ConfigurationService:
@@ -43,36 +41,19 @@
 
     def __init__(self, replica: ReplicaPort, caller: Caller) -> None:
         self._replica = replica
-        self._caller = caller
         self._parsed: tuple[bytes, ConfigurationDocument] | None = None
+        self._submissions = PrimaryCalls(replica, caller, self.on_submit, _is_settled)
+        self._reads = PrimaryCalls(replica, caller, self.on_read, _is_settled)
 
     # At the member that the operator called
 
     async def submit(self, change: SubmitChange) -> SubmitResult:
         """The answer to PUT or PATCH, within a second."""
-        return await self._in_time(self.on_submit if self._replica.is_primary() else self._forward, change)
+        return await self._submissions.ask(change) or _no_answer()
 
     async def read(self) -> SubmitResult:
         """The answer to GET."""
-        request = ReadConfiguration()
-        return await self._in_time(self.on_read if self._replica.is_primary() else self._forward, request)
-
-    async def _in_time(self, answer: Callable[[Any], Awaitable[SubmitResult]], request: Any) -> SubmitResult:
-        try:
-            async with asyncio.timeout(LOCAL_TIMEOUT_S):
-                return await answer(request)
-        except TimeoutError:
-            return unavailable(ResultCode.REPLICATION_TIMEOUT, "not committed in time")
-
-    async def _forward(self, request: SubmitChange | ReadConfiguration) -> SubmitResult:
-        primary = self._replica.primary()
-        if primary is None or primary.member == self._replica.member:
-            return unavailable(ResultCode.NO_QUORUM, "no primary")
-        answer = await self._caller.call(primary.address, request, FORWARD_TIMEOUT_S)
-        found = answer.ok()
-        if isinstance(found, SubmitResult):
-            return found
-        return unavailable(ResultCode.REPLICATION_TIMEOUT, "the primary did not answer")
+        return await self._reads.ask(ReadConfiguration()) or _no_answer()
 
     # At the primary
 
@@ -115,6 +96,14 @@
         return self._parsed[1]
 
 
+def _is_settled(answer: object) -> bool:
+    return isinstance(answer, SubmitResult) and answer.status != UNAVAILABLE
+
+
+def _no_answer() -> SubmitResult:
+    return unavailable(ResultCode.REPLICATION_TIMEOUT, "no primary acknowledged it in time")
+
+
 def _decide_read(state: ControlState) -> Proposal[SubmitResult]:
     if state.configuration is None:
         return Proposal(
--- a/arrowfold/controlplane/http_interface.py
+++ b/arrowfold/controlplane/http_interface.py
@@ -33,10 +33,10 @@
 
 
 def build_application(
-    name: str, configurations: ConfigurationService, registrations: RegistrationService
+    configurations: ConfigurationService, registrations: RegistrationService
 ) -> Sanic[Any, Any]:
     """The routes of the control API."""
-    application: Sanic[Any, Any] = Sanic(f"arrowfold-{name}", configure_logging=False)
+    application: Sanic[Any, Any] = Sanic("arrowfold-control", configure_logging=False)
     application.config.ACCESS_LOG = False
     application.config.REQUEST_MAX_SIZE = LARGEST_BODY
     application.config.MOTD = False
--- a/arrowfold/controlplane/node.py
+++ b/arrowfold/controlplane/node.py
@@ -35,32 +35,20 @@
 from arrowfold.node.settings import NodeSettings
 from arrowfold.placement.ceiling import ANSWER_JITTER_S
 from arrowfold.registry.workers import WorkerRegistry
-from arrowfold.replication.durable import DurableImage, image_of
-from arrowfold.replication.identity import Identity, read_identity, store_identity
+from arrowfold.replication.durable import DurableImage
+from arrowfold.replication.identity import Identity
 from arrowfold.replication.member import GroupMember
-from arrowfold.replication.records import MemberImage
+from arrowfold.replication.recovery import NewIdentity, open_storage
 from arrowfold.replication.replica import Replica
 from arrowfold.replication.roles import RoleAuthority
 from arrowfold.replication.timings import Timings
-from arrowfold.storage.folders import Folder, OsFolder
-from arrowfold.storage.log import SegmentedLog
+from arrowfold.storage.folders import OsFolder
 from arrowfold.storage.worker import ThreadDiskWorker
 
 SWEEP_INTERVAL_S = 0.5
 OPEN_RETRY_S = 0.3  # after a disk refused the first writes of a start
 
 
-def _open_storage(folder: Folder, settings: NodeSettings) -> tuple[Identity, SegmentedLog, MemberImage]:
-    """Blocking: read or draw the identity, and recover the log."""
-    identity = read_identity(folder)
-    if identity is None:
-        identity = store_identity(
-            folder, secrets.token_hex(8), settings.firstStart, settings.seed_internal_addresses()
-        )
-    log = SegmentedLog(folder)
-    return identity, log, image_of(log.recover())
-
-
 class ControlNode:
     """A running control node; `start` builds it, `stop` hands over what it leads."""
 
@@ -134,7 +122,7 @@
         self._server = ChannelServer(handlers)
         await self._server.start(settings.internal_address)
         if settings.listenAddresses.control is not None:
-            application = build_application(settings.nodeName, configurations, registrations)
+            application = build_application(configurations, registrations)
             await serve(application, settings.listenAddresses.control)
         self._tasks.append(asyncio.create_task(replica.run()))
         self._tasks.append(asyncio.create_task(placement.run()))
@@ -145,10 +133,14 @@
 
     async def _recover(self, clock: Callable[[], float]) -> tuple[Identity, DurableImage]:
         folder = OsFolder(Path(self._settings.dataDirectory or "/tmp/arrowfold-control"))
+        seeds = self._settings.seed_internal_addresses()
+        new = NewIdentity(secrets.token_hex(8), self._settings.firstStart, seeds)
         while True:
             try:
-                identity, log, image = await self._disk.run(lambda: _open_storage(folder, self._settings))
-                return identity, DurableImage(log, self._disk, clock, image)
+                opened = await self._disk.run(lambda: open_storage(folder, new))
+                if opened.damage is not None:
+                    self._log.error("storage.damaged", reason=str(opened.damage))
+                return opened.identity, DurableImage(opened.log, self._disk, clock, opened.image)
             except OSError as error:
                 self._log.warning("storage.open_failed", reason=str(error))
                 await asyncio.sleep(OPEN_RETRY_S)
--- a/arrowfold/controlplane/registration.py
+++ b/arrowfold/controlplane/registration.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
+from arrowfold.controlplane.primary_calls import PrimaryCalls
 from arrowfold.internal.messages import (
     Acknowledgement,
     CallFailed,
@@ -21,8 +21,6 @@
 from arrowfold.replication.proposals import Proposal, ReplicaPort
 from arrowfold.replication.state import ControlState, DepartureNotice
 
-LOCAL_TIMEOUT_S = 0.85
-FORWARD_TIMEOUT_S = 0.8
 _STAGES = {AVAILABLE: 0, DRAINING: 1, GONE: 2}
 
 
@@ -93,6 +91,10 @@
     return departure is not None and _STAGES.get(departure.state, 0) >= _STAGES.get(wanted, 0)
 
 
+def _is_acknowledged(answer: object) -> bool:
+    return isinstance(answer, Acknowledgement)
+
+
 class RegistrationService:
     """Takes what workers say, whichever member it runs on."""
 
@@ -105,7 +107,7 @@
     ) -> None:
         self._replica = replica
         self._registry = registry
-        self._caller = caller
+        self._departures = PrimaryCalls(replica, caller, self.on_departure, _is_acknowledged)
         self._on_change = on_change
 
     async def heard(self, record: WorkerRecord) -> Result[None, RegistrationFault]:
@@ -123,25 +125,9 @@
         """Have a notice of departure committed, within a second; Ok may be acknowledged."""
         if already_committed(self._replica.committed, notice.instance, notice.state):
             return Ok(None)
-        try:
-            async with asyncio.timeout(LOCAL_TIMEOUT_S):
-                answer = await self._at_primary(notice)
-        except TimeoutError:
-            answer = CallFailed(ResultCode.REGISTRATION_NOT_DURABLE, "not committed in time")
-        if isinstance(answer, Acknowledgement):
+        if await self._departures.ask(notice) is not None:
             return Ok(None)
-        return Err(RegistrationFault(ResultCode.REGISTRATION_NOT_DURABLE, answer.text))
-
-    async def _at_primary(self, notice: SubmitDeparture) -> Acknowledgement | CallFailed:
-        if self._replica.is_primary():
-            return await self.on_departure(notice)
-        primary = self._replica.primary()
-        if primary is None or primary.member == self._replica.member:
-            return CallFailed(ResultCode.NO_QUORUM, "no primary")
-        answer = await self._caller.call(primary.address, notice, FORWARD_TIMEOUT_S)
-        if isinstance(answer, Ok) and isinstance(answer.ok_value, Acknowledgement):
-            return answer.ok_value
-        return CallFailed(ResultCode.REGISTRATION_NOT_DURABLE, "the primary did not acknowledge")
+        return Err(RegistrationFault(ResultCode.REGISTRATION_NOT_DURABLE, "no primary committed it in time"))
 
     async def on_departure(self, notice: SubmitDeparture) -> Acknowledgement | CallFailed:
         """As the primary: commit a notice of departure."""
--- a/arrowfold/replication/identity.py
+++ b/arrowfold/replication/identity.py
@@ -12,6 +12,7 @@
 IDENTITY_FILE = "identity"
 TEMPORARY_FILE = "identity.new"
 FORMAT_VERSION = 1
+SET_ASIDE_PREFIX = "damaged-"
 
 
 @message(56)
@@ -32,7 +33,9 @@
     """The identity on this disk, or None where the disk is empty; raises DamagedStorage."""
     names = folder.names()
     if IDENTITY_FILE not in names:
-        leftovers = [name for name in names if name != TEMPORARY_FILE]
+        leftovers = [
+            name for name in names if name != TEMPORARY_FILE and not name.startswith(SET_ASIDE_PREFIX)
+        ]
         if leftovers:
             raise DamagedStorage(IDENTITY_FILE, 0, f"missing beside {leftovers[0]}")
         return None
--- /dev/null
+++ b/arrowfold/replication/recovery.py
@@ -0,0 +1,56 @@
+"""The start of a member from its disk; damaged files are set aside, never guessed at."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from arrowfold.replication.durable import image_of
+from arrowfold.replication.identity import SET_ASIDE_PREFIX, Identity, read_identity, store_identity
+from arrowfold.replication.records import MemberImage
+from arrowfold.storage.faults import DamagedStorage
+from arrowfold.storage.folders import Folder
+from arrowfold.storage.log import SegmentedLog
+
+
+@dataclass(frozen=True, slots=True)
+class OpenedStorage:
+    """A member's identity, its log, and the image in it; `damage` names what was set aside."""
+
+    identity: Identity
+    log: SegmentedLog
+    image: MemberImage
+    damage: DamagedStorage | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class NewIdentity:
+    """The identity to take where the disk is empty."""
+
+    member: str
+    founder: bool
+    seeds: tuple[str, ...]
+
+
+def _open(folder: Folder, new: NewIdentity, damage: DamagedStorage | None) -> OpenedStorage:
+    identity = read_identity(folder)
+    if identity is None:
+        identity = store_identity(folder, new.member, new.founder and damage is None, new.seeds)
+    log = SegmentedLog(folder)
+    return OpenedStorage(identity, log, image_of(log.recover()), damage)
+
+
+def _set_aside(folder: Folder) -> None:
+    """Rename all files, so that the machine starts as one with an empty disk."""
+    names = [name for name in folder.names() if not name.startswith(SET_ASIDE_PREFIX)]
+    for name in names:
+        folder.rename(name, SET_ASIDE_PREFIX + name)
+    folder.sync()
+
+
+def open_storage(folder: Folder, new: NewIdentity) -> OpenedStorage:
+    """Blocking: recover a member. After damage it is a new member, as after the loss of its disk."""
+    try:
+        return _open(folder, new, None)
+    except DamagedStorage as damage:
+        _set_aside(folder)
+        return _open(folder, new, damage)
--- a/tests/system/control_simulation/machines.py
+++ b/tests/system/control_simulation/machines.py
@@ -16,13 +16,12 @@
     SubmitResult,
 )
 from arrowfold.registry.workers import WorkerRegistry
-from arrowfold.replication.durable import DurableImage, image_of
-from arrowfold.replication.identity import read_identity, store_identity
+from arrowfold.replication.durable import DurableImage
 from arrowfold.replication.member import GroupMember
+from arrowfold.replication.recovery import NewIdentity, open_storage
 from arrowfold.replication.replica import Replica
 from arrowfold.replication.roles import RoleAuthority
 from arrowfold.replication.timings import Timings
-from arrowfold.storage.log import SegmentedLog
 from tests.system.control_simulation.disks import SimulatedDiskWorker, SimulatedFolder
 from tests.system.control_simulation.history import PLATFORM_LEASE_S
 from tests.system.control_simulation.lives import Life, LivesLoop
@@ -160,13 +159,13 @@
         await replica.run()
 
     async def _open(self, worker: SimulatedDiskWorker) -> Replica:
-        identity = await worker.run(lambda: read_identity(self.folder))
-        if identity is None:
-            drawn, founder = self.next_identity(), self.may_found()
-            identity = await worker.run(lambda: store_identity(self.folder, drawn, founder, self.seeds))
-        log = SegmentedLog(self.folder)
-        image = await worker.run(lambda: image_of(log.recover()))
-        durable = DurableImage(log, worker, self.clock, image)
+        new = NewIdentity(self.next_identity(), self.may_found(), self.seeds)
+        opened = await worker.run(lambda: open_storage(self.folder, new))
+        identity = opened.identity
+        if opened.damage is not None:
+            self._trace.add(self.name, "damaged", reason=str(opened.damage))
+            self.on_damage(str(opened.damage))
+        durable = DurableImage(opened.log, worker, self.clock, opened.image)
         info = MemberInfo(identity.member, self.name, self.address, self.address, "zone")
         events = TraceLog(self._trace, self.name)
         member = self.make_member(info, identity.founder, durable, events)
@@ -211,6 +210,9 @@
     def on_act(self, holder: str, token: int) -> None:
         """Called whenever this machine acts under the role."""
 
+    def on_damage(self, reason: str) -> None:
+        """Called when synced bytes did not read back: on these disks that must not happen."""
+
     def on_started(self, replica: Replica) -> None:
         """Called with the replica of each life; the world watches it from here."""
 
--- a/tests/system/control_simulation/world.py
+++ b/tests/system/control_simulation/world.py
@@ -47,6 +47,7 @@
             name, self.network, self.seeds, self.losses, self.trace, self.sync_s, rate
         )
         machine.on_started = lambda replica: self._watch(name, replica)  # type: ignore[method-assign]
+        machine.on_damage = self.violations.append  # type: ignore[method-assign]
         machine.on_act = self._note_act  # type: ignore[method-assign]
         return machine
 
