--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -12,7 +12,8 @@
 from arrowfold.dataplane.puller import ControlPuller
 from arrowfold.dataplane.reports import DemandReporter
 from arrowfold.dataplane.retry_budget import RetryBudget
-from arrowfold.dataplane.tables import FleetSnapshot, FleetTables
+from arrowfold.dataplane.stalled_exchanges import StalledExchangeWatch
+from arrowfold.dataplane.tables import SILENT, FleetSnapshot, FleetTables
 from arrowfold.dataplane.worker_connections import FEWEST_CONNECTIONS, WorkerConnections
 from arrowfold.internal.channel import ChannelClient
 from arrowfold.internal.messages import NodeIdentity
@@ -65,11 +66,12 @@
             log,
         )
         self._reporter = DemandReporter(self._client, identity, selector)
+        self._stalled_exchanges = StalledExchangeWatch(self._connections, log)
+        self._tasks: list[asyncio.Task[None]] = []
         self._overlay = PlacementOverlay()
         self._reported_s = loop.time()
         self._early_report: asyncio.Task[None] | None = None
         self._forwarder.on_missing = self._report_missing
-        self._rounds: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listen, and begin to pull."""
@@ -79,7 +81,10 @@
         if addresses.front is not None:
             await self._front.start(addresses.front)
         self._puller.start()
-        self._rounds = asyncio.create_task(self._run_rounds())
+        self._tasks = [
+            asyncio.create_task(self._run_rounds()),
+            asyncio.create_task(self._stalled_exchanges.run()),
+        ]
 
     def is_ready(self) -> bool:
         """Whether the platform should send new connections here."""
@@ -98,8 +103,8 @@
         await asyncio.sleep(PROBE_MISSES_S)
         await self._front.stop(self._settings.bounds.graceS - PROBE_MISSES_S - END_MARGIN_S)
         self._puller.stop()
-        if self._rounds is not None:
-            self._rounds.cancel()
+        for task in self._tasks:
+            task.cancel()
 
     def _limits(self) -> Limits:
         configuration = self._tables.snapshot.configuration
@@ -128,6 +133,8 @@
             service = services.get(record.service)
             most = service.max_connections if service is not None else None
             shares[instance] = max(FEWEST_CONNECTIONS, (most or DEFAULT_CONNECTIONS) // edges)
+            if record.state == SILENT:
+                self._connections.drop_idle_of(instance)
         self._connections.set_shares(shares)
         self._connections.keep_only(set(shares))
 
