--- a/benchmarks/capacity/system/failover.py
+++ b/benchmarks/capacity/system/failover.py
@@ -11,14 +11,13 @@
 from result import Ok
 
 from arrowfold.internal.messages import MemberInfo
-from arrowfold.replication.durable import DurableImage, image_of
-from arrowfold.replication.identity import draw_identity
+from arrowfold.replication.durable import DurableImage
 from arrowfold.replication.member import GroupMember
 from arrowfold.replication.proposals import Proposal
+from arrowfold.replication.recovery import NewIdentity, open_storage
 from arrowfold.replication.replica import Replica
 from arrowfold.replication.state import ConfigurationStep, ControlState
 from arrowfold.replication.timings import Timings
-from arrowfold.storage.log import SegmentedLog
 from benchmarks.capacity.results import Figures
 from benchmarks.capacity.system import target
 from benchmarks.capacity.system.documents import DIGEST, change_of_one_route, document_text
@@ -69,10 +68,9 @@
     def _start_member(self, number: int, address: str, seeds: tuple[str, ...]) -> None:
         clock = asyncio.get_running_loop().time
         folder = MemoryFolder()
-        identity = draw_identity(folder, True, seeds)
-        log = SegmentedLog(folder)
-        image = DurableImage(log, TimedDiskWorker(SYNC_S), clock, image_of(log.recover()))
-        info = MemberInfo(identity.member, f"core-{number}", address, address, zone_name(number))
+        opened = open_storage(folder, NewIdentity(f"member-{number}", True, seeds))
+        image = DurableImage(opened.log, TimedDiskWorker(SYNC_S), clock, opened.image)
+        info = MemberInfo(opened.identity.member, f"core-{number}", address, address, zone_name(number))
         member = GroupMember(info, True, image, clock, Timings(), SilentLog())
         caller = NetworkCaller(self.network, address)
         draw = random.Random(self._draw.random())
