--- a/arrowfold/dataplane/puller.py
+++ b/arrowfold/dataplane/puller.py
@@ -1,7 +1,7 @@
 """Pulls from every control node that is known, so that what one of them learns is here a round trip later.
 
-One node, of this zone if there is one, sends the updates themselves; the others only give notice that they
-have some. What a notice tells of and the first node does not bring at once is pulled from the node that told
+One node, of this zone if there is one, sends the updates themselves, and so do owners of roles, who alone hand
+on what they decide; the others only give notice that they have some. What a notice tells of and the first node does not bring at once is pulled from the node that told
 of it. So a node that is cut off, or hangs, delays nothing, and updates come once.
 """
 
@@ -88,10 +88,17 @@
     def _sends_updates(self, source: _Source) -> bool:
         """Whether this node sends updates: the best of those that answer, or each while none is known."""
         current = [known for known in self._sources.values() if known.answers and known.current]
-        if not current or self._tables.snapshot.configuration is None:
+        if not current or self._tables.snapshot.configuration is None or self._owns_role(source):
             return True
         return source is min(current, key=lambda known: (not self._is_near(known), known.address))
 
+    def _owns_role(self, source: _Source) -> bool:
+        view = self._tables.snapshot.view
+        if view is None:
+            return False
+        owners = {role.member for role in view.roles}
+        return any(m.address == source.address and m.member in owners for m in view.members)
+
     def _is_near(self, source: _Source) -> bool:
         view = self._tables.snapshot.view
         members = view.members if view is not None else ()
