--- a/arrowfold/controlplane/node.py
+++ b/arrowfold/controlplane/node.py
@@ -18,6 +18,7 @@
 from arrowfold.controlplane.placement_service import PlacementService
 from arrowfold.controlplane.presence import EdgePresence
 from arrowfold.controlplane.registration import RegistrationService
+from arrowfold.controlplane.role_names import placement_roles
 from arrowfold.internal.channel import ChannelClient, ChannelServer
 from arrowfold.internal.messages import (
     Acknowledgement,
@@ -32,12 +33,14 @@
 )
 from arrowfold.node.logs import RateLimitedLog
 from arrowfold.node.settings import NodeSettings
+from arrowfold.placement.ceiling import ANSWER_JITTER_S
 from arrowfold.registry.workers import WorkerRegistry
 from arrowfold.replication.durable import DurableImage, image_of
-from arrowfold.replication.identity import Identity, draw_identity, read_identity
+from arrowfold.replication.identity import Identity, read_identity, store_identity
 from arrowfold.replication.member import GroupMember
 from arrowfold.replication.records import MemberImage
 from arrowfold.replication.replica import Replica
+from arrowfold.replication.roles import RoleAuthority
 from arrowfold.replication.timings import Timings
 from arrowfold.storage.folders import Folder, OsFolder
 from arrowfold.storage.log import SegmentedLog
@@ -51,7 +54,9 @@
     """Blocking: read or draw the identity, and recover the log."""
     identity = read_identity(folder)
     if identity is None:
-        identity = draw_identity(folder, settings.firstStart, settings.seed_internal_addresses())
+        identity = store_identity(
+            folder, secrets.token_hex(8), settings.firstStart, settings.seed_internal_addresses()
+        )
     log = SegmentedLog(folder)
     return identity, log, image_of(log.recover())
 
@@ -97,8 +102,17 @@
         presence = EdgePresence(clock, settings.bounds.budgetWindowS)
         notices = PlacementNotices(lambda: distributor.wake())
         distributor = Distributor(replica, registry, presence, lambda: _role_owners(replica), notices)
+        # An order may be on its way for a while after its sender's authority ended.
+        hand_over_s = settings.bounds.leaseMs / 1000 + ANSWER_JITTER_S
+        authority = RoleAuthority(replica, clock, replica.authority_until, hand_over_s)
         placement = PlacementService(
-            replica, lambda: registry.records().values(), notices, settings.bounds, clock, self._log
+            replica,
+            authority,
+            lambda: registry.records().values(),
+            notices,
+            settings.bounds,
+            clock,
+            self._log,
         )
         configurations = ConfigurationService(replica, self._passed_on)
         registrations = RegistrationService(replica, registry, self._passed_on, distributor.wake)
@@ -108,6 +122,8 @@
         pulls = self._pulls = PeerPulls(
             node, replica, registry, presence, self._passed_on, clock, distributor.wake
         )
+        replica.want_roles(placement_roles)
+        replica.add_listener(authority.observe)
         replica.add_listener(distributor.wake)
         replica.add_listener(pulls.follow_members)
         replica.add_listener(placement.wake)
--- a/arrowfold/controlplane/placement_executor.py
+++ b/arrowfold/controlplane/placement_executor.py
@@ -59,8 +59,11 @@
     def holder(self) -> str:
         """The name under which this owner gives orders."""
 
+    def is_tenured(self) -> bool:
+        """Whether the role is still this node's under this token, as far as it knows."""
+
     def remaining_s(self) -> float:
-        """How much longer this node surely owns the role; 0 or less once it does not."""
+        """How much longer this node surely may act; 0 while it may not, as during a change of the primary."""
 
 
 class PlacementPorts(Protocol):
@@ -94,7 +97,10 @@
 
 
 class PlacementExecutor:
-    """Runs the placement of one service for as long as one lease lasts."""
+    """Runs the placement of one service for as long as one tenure of its role lasts.
+
+    Until this node may act under the role it learns demand and reads reports, so that it is prepared then.
+    """
 
     def __init__(
         self,
@@ -130,7 +136,7 @@
     async def run(self) -> None:
         """Work until the lease is lost or a worker has seen a later owner."""
         try:
-            while self._lease.remaining_s() > 0 and not (self._placer and self._placer.fenced):
+            while self._lease.is_tenured() and not (self._placer and self._placer.fenced):
                 self._step()
                 await self._pause()
         finally:
@@ -148,7 +154,8 @@
             self._placer = ServicePlacer(catalogue, ceiling)
         self._placer.apply_catalogue(catalogue)
         self._placer.apply_workers(self._ports.workers(), now_s)
-        actions = self._placer.actions(now_s)
+        may_order = self._lease.remaining_s() >= ARRIVAL_S
+        actions = self._placer.actions(now_s, may_order)
         self._publish(self._placer.corrections(now_s))
         for action in actions:
             self._start(self._placer, action)
@@ -179,7 +186,7 @@
     async def _pause(self) -> None:
         now_s = self._clock()
         wakeup_s = self._placer.next_wakeup_s(now_s) if self._placer else now_s + ANSWER_TIMEOUT_S
-        pause_s = max(SHORTEST_PAUSE_S, min(wakeup_s - now_s, self._lease.remaining_s()))
+        pause_s = max(SHORTEST_PAUSE_S, wakeup_s - now_s)
         try:
             async with asyncio.timeout(pause_s):
                 await self._changed.wait()
