--- /dev/null
+++ b/arrowfold/expectations/memory_server.py
@@ -0,0 +1,102 @@
+"""Backend servers that exist in memory only."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Protocol
+
+from arrowfold import interface as api
+from arrowfold.expectations.virtual_clock import Clock
+from arrowfold.expectations.world import World
+from arrowfold.routing.session import Dispatch, Probe
+
+MS = timedelta(milliseconds=1)
+WIRE = 2 * MS  # one way to a server
+RUN = 120 * MS  # a job's run
+SLOW_RUN = 3000 * MS
+SLOTS = 4
+
+
+class Surroundings(Protocol):
+    """What a server needs of the world at play."""
+
+    clock: Clock
+    world: World
+    random: random.Random
+
+
+@dataclass(slots=True)
+class SimServer:
+    """A backend server in memory."""
+
+    stage: Surroundings
+    name: str
+    zone: str
+    kind: str
+    full: bool = False
+    busy: int = 0  # slots that others hold
+    dead: bool = False
+    silent: bool = False
+    launched_us: int = 0
+    state: api.Lifecycle = api.Lifecycle.IN_SERVICE
+    running: list[Dispatch] = field(default_factory=list)
+
+    def entry(self) -> api.RosterEntry:
+        return api.RosterEntry(self.name, self.zone, self.kind, 0, self.launched_us, self.state)
+
+    def load(self) -> api.LoadReport:
+        free = 0 if self.full else max(0, SLOTS - self.busy - len(self.running))
+        return api.LoadReport(free_slots=float(free), held=float(SLOTS - free))
+
+    def send(self, dispatch: Dispatch) -> None:
+        dispatch.whole = True
+        self.stage.clock.call_later(WIRE, lambda: self._take(dispatch))
+
+    def _take(self, dispatch: Dispatch) -> None:
+        """Its last byte has come."""
+        ending = self.stage.world.ending if not dispatch.number else "served"
+        if dispatch.over or self.silent:
+            return
+        if self.dead or ending == "refused":
+            dispatch.ended(api.Status.CONNECT_FAILED)
+        elif self.load().free_slots == 0 or ending == "turned-away":
+            dispatch.ended(api.Status.FULL, b"", self.load())
+        else:
+            self.running.append(dispatch)
+            dispatch.started()
+            run = SLOW_RUN if ending == "slow" else RUN * (0.8 + 0.4 * self.stage.random.random())
+            self.stage.clock.call_later(run, lambda: self._finish(dispatch, ending))
+
+    def _finish(self, dispatch: Dispatch, ending: str) -> None:
+        if dispatch not in self.running or self.silent:
+            return
+        self.running.remove(dispatch)
+        if not dispatch.over:
+            dispatch.ended({"error": api.Status.ERROR, "reset": api.Status.RESET}.get(ending, api.Status.OK),
+                           b"", self.load())
+
+    def probe(self, probe: Probe) -> None:
+        def answer() -> None:
+            if self.dead:
+                probe.ended(api.Status.CONNECT_FAILED)
+            elif not self.silent:
+                probe.ended(api.Status.OK, self.load())
+
+        self.stage.clock.call_later(2 * WIRE, answer)
+
+    def cancel(self, errand: Dispatch | Probe) -> api.Status | None:
+        if errand in self.running:
+            self.running.remove(errand)  # type: ignore[arg-type]
+        return None  # a model's server has all of an attempt at once
+
+    def rest(self) -> None:
+        pass
+
+    def kill(self) -> None:
+        """The process dies: what it had is reset."""
+        running, self.running = self.running, []
+        for dispatch in running:
+            if not dispatch.over:
+                dispatch.ended(api.Status.RESET)
--- /dev/null
+++ b/arrowfold/expectations/plan_settings.py
@@ -0,0 +1,102 @@
+"""The settings of a plan, one by one, each with the plan that lacks it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from arrowfold import interface as api
+from arrowfold.expectations.worlds import Plan
+from arrowfold.routes.rules import Routes, Rule
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """One thing that is set: its path, and the plan without it."""
+
+    path: str
+    without: Callable[[Plan], Plan]
+
+
+def settings_of(plan: Plan) -> list[Setting]:
+    """Everything set that may take part, each with the plan that lacks it."""
+    found = [Setting(path_of(rule), _without_rule(rule.name)) for rule in plan.routes.rules]
+    if plan.quotas is not None:
+        found += [Setting(f'quotas > organisation "{name}"', _without_organisation(name))
+                  for name in plan.quotas.root.children]
+        if plan.quotas.root.default is not None:
+            found.append(Setting("quotas > default", _without_quota_default))
+        if plan.quotas.nobody is not None:
+            found.append(Setting("quotas > nobody", _without_nobody))
+    for number, cls in enumerate(plan.settings.classes):
+        if cls.kind is not None:
+            found.append(Setting(f"settings > domain > classKind[{number}]", _without_kind(cls.name)))
+        if cls.idempotency is not api.Idempotency.SAFE:
+            found.append(Setting(f"settings > classes[{number}] > idempotency", _as_safe(cls.name)))
+    cap = plan.settings.attempt_cap
+    if cap != 4:
+        found.append(Setting("settings > permissions > sendCap", _with(attempt_cap=4)))
+    if plan.settings.second_copies:
+        found.append(Setting("settings > permissions > secondCopies", _with(second_copies=False)))
+    if cap > 1:  # last: with one attempt nothing is ever repeated
+        found.append(Setting("settings > permissions > sendCap", _with(attempt_cap=1)))
+    return found
+
+
+def _action_name(rule: Rule) -> str:
+    action = rule.action
+    return "deny" if action.deny else "only" if action.only else "kinds" if action.kinds else "prefer"
+
+
+def path_of(rule: Rule) -> str:
+    """The path of a rule's action in the document."""
+    return f'routes > rule "{rule.name}" > {_action_name(rule)}'
+
+
+def _without_rule(name: str) -> Callable[[Plan], Plan]:
+    def without(plan: Plan) -> Plan:
+        rules = tuple(rule for rule in plan.routes.rules if rule.name != name)
+        return replace(plan, routes=Routes(plan.routes.regions, rules))
+
+    return without
+
+
+def _without_organisation(name: str) -> Callable[[Plan], Plan]:
+    def without(plan: Plan) -> Plan:
+        assert plan.quotas is not None
+        root = plan.quotas.root
+        rest = {other: level for other, level in root.children.items() if other != name}
+        return replace(plan, quotas=replace(plan.quotas, root=replace(root, children=rest)))
+
+    return without
+
+
+def _without_quota_default(plan: Plan) -> Plan:
+    assert plan.quotas is not None
+    return replace(plan, quotas=replace(plan.quotas, root=replace(plan.quotas.root, default=None)))
+
+
+def _without_nobody(plan: Plan) -> Plan:
+    assert plan.quotas is not None
+    return replace(plan, quotas=replace(plan.quotas, nobody=None))
+
+
+def _with(**changes: Any) -> Callable[[Plan], Plan]:
+    return lambda plan: replace(plan, settings=replace(plan.settings, **changes))
+
+
+def _with_class(name: str, **changes: Any) -> Callable[[Plan], Plan]:
+    def changed(plan: Plan) -> Plan:
+        classes = tuple(replace(c, **changes) if c.name == name else c for c in plan.settings.classes)
+        return replace(plan, settings=replace(plan.settings, classes=classes))
+
+    return changed
+
+
+def _without_kind(name: str) -> Callable[[Plan], Plan]:
+    return _with_class(name, kind=None)
+
+
+def _as_safe(name: str) -> Callable[[Plan], Plan]:
+    return _with_class(name, idempotency=api.Idempotency.SAFE)
--- /dev/null
+++ b/arrowfold/expectations/recorder.py
@@ -0,0 +1,64 @@
+"""Writes down what a core does, as a history for the claims."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from arrowfold import interface as api
+from arrowfold.expectations.history import Attempt, Call, History, Life, Report, Sight, sights_of
+from arrowfold.routes.rules import Subject
+from arrowfold.routing.session import Answer, Dispatch, Session
+
+
+class Recorder:
+    """Writes down what the core does as a history."""
+
+    def __init__(self, now: Callable[[], timedelta], history: History) -> None:
+        self.now, self.history = now, history
+        self.known: dict[str, Sight] = {}
+
+    def settled(self, settings: api.Settings) -> None:
+        self.history.cold = timedelta(microseconds=settings.cold_us)
+
+    def listed(self, update: api.RosterUpdate) -> None:
+        self.history.sights += sights_of(self.now(), update, self.known)
+
+    def called(self, server: str, out: bool) -> None:
+        self.history.calls.append(Call(self.now(), server, out))
+
+    def taken(self, session: Session) -> None:
+        job = session.job
+        subject = Subject(job.request_class, job.region, job.key, job.payer, job.client, job.resent)
+        session.span = Life(job.id, subject, self.now(), job.deadline)
+        self.history.lives.append(session.span)
+
+    def dispatched(self, dispatch: Dispatch) -> None:
+        dispatch.span = Attempt(dispatch.number, dispatch.server_name, self.now())
+        dispatch.session.span.attempts.append(dispatch.span)
+
+    def progressed(self, dispatch: Dispatch, share: float | None) -> None:
+        if share is None and dispatch.span is not None:
+            dispatch.span.started = self.now()
+
+    def ended(self, dispatch: Dispatch, status: api.Status, load: api.LoadReport | None) -> None:
+        if dispatch.span is not None:  # None: it never left the node
+            dispatch.span.ended, dispatch.span.status = self.now(), status
+            dispatch.span.free = load.free_slots if load is not None else None
+
+    def probed(self, server: str, status: api.Status, load: api.LoadReport | None) -> None:
+        if status is api.Status.OK and load is not None:
+            self.history.reports.append(Report(self.now(), server, load.free_slots))
+
+    def answered(self, session: Session, answer: Answer | None) -> None:
+        life: Life = session.span
+        life.answered, life.rule = self.now(), session.rule
+        life.verdict = answer.verdict.value if answer is not None else "left"
+        life.retry_after = answer.retry_after if answer is not None else None
+
+
+class Silent:
+    """A client that takes its answer and says nothing."""
+
+    def answer(self, answer: Answer) -> None:
+        del answer
--- /dev/null
+++ b/arrowfold/expectations/sampling.py
@@ -0,0 +1,104 @@
+"""Which worlds are played: every pair of what can happen, for every kind of job; and their fleet."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from itertools import product
+from typing import Any
+
+from allpairspy import AllPairs  # type: ignore[import-untyped]
+
+from arrowfold import interface as api
+from arrowfold.expectations.claims import Expectation
+from arrowfold.expectations.worlds import ENDINGS, EVENTS, LOADS, TARGETS, Plan, World
+from arrowfold.networks import read_network
+from arrowfold.routes.rules import Match, Routes, Subject
+
+LAGS = (0, 400, 1200, 3000)  # ms
+TOLD_LATE = ("drain", "gone", "vanish", "restart")  # events that the list brings
+GAPS = (150, 30)  # ms between arrivals: a trickle, and a burst
+MOMENTS = (0, 60, 330)  # ms: before the first arrival, in the middle of its dispatch, between two
+ARRIVALS = {150: 12, 30: 20}
+COLD_ARRIVALS = {150: 12, 30: 48}  # a cold server's budget shows over a second and a half
+EXHAUSTIVE = 1500  # worlds; where all combinations are no more, all are played
+NO_REGION: list[str | None] = [None]
+
+
+def sample_worlds(plan: Plan, expectations: Sequence[Expectation], seed: int) -> list[World]:
+    """Every pair of what can happen, for every kind of job; every triple of the states themselves."""
+    jobs = sample_subjects(plan, expectations)
+    factors: list[Sequence[Any]] = [jobs, LOADS, ENDINGS, EVENTS, TARGETS, LAGS, MOMENTS, (1, 2), GAPS]
+    if math.prod(map(len, factors)) <= EXHAUSTIVE:
+        rows: Iterable[Any] = product(*factors)
+    else:
+        rows = [*AllPairs(factors), *_triples(jobs)]
+    rng = random.Random(seed)
+    worlds = []
+    for subject, load, ending, event, target, lag, at, servers, gap in rows:
+        told_late = event in TOLD_LATE
+        arrivals = COLD_ARRIVALS if event in ("restart", "back") else ARRIVALS
+        worlds.append(World(
+            subject.request_class, subject.region, subject.key, subject.tenant, subject.client,
+            subject.resent, servers=servers, load=load, ending=ending, event=event,
+            target=target if event != "none" else "one", at=at if event != "none" else 300,
+            lag=lag if told_late else 0, arrivals=arrivals[gap], gap=gap, seed=rng.randrange(1, 10_000)))
+    return list(dict.fromkeys(worlds))
+
+
+def _triples(jobs: Sequence[Subject]) -> Iterator[tuple[Any, ...]]:
+    """Triples of job, event and moment, with every lag; of class, ending and load; the rest in turn."""
+    turn = 0
+    for subject, event in product(jobs, EVENTS[1:]):
+        for at, lag in product(MOMENTS, LAGS) if event in TOLD_LATE else product(MOMENTS, (0,)):
+            turn += 1
+            if event in TOLD_LATE and (turn + at) % 2:  # half of these; pairs of lag and moment remain
+                continue
+            yield (subject, LOADS[turn % 2], "served", event, TARGETS[turn // 2 % 3], lag, at,
+                   1 + turn // 3 % 2, GAPS[turn // 5 % 2])
+    plain = {subject.request_class: subject for subject in reversed(jobs)}.values()
+    for subject, ending, load in product(plain, ENDINGS, LOADS):
+        yield subject, load, ending, "none", "one", 0, 0, 1, GAPS[0]
+
+
+def sample_subjects(plan: Plan, expectations: Sequence[Expectation]) -> list[Subject]:
+    """Jobs that the rules and expectations speak of, and for each class one of which nothing speaks."""
+    classes = [cls.name for cls in plan.settings.classes]
+    found = {Subject(name): None for name in classes}
+    matches = [rule.match for rule in plan.routes.rules]
+    matches += [expectation.when.match for expectation in expectations]
+    for number, match in enumerate(matches):
+        found.update(dict.fromkeys(_subjects_of(match, classes, number)))
+    return list(found)
+
+
+def _subjects_of(match: Match, classes: Sequence[str], number: int) -> Iterator[Subject]:
+    """Jobs that a match lets through: of each class that it names, else of one, in turn.
+
+    They have the first of each other thing that it names, and each region.
+    """
+    key = min(match.keys, default=None) or min(match.key_prefixes, default=None)
+    client = None
+    if match.networks:
+        network = read_network(min(match.networks))
+        client = str(network.ip + (1 if network.size > 2 else 0))
+    for name in sorted(match.classes & set(classes)) if match.classes else [classes[number % len(classes)]]:
+        for region in sorted(match.regions) or NO_REGION:
+            yield Subject(name, region, key, min(match.tenants, default=None), client, bool(match.retry))
+
+
+def fleet_of(
+        settings: api.Settings, routes: Routes, listed: Iterable[tuple[str, str]], named: Mapping[str, None],
+) -> tuple[tuple[str, str], ...]:
+    """Which zones hold which kinds: as listed, else every kind that is named in every zone that is."""
+    pairs = tuple(dict.fromkeys(listed))
+    if pairs:
+        return pairs
+    zones = dict.fromkeys(sorted({settings.zone, *(z for zones in routes.regions.values() for z in zones)}))
+    if len(zones) < 2:
+        zones["elsewhere"] = None
+    kinds = [cls.kind for cls in settings.classes if cls.kind]
+    kinds += [kind for rule in routes.rules for kind in sorted(rule.action.kinds)]
+    kinds += list(named)
+    return tuple(product(zones, dict.fromkeys(kinds) or ["standard"]))
--- /dev/null
+++ b/arrowfold/expectations/world.py
@@ -0,0 +1,101 @@
+"""A world: a few words that say what happens, its token, and the plan that it is played on."""
+
+from __future__ import annotations
+
+import json
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, fields
+from typing import Any
+
+from arrowfold import interface as api
+from arrowfold.quotas.tree import Tree
+from arrowfold.routes.rules import Routes, Subject
+from arrowfold.routes.table import RouteTable
+from arrowfold.routing.core import Core
+
+LOADS = ("idle", "busy", "region-full", "all-full")
+ENDINGS = ("served", "turned-away", "refused", "error", "reset", "slow")
+EVENTS = ("none", "drain", "gone", "vanish", "restart", "maintenance", "back", "silent", "list-lost",
+          "fewer-attempts", "clients-leave")
+TARGETS = ("one", "region", "all")
+
+
+class TokenError(ValueError):
+    """A token that names no world."""
+
+
+@dataclass(frozen=True, slots=True)
+class World:
+    """What happens. Times in milliseconds from the first arrival."""
+
+    request_class: str
+    region: str | None = None
+    key: str | None = None
+    tenant: str | None = None
+    client: str | None = None
+    resent: bool = False
+    servers: int = 1  # of each zone and kind
+    load: str = "idle"
+    ending: str = "served"  # how the first attempt of each session ends
+    event: str = "none"
+    target: str = "one"  # whom the event befalls, in the region that the job is to prefer
+    at: int = 300
+    lag: int = 0  # how far the list runs behind the event
+    arrivals: int = 1
+    gap: int = 150
+    seed: int = 1
+
+    def subject(self) -> Subject:
+        return Subject(self.request_class, self.region, self.key, self.tenant, self.client, self.resent)
+
+    def token(self) -> str:
+        """What `check --replay` takes."""
+        row = {name: value for name, value in asdict(self).items() if value != _DEFAULTS.get(name)}
+        return urlsafe_b64encode(json.dumps(row, separators=(",", ":")).encode()).decode().rstrip("=")
+
+    @staticmethod
+    def from_token(token: str) -> World:
+        try:
+            row = json.loads(urlsafe_b64decode(token + "=" * (-len(token) % 4)))
+            world = World(**row)
+        except (ValueError, TypeError) as error:
+            raise TokenError(f"{token[:40]!r} is no token of a world") from error
+        known = ((world.load, LOADS), (world.ending, ENDINGS), (world.event, EVENTS), (world.target, TARGETS))
+        figures = (world.servers, world.at, world.lag, world.arrivals, world.gap, world.seed)
+        if any(value not in names for value, names in known) or not all(
+                isinstance(n, int) and 0 <= n <= 100_000 for n in figures) or world.arrivals > 1000:
+            raise TokenError(f"{token[:40]!r} is no token of a world")
+        return world
+
+    def words(self) -> str:
+        """The world in a line."""
+        said = [self.request_class]
+        said += [f"{name} {value}" for name, value in (
+            ("region", self.region), ("key", self.key), ("tenant", self.tenant), ("from", self.client))
+            if value]
+        said += ["a retry"] if self.resent else []
+        said.append(f"{self.arrivals} arrivals {self.gap} ms apart" if self.arrivals > 1 else "1 arrival")
+        said.append(f"{self.servers} server{'s'[:self.servers > 1]} a zone and kind, {self.load}")
+        if self.ending != "served":
+            said.append(f"first attempts end {self.ending}")
+        if self.event != "none":
+            said.append(f"{self.event} of {self.target} at {self.at} ms")
+            said.append(f"told {self.lag} ms later")
+        return ", ".join(said)
+
+
+_DEFAULTS: dict[str, Any] = {f.name: f.default for f in fields(World) if f.name != "request_class"}
+MakeCore = Callable[..., Core]
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What is checked: the platform's settings, the routes, and which zones hold which kinds."""
+
+    settings: api.Settings
+    routes: Routes
+    fleet: tuple[tuple[str, str], ...]  # zone and kind
+    quotas: Tree | None = None
+    make_core: MakeCore = Core
+    make_table: Callable[[Routes], RouteTable] = RouteTable
--- a/arrowfold/program/commands.py
+++ b/arrowfold/program/commands.py
@@ -15,7 +15,7 @@
 from arrowfold.program.signals import Signals
 
 if TYPE_CHECKING:
-    from arrowfold.expectations.check import Report
+    from arrowfold.expectations.reports import Report
     from arrowfold.expectations.worlds import Plan
     from arrowfold.program.edge import EdgeDocument
 
@@ -109,8 +109,8 @@
     TRACE is the file that the document's trace node has a node write. Claims that count from what a server
     did itself need --fleet. Exit codes as for check.
     """
-    from arrowfold.expectations.check import Report
     from arrowfold.expectations.claims import judge_all, share_owed
+    from arrowfold.expectations.reports import Report
     from arrowfold.program.judging import TraceError, read_history
 
     document = _read(edge_file)
@@ -224,8 +224,8 @@
 
 def _plan(document: EdgeDocument, settings: Path | None) -> Plan:
     """What is checked: the settings, from the option or the document, and the fleet."""
-    from arrowfold.expectations.check import fleet_of
     from arrowfold.expectations.claims import AtMostAt, Reaches
+    from arrowfold.expectations.sampling import fleet_of
     from arrowfold.expectations.worlds import Plan
     from arrowfold.program.config import ConfigError, read_settings
 
