--- a/arrowfold/program/quota_commands.py
+++ b/arrowfold/program/quota_commands.py
@@ -11,9 +11,9 @@
 from typing import Any
 
 from arrowfold import interface as api
+from arrowfold.quotas.accounts import Refusal, Ticket
 from arrowfold.quotas.contradictions import contradictions
 from arrowfold.quotas.gate import Gate
-from arrowfold.quotas.ledger import Refusal, Ticket
 from arrowfold.quotas.tree import UNIT, Level, PathError, Tree
 
 START = timedelta(seconds=1000)
--- a/arrowfold/quotas/gate.py
+++ b/arrowfold/quotas/gate.py
@@ -11,7 +11,8 @@
 from datetime import timedelta
 
 from arrowfold.networks import Networks
-from arrowfold.quotas.ledger import Ledger, Refusal, Ticket
+from arrowfold.quotas.accounts import Refusal, Ticket
+from arrowfold.quotas.ledger import Ledger
 from arrowfold.quotas.tree import UNIT, PathError, Resource, Tree, read_path
 
 MICROSECOND = timedelta(microseconds=1)
--- a/arrowfold/quotas/ledger.py
+++ b/arrowfold/quotas/ledger.py
@@ -10,77 +10,22 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable, Mapping
-from dataclasses import dataclass, field
 from datetime import timedelta
 from itertools import islice
-from typing import Any, ClassVar, Literal
+from typing import Any
 
+from arrowfold.quotas.accounts import Account, Path, Refusal, Ticket
 from arrowfold.quotas.comebacks import Comebacks
-from arrowfold.quotas.tree import MOST_AMOUNT, UNIT, Level, Limit, Resource, Tree
-from arrowfold.quotas.window import Slot, Window
+from arrowfold.quotas.tree import MOST_AMOUNT, Level, Limit, Resource, Tree
+from arrowfold.quotas.window import Window
 
 MICROSECOND = timedelta(microseconds=1)
 MOST_VANISHED = 10_000
 MOST_NUMBERS = 100_000  # handed to the next process: about a megabyte
 MOST_ROUNDS = 16  # looks at all windows for a time that suits each
-Path = tuple[str, ...]
 Costs = Mapping[Resource, int]
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """Why a job does not come in, and when it would."""
-
-    refused: ClassVar[Literal[True]] = True
-    path: Path
-    limit: Limit
-    after: timedelta | None  # None: it never fits, for it costs more than a whole window holds
-
-    def words(self) -> str:
-        level = "/".join(self.path) or "jobs without a tenant"
-        if self.after is None:
-            return f"quota of {level}: one job costs more than {self.limit.words()}"
-        return f"quota of {level}: {self.limit.words()}"
-
-
-class Account:
-    """One level's balances."""
-
-    __slots__ = ("borrowed", "children", "comebacks", "debt", "debt_us", "level", "open", "path", "seen_us",
-                 "windows")
-
-    def __init__(self, path: Path, level: Level, windows: list[Window]) -> None:
-        self.path, self.level, self.windows = path, level, windows
-        self.debt = [0] * len(windows)
-        self.borrowed: list[Window] = [Window(w.limit, w.span_us) for w in windows] if level.borrow else []
-        self.debt_us = 0  # when the debts were last reduced
-        self.seen_us = -1  # when it last asked
-        self.open = 0  # tickets that are not settled
-        self.comebacks: Comebacks | None = None  # once somebody was refused here or near
-        self.children: dict[Path, Account] = {}  # those that asked lately, the latest last
-
-    def idle(self, now_us: int) -> bool:
-        """Whether forgetting it changes no decision."""
-        for window in (*self.windows, *self.borrowed):
-            window.advance(now_us)
-        if self.comebacks is not None:
-            self.comebacks.pass_by(now_us)
-        return not (self.open or any(self.debt) or self.children or (self.comebacks and self.comebacks.times)
-                    or any(w.total for w in (*self.windows, *self.borrowed)))
-
-
-@dataclass(slots=True)
-class Ticket:
-    """What was charged for a job that was let in; settled once."""
-
-    refused: ClassVar[Literal[False]] = False
-    path: Path = ()
-    request_class: str = ""
-    at_us: int = 0
-    charges: list[tuple[Account, Window, Slot, Resource, int]] = field(default_factory=list)
-    settled: bool = False
-
-
 class Ledger:
     """All balances of one node. Time comes from outside, in microseconds; one that goes back stands still."""
 
@@ -400,13 +345,10 @@
         for path, account in reversed(self.accounts.items()):
             if account.idle(self.now_us):
                 continue
-            rows = [[limit.resource.value, w.span_us, debt, [[s.number, s.amount] for s in w.slots]]
-                    for limit, w, debt in zip(
-                        account.level.limits, account.windows, account.debt, strict=True)]
             count += 4 + sum(3 + 2 * len(window.slots) for window in account.windows)
             if count > most_numbers:
                 break
-            said.append([list(path), rows])
+            said.append([list(path), account.rows()])
         return said
 
     def restore(self, state: list[Any], now_us: int) -> None:
@@ -419,19 +361,7 @@
                 chain = list(self._chain(() if path == ("",) else path))
                 if not chain or chain[-1].path != path:
                     continue
-                account = chain[-1]
-                held = {(str(resource), int(span_us)): (int(debt), slots)
-                        for resource, span_us, debt, slots in rows}
-                for number, (limit, window) in enumerate(zip(
-                        account.level.limits, account.windows, strict=True)):
-                    debt, slots = held.get((limit.resource.value, window.span_us), (0, []))
-                    window.slots, window.total = [], 0
-                    for slot_number, amount in slots:
-                        slot = Slot(int(slot_number))
-                        slot.amount = int(amount)
-                        window.slots.append(slot)
-                        window.total += slot.amount
-                    account.debt[number] = debt
+                chain[-1].take_over(rows)
         except (TypeError, ValueError, KeyError) as error:
             raise ValueError(f"no state of quotas: {error}") from error
 
@@ -442,33 +372,16 @@
         if account is None:
             return []
         self._pay(account, now_us)
-        said = []
-        for number, (limit, window) in enumerate(zip(account.level.limits, account.windows, strict=True)):
-            lent = account.borrowed[number] if account.borrowed else None
-            borrowed = lent.limit - lent.room(now_us) if lent is not None else 0
-            said.append(f"{limit.words()}: used {(window.limit - window.room(now_us)) / _unit(limit):g} of "
-                        f"{window.limit / _unit(limit):g}, borrowed {borrowed / _unit(limit):g}, "
-                        f"owes {account.debt[number] / _unit(limit):g}")
-        return said
+        return account.describe(now_us)
 
     def reset(self, path: Path) -> bool:
         """Forget what a level has used and owes; whether it was known. Open tickets can't refund into it."""
         account = self.accounts.get(path or ("",))
         if account is None:
             return False
-        for window in (*account.windows, *account.borrowed):
-            for slot in window.slots:
-                slot.live = False
-            window.slots.clear()
-            window.total = 0
-        account.debt = [0] * len(account.windows)
-        account.comebacks = None
+        account.reset()
         return True
 
 
 def _counts(level: Level, request_class: str) -> bool:
     return not level.classes or request_class in level.classes
-
-
-def _unit(limit: Limit) -> int:
-    return UNIT[limit.resource]
--- a/benchmarks/capacity/quotas.py
+++ b/benchmarks/capacity/quotas.py
@@ -8,7 +8,8 @@
 from datetime import timedelta
 from random import Random
 
-from arrowfold.quotas.ledger import Ledger, Refusal
+from arrowfold.quotas.accounts import Refusal
+from arrowfold.quotas.ledger import Ledger
 from arrowfold.quotas.tree import Level, Limit, Resource, Tree
 from benchmarks.capacity.results import Figures
 
