--- a/benchmarks/capacity/system/fleet.py
+++ b/benchmarks/capacity/system/fleet.py
@@ -28,6 +28,7 @@
 MEASURED_S = 12.0
 HEARD_WITHIN_S = 60.0
 IN_FORCE_WITHIN_S = 20.0
+CHANGES = 5  # of configuration, one after the other
 EDGE_MODULE = "benchmarks.capacity.system.hollow_edges"
 WORKER_MODULE = "benchmarks.capacity.system.hollow_workers"
 
@@ -179,7 +180,7 @@
         text = configuration(target.MODELS, target.ADAPTERS, target.ROUTES)
         first = _Reading(fleet)
         delays = []
-        for version in range(2, 7):
+        for version in range(2, 2 + CHANGES):
             text = {
                 **text,
                 "version": version,
--- a/benchmarks/capacity/system/pulls.py
+++ b/benchmarks/capacity/system/pulls.py
@@ -41,6 +41,15 @@
 
 FRAME_BYTES = 4 + 6  # a frame's length, and its head around the body
 EDGE_LIFE_S = 3_600.0
+APART = 10  # changes that come one by one
+BURST = 20  # changes that come at once
+
+
+def rest_bytes(origins: int) -> int:
+    """Bytes of one pull without news, both ways, without the frames."""
+    request = PullRequest(edge_identity(7), vector(origins), target.EDGE_PULL_S)
+    response = PullResponse(True, cluster_view(target.CONTROL_MACHINES, target.NODES), vector(origins))
+    return len(encode(request)) + len(encode(response))
 
 
 def pull(origins: int, seed: int) -> Figures:
@@ -98,7 +107,7 @@
     return replace(record, capacity_slots=record.capacity_slots + 1, call_sequence=record.call_sequence + 1)
 
 
-async def _answer_all(edges: int, records: list[WorkerRecord], changes: int, together: bool) -> Figures:
+async def answer_all(edges: int, records: list[WorkerRecord], changes: int, together: bool) -> Figures:
     registry = filled_registry(records)
     presence = EdgePresence(time.monotonic, EDGE_LIFE_S)
     replica: ReplicaPort = FixedReplica(target.CONTROL_MACHINES)
@@ -145,8 +154,8 @@
 def distribution(edges: int, workers: int, seed: int) -> Figures:
     """A worker's news to so many edges that wait in pulls at one control node: one by one, then at once."""
     records = worker_records(workers, seed)
-    apart = asyncio.run(_answer_all(edges, records, 10, together=False))
-    burst = asyncio.run(_answer_all(edges, records, 20, together=True))
+    apart = asyncio.run(answer_all(edges, records, APART, together=False))
+    burst = asyncio.run(answer_all(edges, records, BURST, together=True))
     return {
         **apart,
         "burst_change_ms": burst["change_ms"],
@@ -154,7 +163,7 @@
     }
 
 
-def _first_answer(records: list[WorkerRecord]) -> PullResponse:
+def first_answer(records: list[WorkerRecord]) -> PullResponse:
     registry = filled_registry(records)
     document = document_text(target.MODELS, target.ADAPTERS, target.ROUTES)
     counters = {**registry.vector(), STATE_ORIGIN: 1}
@@ -166,7 +175,7 @@
 def edge_tables(workers: int, seed: int) -> Figures:
     """An edge's tables of so many workers: the first answer, an answer without news, one change, memory."""
     records = worker_records(workers, seed)
-    first = _first_answer(records)
+    first = first_answer(records)
     encoded = encode(first)
     tables = FleetTables()
     tables.take(first)
--- a/benchmarks/capacity/system/tables.py
+++ b/benchmarks/capacity/system/tables.py
@@ -5,7 +5,10 @@
 from benchmarks.capacity.fitting import Results, read_fits
 from benchmarks.capacity.page import number, spread, table
 from benchmarks.capacity.system import target
+from benchmarks.capacity.system.failover import FAILURES, PATIENCE_S
 from benchmarks.capacity.system.fits import FITS
+from benchmarks.capacity.system.fleet import CHANGES, MEASURED_S
+from benchmarks.capacity.system.pulls import BURST
 
 Column = tuple[str, str, float]
 PERCENT = 100.0
@@ -80,7 +83,7 @@
         ("one change, ms", "change_ms", 1),
         ("answers", "answers_a_change", 1),
         ("KB", "bytes_a_change", KILO),
-        ("20 at once, ms each", "burst_change_ms", 1),
+        (f"{BURST} at once, ms each", "burst_change_ms", 1),
         ("answers each", "burst_answers_a_change", 1),
     ]
     return rows(results, "distribution", ["edges", "workers"], columns)
@@ -178,12 +181,12 @@
         ("at rest, calls a second", "rest_calls_a_second", 1),
         ("bytes a second", "rest_bytes_a_second", 1),
         ("primary lost: next leads, s", "failover_s", 1),
-        ("longest of 8", "failover_most_s", 1),
+        (f"longest of {FAILURES}", "failover_most_s", 1),
         ("longest to a commit", "failover_commit_s", 1),
         ("its region cut: next leads, s", "cut_leads_s", 1),
         ("joined again: whole, s", "heal_s", 1),
         ("KB", "heal_bytes", KILO),
-        ("not whole in 30 s", "stuck", 1),
+        (f"not whole in {PATIENCE_S:.0f} s", "stuck", 1),
     ]
     return rows(results, "failover", ["members", "delay"], columns)
 
@@ -199,7 +202,7 @@
         ("received, bytes a second", "edge_received_a_second", 1),
         ("sent", "edge_sent_a_second", 1),
         ("heartbeats a second", "heartbeats_a_second", 1),
-        ("failed in 12 s", "heartbeats_failed", 1),
+        (f"failed in {MEASURED_S:.0f} s", "heartbeats_failed", 1),
         ("elections", "elections", 1),
     ]
     return rows(results, "fleet", ["control", "edges", "workers", "changes"], columns)
@@ -221,7 +224,7 @@
     """Changes of configuration, one after the other."""
     columns: list[Column] = [
         ("in force at all edges, s", "in_force_s", 1),
-        ("longest of 5", "in_force_most_s", 1),
+        (f"longest of {CHANGES}", "in_force_most_s", 1),
         ("a control node's processor, ms each", "control_ms", 1),
         ("an edge's, ms each", "edge_ms", 1),
     ]
--- a/benchmarks/capacity/system/verdict.py
+++ b/benchmarks/capacity/system/verdict.py
@@ -8,6 +8,7 @@
 from benchmarks.capacity.page import number, table
 from benchmarks.capacity.system import target
 from benchmarks.capacity.system.fits import Label
+from benchmarks.capacity.system.fleet import CHANGES
 from benchmarks.capacity.system.role_table import EIGHT, FAR, TARGET_DOCUMENT, ZONE_EDGES
 from benchmarks.capacity.system.saying import (
     KILO,
@@ -132,7 +133,8 @@
 def _changes_measured(at: Scaled) -> str:
     in_force = number(at.figure("changes", "in_force_most_s", **LARGEST_FLEET))
     commit = milliseconds(at.figure("failover", "commit_ms", **FAR))
-    return f"longest of 5 at 100 hollow edges {in_force} s; a commit over regions {commit}"
+    edges = LARGEST_FLEET["edges"]
+    return f"longest of {CHANGES} at {edges} hollow edges {in_force} s; a commit over regions {commit}"
 
 
 def _changes_needed(at: Scaled) -> str:
@@ -143,7 +145,7 @@
 
 def _changes_verdict(at: Scaled) -> str:
     measured = _within(at.figure("changes", "in_force_most_s", **LARGEST_FLEET), target.IN_FORCE_S)
-    return f"100 edges {measured}; {target.NODES} {UNKNOWN}"
+    return f"{LARGEST_FLEET['edges']} edges {measured}; {target.NODES} {UNKNOWN}"
 
 
 def _core_measured(at: Scaled) -> str:
