--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -38,14 +38,19 @@
     def __init__(self, protocol: ResponseHandler, now_s: float) -> None:
         self.protocol = protocol
         self.idle_since_s = now_s
+        self.heard_s = now_s  # when bytes last came, or a request was written
+        self.request: WorkerRequest | None = None  # that is under way
+        self.sent_s = now_s
+        self.body_began = False  # whether the answer's first bytes have come
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
 
     def is_clean(self) -> bool:
         """Whether it is open and nothing came on it that no request asked for."""
         return self.protocol.is_connected() and not self.protocol.should_close and not len(self.protocol)
 
-    def write(self, request: WorkerRequest) -> None:
+    def write(self, request: WorkerRequest, now_s: float) -> None:
         """Write a whole request."""
+        self.request, self.sent_s, self.heard_s, self.body_began = request, now_s, now_s, False
         transport = self.protocol.transport
         assert transport is not None
         transport.write(encode_request(request))
@@ -54,6 +59,11 @@
         """Close it at once."""
         self.protocol.abort()
 
+    def break_off(self) -> None:
+        """Close it as if the network had, so that who waits for the answer learns of it."""
+        if self.protocol.transport is not None:
+            self.protocol.transport.abort()
+
 
 def encode_request(request: WorkerRequest) -> bytes:
     """The bytes of a request with its body's length."""
@@ -64,6 +74,28 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
 
 
+@dataclass(slots=True)
+class InstancePool:
+    """The connections to one instance."""
+
+    address: str
+    idle: deque[WorkerConnection] = field(default_factory=deque)
+    active: set[WorkerConnection] = field(default_factory=set)
+    opened: int = 0
+    heard_s: float = 0.0  # when an answer's bytes last came from the instance
+    answered: dict[int, tuple[float, float]] = field(default_factory=dict)  # by priority: sent, answered at
+
+    def note_heard(self, connection: WorkerConnection, now_s: float) -> None:
+        """Bytes of an answer came."""
+        connection.heard_s = self.heard_s = now_s
+        if connection.body_began or connection.request is None:
+            return
+        connection.body_began = True
+        priority = connection.request.priority
+        if connection.sent_s > self.answered.get(priority, (0.0, 0.0))[0]:
+            self.answered[priority] = (connection.sent_s, now_s)
+
+
 class ConnectionAnswer:
     """A worker's answer on a connection, as `WorkerAnswer` asks for it."""
 
@@ -72,13 +104,16 @@
         message: RawResponseMessage,
         payload: StreamReader,
         connection: WorkerConnection,
-        release: Callable[[WorkerConnection, bool], None],
+        pool: InstancePool,
+        release: Callable[[InstancePool, WorkerConnection, bool], None],
         reusable: bool,
     ) -> None:
         self.status = message.code
         self.headers: RawHeaders = tuple(message.raw_headers)
         self._payload = payload
         self._connection: WorkerConnection | None = connection
+        self._pool = pool
+        self._loop = asyncio.get_running_loop()
         self._release = release
         self._reusable = reusable and not message.should_close
         self._whole = payload is EMPTY_PAYLOAD
@@ -96,6 +131,8 @@
             raise BodyLostError(str(error)) from error
         if not data:
             self._whole = True
+        if self._connection is not None:
+            self._pool.note_heard(self._connection, self._loop.time())
         return data
 
     def close(self) -> None:
@@ -104,7 +141,7 @@
         if connection is None:
             return
         connection.keep_alive_s = _keep_alive_s(self.headers)
-        self._release(connection, self._reusable and self._whole and self._bounded)
+        self._release(self._pool, connection, self._reusable and self._whole and self._bounded)
 
 
 def _is_bounded(message: RawResponseMessage) -> bool:
@@ -118,21 +155,12 @@
     return DEFAULT_KEEP_ALIVE_S if told is None else max(0.0, told - KEEP_ALIVE_MARGIN_S)
 
 
-@dataclass(slots=True)
-class _InstancePool:
-    """The connections to one instance."""
-
-    address: str
-    idle: deque[WorkerConnection] = field(default_factory=deque)
-    opened: int = 0
-
-
 class WorkerConnections:
     """All connections to workers, kept by instance."""
 
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
-        self._pools: dict[str, _InstancePool] = {}
+        self._pools: dict[str, InstancePool] = {}
         self._share_of: dict[str, int] = {}
 
     def set_shares(self, shares: dict[str, int]) -> None:
@@ -143,8 +171,7 @@
         """Close the idle connections of all other instances."""
         for instance in [name for name in self._pools if name not in instances]:
             pool = self._pools[instance]
-            while pool.idle:
-                self._drop(pool, pool.idle.pop())
+            self.drop_idle(pool)
             if pool.opened == 0:
                 del self._pools[instance]
 
@@ -160,15 +187,16 @@
         self, instance: str, address: str, request: WorkerRequest
     ) -> Result[WorkerAnswer, SendFailure]:
         """Send it over a connection to this instance and read the head of its answer."""
-        pool = self._pools.setdefault(instance, _InstancePool(address))
-        connection = self._take_idle(pool, request.repeatable)
+        pool = self._pools.setdefault(instance, InstancePool(address))
+        connection = self._take_idle(pool, request.movable)
         if connection is None:
             opened = await self._open(instance, pool)
             if opened.is_err():
                 return Err(opened.unwrap_err())
             connection = opened.unwrap()
+        pool.active.add(connection)
         try:
-            connection.write(request)
+            connection.write(request, self._loop.time())
             answer = await self._read_answer(pool, connection, request)
         except READ_ERRORS:
             self._drop(pool, connection)
@@ -178,20 +206,20 @@
             raise
         return Ok(answer)
 
-    def _take_idle(self, pool: _InstancePool, repeatable: bool) -> WorkerConnection | None:
+    def _take_idle(self, pool: InstancePool, movable: bool) -> WorkerConnection | None:
         now_s = self._loop.time()
         while pool.idle:
             connection = pool.idle.pop()
             if not _usable(connection, now_s):
                 self._drop(pool, connection)
-            elif repeatable or now_s - connection.idle_since_s <= FRESH_IDLE_S:
+            elif movable or now_s - connection.idle_since_s <= FRESH_IDLE_S:
                 return connection
             else:
                 pool.idle.append(connection)
                 return None
         return None
 
-    async def _open(self, instance: str, pool: _InstancePool) -> Result[WorkerConnection, SendFailure]:
+    async def _open(self, instance: str, pool: InstancePool) -> Result[WorkerConnection, SendFailure]:
         if pool.opened >= max(FEWEST_CONNECTIONS, self._share_of.get(instance, FEWEST_CONNECTIONS)):
             return Err(SendFailure.NO_CONNECTION_FREE)
         host, port = pool.address.rsplit(":", 1)
@@ -211,7 +239,7 @@
         return Ok(WorkerConnection(protocol, self._loop.time()))
 
     async def _read_answer(
-        self, pool: _InstancePool, connection: WorkerConnection, request: WorkerRequest
+        self, pool: InstancePool, connection: WorkerConnection, request: WorkerRequest
     ) -> ConnectionAnswer:
         reusable = request.method != "HEAD"
         for _ in range(MOST_FOREIGN_ANSWERS + 1):
@@ -219,22 +247,40 @@
             while message.code < 200:
                 message, payload = await connection.protocol.read()
             if find(message.raw_headers, names.ATTEMPT_ID) == request.attempt_id:
-                return ConnectionAnswer(
-                    message, payload, connection, lambda c, keep: self._release(pool, c, keep), reusable
-                )
+                pool.heard_s = connection.heard_s = self._loop.time()
+                return ConnectionAnswer(message, payload, connection, pool, self._release, reusable)
             reusable = False
             while await payload.readany():
                 pass
         raise EofStream
 
-    def _release(self, pool: _InstancePool, connection: WorkerConnection, keep: bool) -> None:
+    @property
+    def pools(self) -> dict[str, InstancePool]:
+        """The connections by instance."""
+        return self._pools
+
+    def drop_idle_of(self, instance: str) -> None:
+        """Close the idle connections to an instance that may be gone: a new one shows whether it is there."""
+        pool = self._pools.get(instance)
+        if pool is not None:
+            self.drop_idle(pool)
+
+    def drop_idle(self, pool: InstancePool) -> None:
+        """Close the connections to an instance on which nothing is under way."""
+        while pool.idle:
+            self._drop(pool, pool.idle.pop())
+
+    def _release(self, pool: InstancePool, connection: WorkerConnection, keep: bool) -> None:
         if not keep or not connection.is_clean() or connection.keep_alive_s <= 0:
             self._drop(pool, connection)
             return
+        pool.active.discard(connection)
+        connection.request = None
         connection.idle_since_s = self._loop.time()
         pool.idle.append(connection)
 
-    def _drop(self, pool: _InstancePool, connection: WorkerConnection) -> None:
+    def _drop(self, pool: InstancePool, connection: WorkerConnection) -> None:
+        pool.active.discard(connection)
         pool.opened -= 1
         connection.drop()
 
--- a/arrowfold/placement/placer.py
+++ b/arrowfold/placement/placer.py
@@ -16,7 +16,7 @@
 from arrowfold.placement.corrections import correction_of
 from arrowfold.placement.demand import DemandEstimator, ModelClass
 from arrowfold.placement.fleet import PlacementFleet
-from arrowfold.placement.load_times import ADAPTER_LOAD_S, UNLOAD_S, LoadTimes
+from arrowfold.placement.load_times import ADAPTER_LOAD_S, LoadTimes
 from arrowfold.placement.orders import (
     Action,
     Operation,
@@ -30,6 +30,7 @@
 from arrowfold.placement.worker_state import OrderPhase, PendingOrder, WorkerState
 
 REPORT_LAG_S = 0.2  # a report shows a state that is some hundred milliseconds old
+LONGEST_REPORT_LAG_S = 0.3  # a report that is read so long after an expected end should show it
 REPORT_AGAIN_S = 0.15
 UNANSWERED_REPORT_S = 0.8  # by then an order without an answer has arrived or never will
 FAILURE_PAUSE_S = 0.25
@@ -66,17 +67,20 @@
         own = [seen for seen in report.classes if seen.service == self._catalogue.service]
         self._demand.add(own, now_s)
 
-    def actions(self, now_s: float) -> list[Action]:
+    def actions(self, now_s: float, may_order: bool = True) -> list[Action]:
         """What to send now; every order and report given here is answered by a later call."""
         if self.fenced:
             return []
         self._finish_short_orders(now_s)
-        actions: list[Action] = []
+        orders = self._orders(now_s) if may_order else []
+        return orders + self._reports(now_s)
+
+    def _orders(self, now_s: float) -> list[Action]:
+        orders: list[Action] = []
         for planned in self._planner.plan(self._catalogue, now_s):
             if self._may_send(planned, now_s):
-                actions.append(self._send(planned, now_s))
-        actions.extend(self._reports(now_s))
-        return actions
+                orders.append(self._send(planned, now_s))
+        return orders
 
     def corrections(self, now_s: float) -> tuple[WorkerCorrection, ...]:
         """What the last heartbeats don't tell: what stands ready, leaves and arrives."""
@@ -94,8 +98,9 @@
         """When `actions` should be asked again at the latest."""
         times = [now_s + IDLE_WAKEUP_S]
         for worker in self._fleet.workers.values():
-            times.append(worker.report_due_s)
-            if worker.pending is not None:
+            if worker.serves:
+                times.append(worker.report_due_s)
+            if worker.pending is not None and not worker.pending.presumed_done:
                 times.append(worker.pending.expected_done_s)
         return max(now_s, min(times))
 
@@ -151,14 +156,15 @@
         if order.loads_weights:
             worker.pending.from_own_disk = self._fleet.is_on_disk(worker, target.model)
             self._ceiling.sent(now_s)
-        if order.operation is Operation.LOAD:
-            self._planner.forget(worker.instance)
         return SendOrder(order)
 
     def _accepted(self, worker: WorkerState, pending: PendingOrder, now_s: float) -> None:
         order = pending.order
         worker.failures = 0
         worker.revision = order.if_revision + 1
+        self._note_unload_time(worker, in_time=True)
+        if order.operation is Operation.LOAD:
+            self._planner.forget(worker.instance)
         pending.phase = OrderPhase.RUNNING
         pending.accepted_s = now_s
         if order.loads_weights:
@@ -166,7 +172,7 @@
         elif order.operation is Operation.LOAD:
             pending.expected_done_s = now_s + ADAPTER_LOAD_S
         elif order.adapter or self._is_idle(order.model, now_s):
-            pending.expected_done_s = now_s + UNLOAD_S
+            pending.expected_done_s = now_s + self._times.unload_s
         else:
             worker.report_due_s = now_s + REPORT_LAG_S
 
@@ -184,23 +190,38 @@
     def _not_taken(self, worker: WorkerState, answer: OrderAnswer, now_s: float) -> None:
         worker.pending = None
         worker.report_due_s = now_s + REPORT_LAG_S
+        if answer is OrderAnswer.CONFLICT:
+            self._note_unload_time(worker, in_time=False)
+        elif answer is OrderAnswer.REFUSED:
+            self._planner.forget(worker.instance)
         if answer is OrderAnswer.MISDIRECTED:
             worker.unusable = True
         elif answer is OrderAnswer.UNSENT:
             worker.failures += 1
             worker.report_due_s = now_s + min(LONGEST_PAUSE_S, FAILURE_PAUSE_S * 2.0**worker.failures)
 
+    def _note_unload_time(self, worker: WorkerState, in_time: bool) -> None:
+        """An order after an unload that was taken to be done tells whether it was."""
+        if worker.unload_unproven:
+            worker.unload_unproven = False
+            self._times.unload_seen(in_time)
+
     def _finish_short_orders(self, now_s: float) -> None:
-        """Orders that take milliseconds count as done after them; the next order's revision proves it."""
+        """Orders count as done after their time; loads of weights until a report tells otherwise."""
         for worker in self._fleet.workers.values():
             pending = worker.pending
-            if pending is None or pending.phase is not OrderPhase.RUNNING or worker.report_wanted:
+            if pending is None or pending.phase is not OrderPhase.RUNNING:
+                continue
+            if now_s < pending.expected_done_s:
                 continue
-            if now_s >= pending.expected_done_s:
+            if not worker.report_wanted:
                 self._done(worker, now_s)
+            elif pending.order.loads_weights:
+                pending.presumed_done = True
 
     def _done(self, worker: WorkerState, now_s: float) -> None:
         pending = worker.pending
+        worker.unload_unproven = pending is not None and pending.order.operation is Operation.UNLOAD
         worker.apply_done(now_s)
         self._fleet.remember(worker)
         if pending is not None and pending.order.operation is Operation.LOAD:
@@ -215,6 +236,7 @@
         worker.revision = report.revision
         if report.busy:
             worker.report_due_s = now_s + REPORT_AGAIN_S
+            self._not_done_yet(pending, now_s)
             return
         if pending is not None and pending.phase is OrderPhase.SENT:
             worker.report_due_s = now_s + REPORT_AGAIN_S  # its answer is still on the way
@@ -223,6 +245,13 @@
         self._fleet.remember(worker)
         self._measure(pending, worker, now_s)
 
+    def _not_done_yet(self, pending: PendingOrder | None, now_s: float) -> None:
+        if pending is None or not pending.presumed_done:
+            return
+        if now_s - pending.expected_done_s > LONGEST_REPORT_LAG_S:
+            pending.presumed_done = False
+            pending.expected_done_s = now_s + REPORT_AGAIN_S
+
     def _measure(self, pending: PendingOrder | None, worker: WorkerState, now_s: float) -> None:
         if pending is None or not pending.order.loads_weights or pending.phase is not OrderPhase.RUNNING:
             return
--- a/arrowfold/placement/planner.py
+++ b/arrowfold/placement/planner.py
@@ -119,7 +119,11 @@
                 models.remove(model)
 
     def _gain(self, context: PlanningContext, model: str) -> float:
-        wanted = sum(1 for intent in self._intents.values() if intent.target == ModelClass(model))
+        wanted = sum(
+            1
+            for instance, intent in self._intents.items()
+            if intent.target == ModelClass(model) and self._fleet.workers[instance].arriving_model() != model
+        )
         return context.values.gain(model, self._fleet.copies(model) + wanted)
 
     def _want_adapter_copies(self, context: PlanningContext) -> None:
@@ -128,13 +132,14 @@
             workload = self._demand.of_class(key).workload(context.now_s)
             if workload < ADAPTER_WORKLOAD or not context.catalogue.known(key.model, key.adapter):
                 continue
-            holders = [holder for holder in self._fleet.holders(key.model) if holder.holds(*_names(key))]
-            if holders and len(holders) < workload / ADAPTER_WORKLOAD and not self._is_coming(key):
+            copies = self._fleet.adapter_copies(key)
+            if 0 < copies < workload / ADAPTER_WORKLOAD and not self._is_coming(key):
                 self._choose_worker(context, key, urgent=False)
 
     def _loads_planned(self) -> int:
-        wanted = sum(1 for intent in self._intents.values() if not intent.target.adapter)
-        return wanted + self._fleet.loads_under_way()
+        wanted = {instance for instance, intent in self._intents.items() if not intent.target.adapter}
+        loading = {worker.instance for worker in self._fleet.workers.values() if worker.arriving_model()}
+        return len(wanted | loading)
 
     def _choose_worker(
         self, context: PlanningContext, target: ModelClass, urgent: bool, gain: float = 0.0
@@ -195,7 +200,3 @@
 
 def _urgency(intent: LoadIntent) -> tuple[bool, float]:
     return not intent.urgent, intent.since_s
-
-
-def _names(key: ModelClass) -> tuple[str, str]:
-    return key.model, key.adapter
--- a/arrowfold/replication/primary.py
+++ b/arrowfold/replication/primary.py
@@ -22,6 +22,7 @@
 from arrowfold.replication.state import Entry, apply_entry
 
 LARGEST_BATCH = 64  # proposals that share one sync
+AUTHORITY_MARGIN = 1.1  # steady clocks of two machines may differ in speed
 CHANGE_ATTEMPTS = 3  # at a new epoch, before the term ends
 
 
@@ -34,6 +35,7 @@
     clock: float | None = None  # its own clock reading in its last answer
     healthy: bool = True
     left_out_at: float = -math.inf  # when it last left the group
+    echoed_at: float = -math.inf  # when its authority was last extended
     calling: bool = False
 
     def is_fit(self, in_group: bool) -> bool:
@@ -77,6 +79,7 @@
         self._queue: list[_Waiting] = []
         self._work = asyncio.Event()
         self._wanted: Membership | None = None
+        self._outbid = 0  # a higher epoch that some witness promised to somebody
         self._heartbeats: set[asyncio.Task[None]] = set()
         self._committed = member.image.state.sequence
         self._ever_active = False
@@ -105,15 +108,11 @@
         """Whether no other primary can be active at this moment."""
         if self.ended or self._member.image.promised_to != self._member.info.member:
             return False
-        length_s = self._timings.lease_s * self._timings.lease_margin
-        return self._clock() < self._lease_start() + length_s
+        return self._clock() < self.lease_until()
 
-    def active_for_s(self) -> float:
-        """How much longer this term is surely active; 0 or less if it is not."""
-        if not self.is_active():
-            return 0.0
-        length_s = self._timings.lease_s * self._timings.lease_margin
-        return self._lease_start() + length_s - self._clock()
+    def lease_until(self) -> float:
+        """Until when the lease holds, by the own steady clock."""
+        return self._lease_start() + self._timings.lease_s * self._timings.lease_margin
 
     def is_complete(self) -> bool:
         """Whether the group has the members that the losses to be borne ask for, as far as they exist."""
@@ -147,12 +146,11 @@
         peer.calling = True
         sent_at = self._clock()
         record = self.record
+        echo = peer.clock if self.has_lease() and self.is_fit(witness.member) else None
+        if echo is not None:
+            peer.echoed_at = sent_at
         request = Heartbeat(
-            record.epoch,
-            self._member.info,
-            self._committed,
-            witness.member in record.group,
-            peer.clock if self.has_lease() else None,
+            record.epoch, self._member.info, self._committed, witness.member in record.group, echo
         )
         try:
             answer = await self._caller.call(witness.address, request, self._timings.call_s)
@@ -172,7 +170,8 @@
             if found.record_epoch < record.epoch:
                 await self._caller.call(witness.address, AcceptEpoch(record), self._timings.durable_call_s)
         elif found.promised > self._member.highest_epoch:
-            self._end(f"epoch {found.promised} is promised")
+            self._outbid = max(self._outbid, found.promised)
+            self._work.set()
 
     def _end(self, reason: str) -> None:
         if not self.ended:
@@ -219,20 +218,27 @@
         peer.answered_at = self._clock() - self._timings.silent_s - self._timings.heartbeat_s
         peer.granted_at = -math.inf
 
-    def heard_lately(self, member: str) -> bool:
-        """Whether a member answered within the length of a lease; the primary itself always did."""
+    def is_fit(self, member: str) -> bool:
+        """Whether a member may hold roles: in the group, heard lately, and its disk takes writes."""
         if member == self._member.info.member:
             return True
         peer = self._peers.get(member)
-        return peer is not None and self._clock() - peer.answered_at <= self._timings.lease_s
+        if peer is None or member not in self.record.group or not peer.healthy:
+            return False
+        return self._clock() - peer.answered_at <= self._timings.lease_s
+
+    def fit_members(self) -> tuple[str, ...]:
+        """The members that may hold roles."""
+        return tuple(member for member in self.record.group if self.is_fit(member))
 
-    def silence_s(self, member: str) -> float:
-        """How long a member has not answered; unlimited for one that is no witness."""
+    def authority_ended(self, member: str) -> bool:
+        """Whether a member can't act under any role: its last extension has run out by its own clock."""
         if member == self._member.info.member:
-            return 0.0
-        if self.record.find(member) is None:
-            return self._clock() - self._started_at
-        return self._clock() - self._peer(member).answered_at
+            return False
+        peer = self._peer(member)
+        # An extension reaches from the member's own answer, which came before the primary passed it back.
+        last_extension = min(peer.answered_at, max(peer.echoed_at, self._started_at))
+        return self._clock() - last_extension > self._timings.lease_s * AUTHORITY_MARGIN
 
     def tick(self) -> None:
         """The regular work: heartbeats, members that came or went, the own disk."""
@@ -290,7 +296,9 @@
                 self._work.clear()
                 if self.ended:
                     break
-                if self._wanted is not None:
+                if self._outbid > self.record.epoch:
+                    await self._outbid_again()
+                elif self._wanted is not None:
                     await self._change_members()
                 while self._queue and not self.ended:
                     await self._commit_batch()
@@ -369,7 +377,13 @@
             self._peer(member).left_out_at = now
         await self._new_epoch(wanted)
 
-    async def _new_epoch(self, wanted: Membership) -> bool:
+    async def _outbid_again(self) -> None:
+        """A witness promised a higher epoch: go on under a still higher one, unless another leads already."""
+        trial = await self._new_epoch(Membership(self.record.group, self.record.witnesses), trial=True)
+        if trial:
+            await self._new_epoch(Membership(self.record.group, self.record.witnesses))
+
+    async def _new_epoch(self, wanted: Membership, trial: bool = False) -> bool:
         """Bring a new membership about; the state with all that was appended is committed by it."""
         copies = copies_required(self._losses, len(wanted.witnesses))
 
@@ -383,11 +397,13 @@
 
         newcomers = [witness for witness in wanted.witnesses if self.record.find(witness.member) is None]
         for _ in range(CHANGE_ATTEMPTS):
-            epoch = self._member.highest_epoch + 1
-            result = await self._change.run(epoch, compose, newcomers)
+            epoch = max(self._member.highest_epoch, self._outbid) + 1
+            result = await self._change.run(epoch, compose, newcomers, trial)
             if isinstance(result, Ok):
-                self._adopt(result.ok_value)
+                if not trial:
+                    self._adopt(result.ok_value)
                 return True
+            self._outbid = max(self._outbid, result.err_value.promised)
             self._log.warning("epoch.change_failed", epoch=epoch, reason=str(result.err_value))
         self._end("no new epoch came about")
         return False
--- a/arrowfold/selection/first_events.py
+++ b/arrowfold/selection/first_events.py
@@ -9,7 +9,8 @@
 from arrowfold.selection.prompt_parts import shared_parts
 
 FEWEST_SAMPLES = 5  # of a model, before its own line is trusted
-FASTEST, SLOWEST = 0.5, 3.0  # bounds of a worker's pace against the others'
+MOST_SURPRISE = 2.0  # a sample counts at most so many times what was expected
+FASTEST, SLOWEST = 0.5, 2.0  # bounds of a worker's pace against the others'
 
 
 class FirstEventEstimate:
@@ -23,6 +24,7 @@
     def __init__(self, options: SelectionOptions) -> None:
         self._options = options
         self._trends: dict[tuple[str, str], Trend] = {}
+        self._prefills: dict[str, MovingMean] = {}  # by service: tokens to read of a prompt
         self._runs: dict[str, MovingMean] = {}  # by service: time from send to outcome
 
     def _trend(self, service: str, model: str) -> Trend | None:
@@ -61,11 +63,32 @@
             return 0.0
         read = prefill_tokens + worker.backlog_tokens(now_s, trend.slope)
         expected = trend.at(read) * min(SLOWEST, max(FASTEST, worker.pace.get(1.0)))
+        half_life_s = self._options.delay_half_life_s
+        waiting_s = worker.waiting_of_others(now_s, half_life_s) * self._prefill_s(request.service, trend)
+        expected += max(worker.delay(now_s, half_life_s), waiting_s)
         ahead = worker.out + others + 1 - worker.slots
         if ahead > 0:
             expected += ahead / worker.slots * self.run_s(request.service)
         return expected
 
+    def alone_s(self, request: RequestProfile, read_tokens: float) -> float:
+        """Seconds to the first event where nothing of others is in the way; 0 while nothing is known."""
+        trend = self._trend(request.service, request.model)
+        return trend.at(read_tokens) if trend is not None else 0.0
+
+    def _prefill_s(self, service: str, trend: Trend) -> float:
+        """What one waiting request of the service adds before the next first event."""
+        return trend.slope * self.mean_prefill(service)
+
+    def mean_prefill(self, service: str) -> float:
+        """Mean tokens that a worker reads of a prompt of this service."""
+        prefills = self._prefills.get(service)
+        return prefills.get(0.0) if prefills is not None else 0.0
+
+    def sent(self, service: str, prefill_tokens: float) -> None:
+        """Learn how large prompts are."""
+        self._prefills.setdefault(service, MovingMean()).add(prefill_tokens)
+
     def run_s(self, service: str) -> float:
         """Mean time from a send to its outcome."""
         runs = self._runs.get(service)
@@ -78,7 +101,9 @@
         read = flight.prefill_tokens + flight.backlog_tokens
         trend = self._trends.get((request.service, request.model))
         if trend is not None and trend.samples >= FEWEST_SAMPLES and (expected := trend.at(read)) > 0:
-            worker.pace.add(min(SLOWEST, took / expected))
+            worker.note_delay(took - expected, now_s)
+            took = min(took, MOST_SURPRISE * expected)  # the line is of workers that nobody else keeps busy
+            worker.pace.add(took / expected)
         for name in {(request.service, request.model), (request.service, "")}:
             self._trends.setdefault(name, Trend()).add(read, took)
 
