--- a/benchmarks/capacity/system/failover.py
+++ b/benchmarks/capacity/system/failover.py
@@ -12,7 +12,7 @@
 
 from arrowfold.internal.messages import MemberInfo
 from arrowfold.replication.durable import DurableImage, image_of
-from arrowfold.replication.identity import draw_identity
+from arrowfold.replication.identity import store_identity
 from arrowfold.replication.member import GroupMember
 from arrowfold.replication.proposals import Proposal
 from arrowfold.replication.replica import Replica
@@ -22,7 +22,7 @@
 from benchmarks.capacity.results import Figures
 from benchmarks.capacity.system import target
 from benchmarks.capacity.system.documents import DIGEST, change_of_one_route, document_text
-from benchmarks.capacity.system.population import zone_name
+from benchmarks.capacity.system.population import member_name, zone_name
 from benchmarks.capacity.system.virtual_time import (
     DelayNetwork,
     MemoryFolder,
@@ -69,7 +69,7 @@
     def _start_member(self, number: int, address: str, seeds: tuple[str, ...]) -> None:
         clock = asyncio.get_running_loop().time
         folder = MemoryFolder()
-        identity = draw_identity(folder, True, seeds)
+        identity = store_identity(folder, member_name(number + 1), True, seeds)
         log = SegmentedLog(folder)
         image = DurableImage(log, TimedDiskWorker(SYNC_S), clock, image_of(log.recover()))
         info = MemberInfo(identity.member, f"core-{number}", address, address, zone_name(number))
--- a/benchmarks/capacity/system/fleet.py
+++ b/benchmarks/capacity/system/fleet.py
@@ -105,6 +105,21 @@
         return _Reading(fleet).since(before, edges)
 
 
+def demanded(edges: int, workers: int, reports: int, seed: int) -> Figures:
+    """Edges that report demand to the owner of the placement, or not: what becomes of the control nodes."""
+    with hollow_fleet(edges, workers, 0.0, seed, target.FEW_CONTROL) as fleet:
+        fleet.ask(fleet.edges, "start")
+        time.sleep(SETTLING_S)
+        if reports:
+            fleet.ask(fleet.edges, "demand")
+        time.sleep(SETTLING_S)
+        before = _Reading(fleet)
+        time.sleep(MEASURED_S)
+        after = _Reading(fleet)
+        orders = after.total(after.workers, "orders") - before.total(before.workers, "orders")
+        return {**after.since(before, edges), "orders": orders}
+
+
 class _Reading:
     """All counters of a fleet at one moment."""
 
--- a/benchmarks/capacity/system/hollow_edges.py
+++ b/benchmarks/capacity/system/hollow_edges.py
@@ -7,21 +7,27 @@
 
 import asyncio
 import json
+import random
 import socket
 import struct
 import sys
 from typing import Any
 
 from arrowfold.dataplane.puller import ControlPuller
+from arrowfold.dataplane.reports import owner_address
 from arrowfold.dataplane.tables import FleetTables
 from arrowfold.internal.channel import ChannelClient
 from arrowfold.node.logs import RateLimitedLog, configure
+from benchmarks.capacity.system import target
 from benchmarks.capacity.system.hollow_processes import Answer, serve_commands
-from benchmarks.capacity.system.population import edge_identity
+from benchmarks.capacity.system.placements import demand_report
+from benchmarks.capacity.system.population import SERVICE, edge_identity
 
 BYTES_ACKED_AT = 120  # in the kernel's `tcp_info`: bytes_acked, then bytes_received
 TCP_INFO_BYTES = 136
 LOOK_S = 0.05
+CLASSES_A_REPORT = 2
+REPORT_S = 1.0
 
 
 def connection_bytes(client: ChannelClient) -> tuple[int, int]:
@@ -61,6 +67,16 @@
     def _changed(self) -> None:
         self.changes += 1
 
+    async def report_demand(self) -> None:
+        """Tell the owner of the placement about a few classes, as often as an edge does."""
+        draw = random.Random(self.number)
+        while True:
+            await asyncio.sleep(target.REPORT_INTERVAL_S)
+            view = self.tables.snapshot.view
+            address = owner_address(view, SERVICE) if view is not None else None
+            if address is not None:
+                await self.client.call(address, demand_report(self.number, CLASSES_A_REPORT, draw), REPORT_S)
+
     def stop(self) -> None:
         """End all pulls and forget all tables."""
         assert self.puller is not None
@@ -81,13 +97,16 @@
     def __init__(self, first: int, count: int, seeds: list[str], workers: int) -> None:
         self._edges = [HollowEdge(first + number, tuple(seeds)) for number in range(count)]
         self._workers = workers
+        self._reporting: list[asyncio.Task[None]] = []
 
     async def handle(self, command: str) -> Answer:
-        """`start`, `restart` (with empty tables, all at once) or `figures`."""
+        """`start`, `restart` (with empty tables, all at once), `demand` (begin to report) or `figures`."""
         if command == "start":
             await self._start()
         elif command == "restart":
             return {"all_s": await self._restart()}
+        elif command == "demand":
+            self._reporting = [asyncio.create_task(edge.report_demand()) for edge in self._edges]
         return self._figures()
 
     async def _start(self) -> None:
--- a/benchmarks/capacity/system/page.py
+++ b/benchmarks/capacity/system/page.py
@@ -30,6 +30,7 @@
     "monitoring": tables.monitoring,
     "failover": tables.failover,
     "fleets": tables.fleets,
+    "demand": tables.demand,
     "mass_restart": tables.mass_restart,
     "changes": tables.changes,
     "streams": tables.streams,
--- a/benchmarks/capacity/system/points.py
+++ b/benchmarks/capacity/system/points.py
@@ -140,6 +140,18 @@
             (8, 100, 100, 0.0),
         )
     ),
+    *(
+        Point(
+            "demand",
+            {"edges": 30, "workers": workers, "reports": reports},
+            partial(fleet.demanded, 30, workers, reports),
+            ONE,
+            descriptors=5_000,
+            megabytes=2_000,
+            processes=20,
+        )
+        for workers, reports in ((400, 0), (400, 1))
+    ),
     *(
         Point(
             "massrestart",
--- a/benchmarks/capacity/system/pulls.py
+++ b/benchmarks/capacity/system/pulls.py
@@ -107,7 +107,10 @@
     return replace(record, capacity_slots=record.capacity_slots + 1, call_sequence=record.call_sequence + 1)
 
 
-async def answer_all(edges: int, records: list[WorkerRecord], changes: int, together: bool) -> Figures:
+async def answer_all(
+    edges: int, records: list[WorkerRecord], changes: int, together: bool, notice_only: bool = False
+) -> Figures:
+    """So many changes at one control node, and the answers to all edges; `notice_only`: no updates in them."""
     registry = filled_registry(records)
     presence = EdgePresence(time.monotonic, EDGE_LIFE_S)
     replica: ReplicaPort = FixedReplica(target.CONTROL_MACHINES)
@@ -118,7 +121,7 @@
     async def follow(edge: int) -> None:
         nonlocal sent, answers
         while True:
-            request = PullRequest(edge_identity(edge), vectors[edge], target.EDGE_PULL_S)
+            request = PullRequest(edge_identity(edge), vectors[edge], target.EDGE_PULL_S, notice_only)
             answer = await distributor.pull(request)
             sent += len(encode(answer))
             answers += 1
@@ -156,8 +159,11 @@
     records = worker_records(workers, seed)
     apart = asyncio.run(answer_all(edges, records, APART, together=False))
     burst = asyncio.run(answer_all(edges, records, BURST, together=True))
+    notices = asyncio.run(answer_all(edges, records, APART, together=False, notice_only=True))
     return {
         **apart,
+        "notice_ms": notices["change_ms"],
+        "notice_bytes": notices["bytes_a_change"],
         "burst_change_ms": burst["change_ms"],
         "burst_answers_a_change": burst["answers_a_change"],
     }
--- a/benchmarks/capacity/system/tables.py
+++ b/benchmarks/capacity/system/tables.py
@@ -83,6 +83,8 @@
         ("one change, ms", "change_ms", 1),
         ("answers", "answers_a_change", 1),
         ("KB", "bytes_a_change", KILO),
+        ("notices alone, ms", "notice_ms", 1),
+        ("KB", "notice_bytes", KILO),
         (f"{BURST} at once, ms each", "burst_change_ms", 1),
         ("answers each", "burst_answers_a_change", 1),
     ]
@@ -208,6 +210,18 @@
     return rows(results, "fleet", ["control", "edges", "workers", "changes"], columns)
 
 
+def demand(results: Results) -> str:
+    """The same fleet without demand reports and with them."""
+    columns: list[Column] = [
+        ("a control node, core %", "control_core_share", PERCENT),
+        ("the busiest", "control_core_most", PERCENT),
+        (f"orders in {MEASURED_S:.0f} s", "orders", 1),
+        (f"heartbeats failed in {MEASURED_S:.0f} s", "heartbeats_failed", 1),
+        ("elections", "elections", 1),
+    ]
+    return rows(results, "demand", ["edges", "workers", "reports"], columns)
+
+
 def mass_restart(results: Results) -> str:
     """All edges begin at once with nothing."""
     columns: list[Column] = [
--- a/tests/system/test_capacity.py
+++ b/tests/system/test_capacity.py
@@ -20,7 +20,16 @@
 from benchmarks.capacity.fitting import FittedLine, FitSpec, Results, fit_one
 from benchmarks.capacity.page import MISSING
 from benchmarks.capacity.results import Result, place, read
-from benchmarks.capacity.system import documents, monitoring, page, placements, pulls, registries, selection, target
+from benchmarks.capacity.system import (
+    documents,
+    monitoring,
+    page,
+    placements,
+    pulls,
+    registries,
+    selection,
+    target,
+)
 from benchmarks.capacity.system.fits import SPECS, Lines
 from benchmarks.capacity.system.points import POINTS
 from benchmarks.capacity.system.population import model_name, worker_records
@@ -107,7 +116,9 @@
 
 def test_looking_for_silent_workers_grows_by_the_workers_alone() -> None:
     few, many = (registries.filled_registry(worker_records(workers, 1)) for workers in (FEW, MANY))
-    counts = [calls(lambda registry=registry: registry.sweep(lambda origin: True)) for registry in (few, many)]  # type: ignore[misc]
+    counts = [
+        calls(lambda registry=registry: registry.sweep(lambda origin: True)) for registry in (few, many)
+    ]  # type: ignore[misc]
     assert counts[1] <= LINEAR * counts[0]
 
 
