--- /dev/null
+++ b/benchmarks/control_state/__init__.py
@@ -0,0 +1,1 @@
+"""Random schedules of faults against the control state, in virtual time."""
--- a/tests/system/control_simulation/schedules.py
+++ b/tests/system/control_simulation/schedules.py
@@ -26,6 +26,7 @@
     acknowledged: int = 0
     departures: int = 0
     reads: int = 0
+    acts: int = 0
     recovery_s: float = 0.0
     violation: str | None = None
     trace: list[str] = field(default_factory=list)
@@ -55,6 +56,7 @@
         self.outcome.acknowledged = len(history.acknowledged)
         self.outcome.departures = len(history.departures)
         self.outcome.reads = history.reads
+        self.outcome.acts = history.acts
         self.outcome.trace = self.world.trace.lines
         return self.outcome
 
@@ -63,6 +65,7 @@
         self._start()
         await world.until_primary(12.0)
         callers = [asyncio.create_task(self._operate()) for _ in range(2)]
+        callers.append(asyncio.create_task(world.watch_primaries()))
         callers += [asyncio.create_task(self._read()), asyncio.create_task(self._depart())]
         loop = asyncio.get_running_loop()
         end = loop.time() + LENGTH_S
--- a/tests/system/control_simulation/world.py
+++ b/tests/system/control_simulation/world.py
@@ -158,6 +158,20 @@
         record = primary.replica.term.record
         return len(record.group) == len(record.witnesses) == len(self.machines)
 
+    async def watch_primaries(self) -> None:
+        """At no moment are two running machines active primaries."""
+        while True:
+            active = [
+                machine.name
+                for machine in self.machines.values()
+                if machine.running() and machine.replica is not None and machine.replica.is_primary()
+            ]
+            if len(active) > 1:
+                self.trace.add("CHECK", "two primaries", active=active)
+                self.violations.append(f"two active primaries: {active}")
+                return
+            await asyncio.sleep(0.03)
+
     async def until(self, condition: Callable[[], bool], patience_s: float, what: str) -> float:
         """How long it took until the condition held."""
         started = asyncio.get_running_loop().time()
