--- a/arrowfold/replication/replica.py
+++ b/arrowfold/replication/replica.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from result import Err, Ok, Result
@@ -65,6 +65,7 @@
         self._newest_seen: EpochRecord | None = None
         self._stopping = False
         self._tasks: set[asyncio.Task[None]] = set()
+        self._passing: asyncio.Task[None] | None = None  # a role that is being passed on
         self._listeners: list[Callable[[], None]] = []
         self._wanted_roles: Callable[[ControlState], tuple[str, ...]] = lambda _state: ()
         member.on_change = self._notify
@@ -196,8 +197,8 @@
             self._term.tick()
             if self._term.ended:
                 self._end_term()
-            elif self._term.is_active():
-                self._spawn(self._pass_roles_on(self._term))
+            elif self._term.is_active() and (self._passing is None or self._passing.done()):
+                self._passing = self._spawn(self._pass_roles_on(self._term))
             return
         record = self._newest_record()
         if record is None and self._may_found():
@@ -216,10 +217,11 @@
         if record is not None and (newest is None or record.epoch > newest.epoch):
             self._newest_seen = record
 
-    def _spawn(self, work: Any) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def _end_term(self) -> None:
         self._term = None
--- /dev/null
+++ b/tests/system/test_control_planted.py
@@ -0,0 +1,167 @@
+"""Stories that fail when a guard is taken out: what each guard is there for."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from arrowfold.internal.messages import SubmitResult
+from tests.system.control_simulation.history import document
+from tests.system.control_simulation.outside import OperatorChange, OperatorRead
+from tests.system.control_simulation.planted import planted
+from tests.system.control_simulation.world import World, run_world
+
+Story = Callable[[], Coroutine[Any, Any, None]]
+
+
+async def _started(seed: int) -> World:
+    world = World(seed)
+    world.start_all()
+    assert await world.change(0, 1, 9.0) == 1
+    await world.until(world.is_whole, 5.0, "a whole group")
+    return world
+
+
+async def _behind_wiped_and_dark() -> None:
+    """One member is behind, one forgot everything, and the one that knows is dark."""
+    world = await _started(1)
+    behind, dark, wiped = (world.machines[name] for name in ("core1", "core2", "core3"))
+    for other in (dark, wiped):
+        world.network.cut(behind.address, other.address)
+        world.network.cut(other.address, behind.address)
+    assert await world.change(1, 2, 9.0, avoiding=behind) == 2
+    dark.kill()
+    wiped.wipe()
+    world.network.heal()
+    wiped.start()
+    await asyncio.sleep(5.0)
+    await world.settle()
+    world.require_sound()
+
+
+async def _most_disks_lost() -> None:
+    """Two of three disks are lost while the third machine is dark: nobody may begin from nothing."""
+    world = await _started(2)
+    world.machines["core1"].wipe()
+    world.machines["core2"].wipe()
+    world.machines["core3"].kill()
+    world.machines["core1"].start()
+    world.machines["core2"].start()
+    await asyncio.sleep(10.0)
+    assert world.primary() is None
+
+
+async def _deaf_backup() -> None:
+    """A backup that is cut off from the primary alone must not lead beside it."""
+    world = await _started(3)
+    watching = asyncio.create_task(world.watch_primaries())
+    primary = await world.until_primary()
+    deaf = next(machine for machine in world.machines.values() if machine is not primary)
+    world.network.cut(primary.address, deaf.address)
+    world.network.cut(deaf.address, primary.address)
+    await asyncio.sleep(20.0)
+    watching.cancel()
+    world.require_sound()
+
+
+async def _cut_off_primary() -> None:
+    """A primary that is cut off reads back nothing once another may lead."""
+    world = await _started(4)
+    watching = asyncio.create_task(world.watch_primaries())
+    primary = await world.until_primary()
+    for other in world.machines.values():
+        if other is not primary:
+            world.network.cut(primary.address, other.address)
+            world.network.cut(other.address, primary.address)
+    assert await world.change(1, 2, 9.0, avoiding=primary) == 2
+    answer = await world.call(primary, OperatorRead())
+    if isinstance(answer, SubmitResult) and answer.status == 200:
+        world.check(lambda: world.history.read(answer.body, 2))
+    watching.cancel()
+    world.require_sound()
+
+
+async def _all_power_lost() -> None:
+    """Everything loses power right after an acknowledgement, many times."""
+    for seed in range(10, 30):
+        world = await _started(seed)
+        for version in range(2, 5):
+            assert await world.change(version - 1, version, 9.0) == version
+        for machine in world.machines.values():
+            machine.lose_power()
+        await world.settle(8.0)
+        world.require_sound()
+        for machine in world.machines.values():
+            machine.kill()
+
+
+async def _backups_full_and_primary_wiped() -> None:
+    """The primary loses its disk right after an acknowledgement while the backups' disks were full."""
+    world = await _started(5)
+    primary = await world.until_primary()
+    backups = [machine for machine in world.machines.values() if machine is not primary]
+    for backup in backups:
+        backup.folder.full = True
+    request = OperatorChange("PUT", "1", document(2, "only"))
+    answer = await world.call(primary, request)
+    primary.kill()
+    if isinstance(answer, SubmitResult) and answer.status == 200:
+        world.check(lambda: world.history.acknowledge(2, 1, b"only"))
+    primary.wipe()
+    for backup in backups:
+        backup.folder.full = False
+    await world.settle()
+    world.require_sound()
+
+
+async def _answer_lost() -> None:
+    """A change whose answer was lost comes again."""
+    world = await _started(6)
+    primary = await world.until_primary()
+    request = OperatorChange("PUT", "1", document(2, "again"))
+    for _ in range(2):
+        answer = await world.call(primary, request)
+        assert isinstance(answer, SubmitResult) and answer.status == 200
+
+
+async def _role_moves() -> None:
+    """The holder of a role is lost, and another takes it over."""
+    world = await _started(7)
+    await asyncio.sleep(4.0)
+    assert world.history.acts > 0
+    for _ in range(3):
+        assert world.history.last_act is not None
+        holder = world.history.last_act[1].partition("-")[0]
+        world.machines[holder].freeze()
+        await asyncio.sleep(7.0)
+        world.machines[holder].thaw()
+        await asyncio.sleep(3.0)
+    world.require_sound()
+
+
+GUARDED: list[tuple[str, Story]] = [
+    ("no amnesia guard", _behind_wiped_and_dark),
+    ("a wiped machine founds", _most_disks_lost),
+    ("witness without lease", _deaf_backup),
+    ("primary without lease", _cut_off_primary),
+    ("acknowledge before sync", _all_power_lost),
+    ("append in memory", _all_power_lost),
+    ("commit without backups", _backups_full_and_primary_wiped),
+    ("digests forgotten", _answer_lost),
+    ("no wait at hand-over", _role_moves),
+    ("token kept", _role_moves),
+]
+
+
+@pytest.mark.parametrize("story", dict.fromkeys(story for _, story in GUARDED), ids=lambda it: it.__name__)
+def test_given_all_guards_then_the_story_holds(story: Story) -> None:
+    run_world(story())
+
+
+@pytest.mark.parametrize(("fault", "story"), GUARDED, ids=[fault for fault, _ in GUARDED])
+def test_given_a_guard_taken_out_then_the_story_fails(fault: str, story: Story) -> None:
+    with planted(fault), pytest.raises(AssertionError):
+        run_world(story())
