--- a/arrowfold/__main__.py
+++ b/arrowfold/__main__.py
@@ -20,6 +20,10 @@
         from arrowfold.programs import system
 
         return system.main(arguments[1:])
+    if arguments[0] == "state":
+        from arrowfold.programs import state
+
+        return state.main(arguments[1:])
     from arrowfold.program import commands
 
     return commands.main(arguments, signals)
--- a/arrowfold/storage/log.py
+++ b/arrowfold/storage/log.py
@@ -44,6 +44,23 @@
     return payloads[0]
 
 
+def _read(folder: Folder) -> tuple[int, RecoveredLog, int]:
+    """The number of the last segment, what the folder holds, and where the segment's valid part ends."""
+    names = folder.names()
+    snapshots = _numbers(names, SNAPSHOT_PREFIX)
+    number = snapshots[-1] if snapshots else 0
+    snapshot = _read_snapshot(folder, number) if snapshots else None
+    segment = _name(SEGMENT_PREFIX, number)
+    data = folder.read(segment) if segment in names else b""
+    scanned = scan(data, segment)
+    return number, RecoveredLog(snapshot, scanned.payloads, len(data) - scanned.end), scanned.end
+
+
+def read_log(folder: Folder) -> RecoveredLog:
+    """What a folder holds, without changing it; raises DamagedStorage if synced bytes do not read back."""
+    return _read(folder)[1]
+
+
 class SegmentedLog:
     """Appends records durably. All methods block; after an OSError, `compact` starts anew."""
 
@@ -61,21 +78,15 @@
 
     def recover(self) -> RecoveredLog:
         """Read the folder; cut a torn tail; raises DamagedStorage if synced bytes do not read back."""
-        names = self._folder.names()
-        snapshots = _numbers(names, SNAPSHOT_PREFIX)
-        self._number = snapshots[-1] if snapshots else 0
-        snapshot = _read_snapshot(self._folder, self._number) if snapshots else None
-        segment = _name(SEGMENT_PREFIX, self._number)
-        data = self._folder.read(segment) if segment in names else b""
-        scanned = scan(data, segment)
-        self._file = self._folder.open(segment)
-        if scanned.end < len(data):
-            self._file.truncate(scanned.end)
+        self._number, recovered, end = _read(self._folder)
+        self._file = self._folder.open(_name(SEGMENT_PREFIX, self._number))
+        if recovered.cut_bytes:
+            self._file.truncate(end)
         self._file.sync()
         self._folder.sync()
-        self._end = self._synced = scanned.end
+        self._end = self._synced = end
         self._remove_others()
-        return RecoveredLog(snapshot, scanned.payloads, len(data) - scanned.end)
+        return recovered
 
     def append(self, records: list[bytes]) -> None:
         """Write records and return when they are durable."""
