--- a/arrowfold/dataplane/puller.py
+++ b/arrowfold/dataplane/puller.py
@@ -2,7 +2,7 @@
 
 One node, of this zone if there is one, sends the updates themselves, and so do owners of roles, who alone
 hand on what they decide; the others only give notice that they have some. What a notice tells of and the
-first node does not bring at once is pulled from the node that told of it. So a node that is cut off, or hangs,
+first node does not bring at once is pulled from the node that told of it. So a node that is cut off or hangs
 delays nothing, and updates come once.
 """
 
