--- a/arrowfold/dataplane/forwarding.py
+++ b/arrowfold/dataplane/forwarding.py
@@ -84,6 +84,9 @@
         if route is None:
             await _send_own(answer, OwnAnswer(404, ResultCode.ROUTE_UNKNOWN), attempt_id)
             return
+        if not attempt_id:
+            await _send_own(answer, OwnAnswer(400, ResultCode.REQUEST_MALFORMED), None)
+            return
         progress = begin(request, route, route.pick_service(self._draw.random()))
         self._budget.count_request(progress.service, self._clock())
         try:
--- a/tests/system/test_edge_http.py
+++ b/tests/system/test_edge_http.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+import uvloop
 
 from arrowfold.dataplane.stalled_exchanges import StalledExchangeWatch
 from arrowfold.node.logs import RateLimitedLog
@@ -39,13 +40,14 @@
 
 
 def play(story: Callable[[], Awaitable[None]]) -> None:
-    """Run a story on loopback, with a bound on its time."""
+    """Run a story on loopback, on the loop that the program uses, with a bound on its time."""
 
     async def bounded() -> None:
         async with asyncio.timeout(10):
             await story()
 
-    asyncio.run(bounded())
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(bounded())
 
 
 def age(edge: LoopbackEdge, seconds: float, pools: bool = True) -> None:
@@ -110,6 +112,18 @@
     play(story)
 
 
+def test_a_request_without_an_id_is_answered_by_the_edge() -> None:
+    async def story() -> None:
+        edge, worker = await edge_with(plain)
+        client = await edge.client()
+        await client.send(b"POST /pay/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 0\r\n\r\n")
+        assert (await client.read()).status == 400
+        assert worker.heads == []
+        await edge.stop()
+
+    play(story)
+
+
 def test_pipelined_requests_are_answered_in_turn() -> None:
     async def story() -> None:
         edge, worker = await edge_with(plain)
