--- /dev/null
+++ b/tests/system/test_edge_tables.py
@@ -0,0 +1,131 @@
+"""What an edge knows never goes back, in whatever order and however often control nodes tell it."""
+
+from __future__ import annotations
+
+import json
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from arrowfold.dataplane.events import EventSplitter
+from arrowfold.dataplane.tables import FleetTables
+from arrowfold.internal.messages import (
+    STATE_ORIGIN,
+    ConfigurationDelta,
+    ConfigurationUpdate,
+    DepartureUpdate,
+    WorkerUpdate,
+)
+from tests.system.edge_stories import (
+    ROUTES,
+    configuration,
+    configuration_update,
+    response,
+    route,
+    worker,
+)
+
+INSTANCES = ("w1", "w2", "w3")
+STATES = ("available", "silent", "draining", "gone")
+
+
+class TablesMachine(RuleBasedStateMachine):
+    """Tells an edge of configurations, workers and departures in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.tables = FleetTables()
+        self.newest = 0
+        self.departed: set[str] = set()
+        self.gone: set[str] = set()
+        self.calls: dict[str, int] = {}
+
+    @rule(sequence=st.integers(1, 30), current=st.booleans())
+    def tell_configuration(self, sequence: int, current: bool) -> None:
+        update = configuration_update(configuration(ROUTES, version=sequence), sequence)
+        self.tables.take(response(update, current=current, state=sequence))
+        if current or self.newest:
+            self.newest = max(self.newest, sequence)
+
+    @rule(instance=st.sampled_from(INSTANCES), state=st.sampled_from(STATES), call=st.integers(1, 9))
+    def tell_worker(self, instance: str, state: str, call: int) -> None:
+        self.tables.take(response(WorkerUpdate("o", 1, worker(instance, "cards", state, call))))
+        if not self.newest:
+            return
+        if call >= self.calls.get(instance, 0):
+            self.calls[instance] = call
+            if state in ("draining", "gone"):
+                self.departed.add(instance)
+            if state == "gone":
+                self.gone.add(instance)
+
+    @rule(instance=st.sampled_from(INSTANCES), state=st.sampled_from(("draining", "gone")))
+    def tell_departure(self, instance: str, state: str) -> None:
+        self.tables.take(response(DepartureUpdate(1, instance, state)))
+        if self.newest:
+            self.departed.add(instance)
+            if state == "gone":
+                self.gone.add(instance)
+
+    @invariant()
+    def the_newest_configuration_is_in_force(self) -> None:
+        known = self.tables.snapshot.configuration
+        assert (known.sequence if known is not None else 0) == self.newest
+
+    @invariant()
+    def what_has_departed_gets_nothing(self) -> None:
+        assert not any(self.tables.snapshot.may_send(instance) for instance in self.departed)
+        assert not self.gone & set(self.tables.snapshot.workers)
+
+
+TestTables = TablesMachine.TestCase
+TestTables.settings = settings(max_examples=60, stateful_step_count=25, deadline=None)
+
+
+def known_tables() -> FleetTables:
+    tables = FleetTables()
+    tables.take(response(configuration_update(configuration(ROUTES, version=3), 3), state=3))
+    return tables
+
+
+def test_a_change_that_follows_is_applied() -> None:
+    tables = known_tables()
+    fresh = route("new", "/new/", "cards", "idempotent")
+    patch = b'{"version":5,"upsert":{"routes":[%s]},"remove":{"routes":["pay"]}}' % _json(fresh)
+    tables.take(response(ConfigurationDelta(4, 3, 5, patch), state=4))
+    known = tables.snapshot.configuration
+    assert known is not None and (known.sequence, known.version) == (4, 5)
+    assert known.routes.match("shop.example", "/new/1") is not None
+    assert known.routes.match("shop.example", "/pay/1") is None
+
+
+def test_a_change_that_does_not_follow_asks_for_the_whole() -> None:
+    tables = known_tables()
+    assert tables.vector[STATE_ORIGIN] == 3
+    tables.take(response(ConfigurationDelta(6, 5, 7, b'{"version":7}'), state=6))
+    known = tables.snapshot.configuration
+    assert known is not None and known.version == 3
+    assert STATE_ORIGIN not in tables.vector
+    whole = ConfigurationUpdate(6, 7, _json(configuration(ROUTES, version=7)))
+    tables.take(response(whole, state=6))
+    assert tables.snapshot.configuration is not None and tables.snapshot.configuration.version == 7
+
+
+def _json(value: object) -> bytes:
+    return json.dumps(value).encode()
+
+
+@given(st.data())
+def test_events_are_whole_however_the_bytes_are_cut(data: st.DataObject) -> None:
+    ends = data.draw(st.lists(st.sampled_from([b"\n\n", b"\r\n\r\n"]), min_size=1, max_size=6))
+    raw = [b"id: %d\ndata: x%d" % (number, number) + end for number, end in enumerate(ends)]
+    stream = b"".join(raw) + b"id: 99\nda"
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(stream)), max_size=8)))
+    splitter = EventSplitter()
+    events = []
+    for start, end in zip([0, *cuts], [*cuts, len(stream)], strict=True):
+        events.extend(splitter.feed(stream[start:end]))
+    assert [event.data for event in events] == raw
+    assert [event.identity for event in events] == list(range(len(raw)))
+    assert splitter.pending == b"id: 99\nda"
