--- a/arrowfold/placement/planner.py
+++ b/arrowfold/placement/planner.py
@@ -19,7 +19,10 @@
 WORKER_LOAD_COST = 0.01  # a second, for each request that runs on the chosen worker
 STORE_COST = 0.05  # for a worker that has to read the weights from the store
 SAME_ZONE_COST = 0.01  # for a zone that has a holder already
-ADAPTER_WORKLOAD = 4.0  # requests running at a time that one copy of an adapter serves
+ADAPTER_COUNT_COST = 0.02  # for each adapter of the model that the worker holds already
+ADAPTER_WORKLOAD = 2.0  # requests running at a time that one further copy of an adapter serves
+SPARE_ADAPTER_RATE_S = 0.1  # requests a second from which an adapter has a second copy, where there is room
+LEAST_SPREAD = 2  # further copies that may be on their way beside urgent loads
 INTENT_VALID_S = 12.0
 
 
@@ -107,7 +110,7 @@
 
     def _want_copies(self, context: PlanningContext) -> None:
         """Further copies where they gain most, as far as the store has room beside urgent loads."""
-        room = max(1, context.catalogue.parallel_loads - 1) - self._loads_planned()
+        room = max(LEAST_SPREAD, context.catalogue.parallel_loads - 1) - self._spread_planned()
         models = {model for model in self._demand.asked_models() if context.catalogue.known(model)}
         while room > 0 and models:
             gain, model = max((self._gain(context, model), model) for model in models)
@@ -129,17 +132,24 @@
     def _want_adapter_copies(self, context: PlanningContext) -> None:
         """Further copies of adapters whose workload is more than their holders should carry."""
         for key in self._demand.asked_adapters():
-            workload = self._demand.of_class(key).workload(context.now_s)
-            if workload < ADAPTER_WORKLOAD or not context.catalogue.known(key.model, key.adapter):
+            if not context.catalogue.known(key.model, key.adapter) or self._is_coming(key):
                 continue
-            copies = self._fleet.adapter_copies(key)
-            if 0 < copies < workload / ADAPTER_WORKLOAD and not self._is_coming(key):
+            estimate = self._demand.of_class(key)
+            wanted = 1 + int(estimate.workload(context.now_s) / ADAPTER_WORKLOAD)
+            if estimate.keep_rate_s(context.now_s) >= SPARE_ADAPTER_RATE_S:
+                wanted = max(2, wanted)
+            if 0 < self._fleet.adapter_copies(key) < wanted:
                 self._choose_worker(context, key, urgent=False)
 
-    def _loads_planned(self) -> int:
-        wanted = {instance for instance, intent in self._intents.items() if not intent.target.adapter}
-        loading = {worker.instance for worker in self._fleet.workers.values() if worker.arriving_model()}
-        return len(wanted | loading)
+    def _spread_planned(self) -> int:
+        """Workers that are being prepared for further copies, or load one."""
+        spreading = [intent for intent in self._intents.values() if not intent.target.adapter]
+        return sum(1 for intent in spreading if not intent.urgent) + self._spread_under_way
+
+    @property
+    def _spread_under_way(self) -> int:
+        loading = [worker.arriving_model() for worker in self._fleet.workers.values()]
+        return sum(1 for model in loading if model is not None and self._fleet.copies(model) > 1)
 
     def _choose_worker(
         self, context: PlanningContext, target: ModelClass, urgent: bool, gain: float = 0.0
@@ -154,7 +164,10 @@
         if not candidates:
             return False
         best = min(candidates, key=lambda item: (item.loss + item.unfitness, item.instance))
-        pays = urgent or bool(target.adapter) or gain >= GAIN_RATIO * best.loss + COPY_GAIN
+        if target.adapter:
+            pays = urgent or best.loss <= 0.0
+        else:
+            pays = urgent or gain >= GAIN_RATIO * best.loss + COPY_GAIN
         if pays:
             self._intents[best.instance] = LoadIntent(target, urgent, context.now_s)
         return pays
@@ -176,7 +189,7 @@
     def _unfitness(self, context: PlanningContext, worker: WorkerState, target: ModelClass) -> float:
         unfitness = WORKER_LOAD_COST * self._fleet.load_of(worker, self._demand, context.now_s)
         if target.adapter:
-            return unfitness
+            return unfitness + ADAPTER_COUNT_COST * len(worker.holdings[target.model].adapters)
         if not self._fleet.is_on_disk(worker, target.model):
             unfitness += STORE_COST
         if worker.zone in self._fleet.zones_of(target.model):
