--- a/arrowfold/placement/eviction.py
+++ b/arrowfold/placement/eviction.py
@@ -6,7 +6,6 @@
 
 from arrowfold.placement.catalogue import ModelCatalogue
 from arrowfold.placement.demand import DemandEstimator, ModelClass
-from arrowfold.placement.fleet import PlacementFleet
 from arrowfold.placement.valuation import CopyValuation
 from arrowfold.placement.worker_state import WorkerState, order_mb
 
@@ -29,7 +28,6 @@
     """Everything that a decision at one moment looks at."""
 
     catalogue: ModelCatalogue
-    fleet: PlacementFleet
     demand: DemandEstimator
     values: CopyValuation
     now_s: float
@@ -62,7 +60,7 @@
         if self.now_s - worker.holdings[model].since_s < RESIDENCE_S:
             return False
         asked_lately = self.now_s - self.demand.model(model).asked_s < RECENT_S
-        return not asked_lately or self.fleet.copies(model) > 1
+        return not asked_lately or self.values.copies(model) > 1
 
     def _model_loss(self, worker: WorkerState, model: str) -> float:
         return self.values.loss(worker, model) if self.catalogue.known(model) else UNLISTED_LOSS
--- a/arrowfold/placement/fleet.py
+++ b/arrowfold/placement/fleet.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 
 from arrowfold.internal.messages import WorkerRecord
-from arrowfold.placement.demand import DemandEstimator, ModelClass
+from arrowfold.placement.demand import ModelClass
 from arrowfold.placement.orders import Operation
 from arrowfold.placement.worker_state import WorkerState
 
@@ -39,13 +40,21 @@
         """True if this worker has held the model before, as far as this owner saw."""
         return model in self._on_disk.get(worker.address, ())
 
-    def copies(self, model: str) -> int:
-        """Workers on which the model stands or to which it is on its way, and that will stay."""
-        return sum(
-            1
-            for worker in self.workers.values()
-            if worker.serves and (worker.holds(model) or worker.arriving_model() == model)
-        )
+    def model_copies(self) -> Counter[str]:
+        """For each model the workers on which it stands or to which it is on its way, and that will stay."""
+        copies: Counter[str] = Counter()
+        for worker in self.workers.values():
+            if worker.serves:
+                copies.update({*filter(worker.holds, worker.holdings), worker.arriving_model() or ""})
+        return copies
+
+    def adapter_copies(self) -> Counter[ModelClass]:
+        """For each adapter the workers that hold it and will stay."""
+        copies: Counter[ModelClass] = Counter()
+        for worker in self.workers.values():
+            if worker.serves:
+                copies.update(worker.ready_adapters())
+        return copies
 
     def is_ready(self, key: ModelClass) -> bool:
         """True if a request for this class can be sent somewhere now."""
@@ -68,17 +77,3 @@
     def zones_of(self, model: str) -> set[str]:
         """Zones in which the model has a holder."""
         return {worker.zone for worker in self.holders(model)}
-
-    def load_of(self, worker: WorkerState, demand: DemandEstimator, now_s: float) -> float:
-        """Requests that run on this worker, if each class's workload is spread evenly over its holders."""
-        load = 0.0
-        for model, holding in worker.holdings.items():
-            load += demand.of_class(ModelClass(model)).workload(now_s) / max(1, self.copies(model))
-            for adapter in holding.adapters:
-                key = ModelClass(model, adapter)
-                load += demand.of_class(key).workload(now_s) / max(1, self.adapter_copies(key))
-        return load
-
-    def adapter_copies(self, key: ModelClass) -> int:
-        """Workers that hold this adapter and will stay."""
-        return sum(1 for worker in self.holders(key.model) if worker.holds(key.model, key.adapter))
--- a/arrowfold/placement/planner.py
+++ b/arrowfold/placement/planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from arrowfold.placement.catalogue import ModelCatalogue
@@ -24,6 +25,7 @@
 SPARE_ADAPTER_RATE_S = 0.1  # requests a second from which an adapter has a second copy, where there is room
 LEAST_SPREAD = 2  # further copies that may be on their way beside urgent loads
 INTENT_VALID_S = 12.0
+SPREAD_INTERVAL_S = 0.1  # between two looks at whether further copies pay
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,15 +62,18 @@
         self._fleet = fleet
         self._demand = demand
         self._intents: dict[str, LoadIntent] = {}
+        self._spread_s = -math.inf  # when further copies were last considered
 
     def plan(self, catalogue: ModelCatalogue, now_s: float) -> list[PlannedOrder]:
         """The orders to send now, the most urgent first."""
         values = CopyValuation(self._fleet, self._demand, now_s)
-        context = PlanningContext(catalogue, self._fleet, self._demand, values, now_s)
+        context = PlanningContext(catalogue, self._demand, values, now_s)
         self._drop_intents(context)
         self._want_missed(context)
-        self._want_copies(context)
-        self._want_adapter_copies(context)
+        if now_s - self._spread_s >= SPREAD_INTERVAL_S:
+            self._spread_s = now_s
+            self._want_copies(context)
+            self._want_adapter_copies(context)
         ordered = sorted(self._intents, key=lambda instance: _urgency(self._intents[instance]))
         steps = [self._next_step(context, instance) for instance in ordered]
         return [step for step in steps if step is not None]
@@ -110,7 +115,7 @@
 
     def _want_copies(self, context: PlanningContext) -> None:
         """Further copies where they gain most, as far as the store has room beside urgent loads."""
-        room = max(LEAST_SPREAD, context.catalogue.parallel_loads - 1) - self._spread_planned()
+        room = max(LEAST_SPREAD, context.catalogue.parallel_loads - 1) - self._spread_planned(context)
         models = {model for model in self._demand.asked_models() if context.catalogue.known(model)}
         while room > 0 and models:
             gain, model = max((self._gain(context, model), model) for model in models)
@@ -127,29 +132,30 @@
             for instance, intent in self._intents.items()
             if intent.target == ModelClass(model) and self._fleet.workers[instance].arriving_model() != model
         )
-        return context.values.gain(model, self._fleet.copies(model) + wanted)
+        return context.values.gain(model, context.values.copies(model) + wanted)
 
     def _want_adapter_copies(self, context: PlanningContext) -> None:
         """Further copies of adapters whose workload is more than their holders should carry."""
         for key in self._demand.asked_adapters():
-            if not context.catalogue.known(key.model, key.adapter) or self._is_coming(key):
+            copies = context.values.adapter_copies(key)
+            if copies == 0 or copies >= self._adapter_copies_wanted(context, key):
                 continue
-            estimate = self._demand.of_class(key)
-            wanted = 1 + int(estimate.workload(context.now_s) / ADAPTER_WORKLOAD)
-            if estimate.keep_rate_s(context.now_s) >= SPARE_ADAPTER_RATE_S:
-                wanted = max(2, wanted)
-            if 0 < self._fleet.adapter_copies(key) < wanted:
+            if context.catalogue.known(key.model, key.adapter) and not self._is_coming(key):
                 self._choose_worker(context, key, urgent=False)
 
-    def _spread_planned(self) -> int:
+    def _adapter_copies_wanted(self, context: PlanningContext, key: ModelClass) -> int:
+        estimate = self._demand.of_class(key)
+        wanted = 1 + int(estimate.workload(context.now_s) / ADAPTER_WORKLOAD)
+        if wanted == 1 and estimate.keep_rate_s(context.now_s) >= SPARE_ADAPTER_RATE_S:
+            return 2
+        return wanted
+
+    def _spread_planned(self, context: PlanningContext) -> int:
         """Workers that are being prepared for further copies, or load one."""
         spreading = [intent for intent in self._intents.values() if not intent.target.adapter]
-        return sum(1 for intent in spreading if not intent.urgent) + self._spread_under_way
-
-    @property
-    def _spread_under_way(self) -> int:
         loading = [worker.arriving_model() for worker in self._fleet.workers.values()]
-        return sum(1 for model in loading if model is not None and self._fleet.copies(model) > 1)
+        under_way = sum(1 for model in loading if model is not None and context.values.copies(model) > 1)
+        return sum(1 for intent in spreading if not intent.urgent) + under_way
 
     def _choose_worker(
         self, context: PlanningContext, target: ModelClass, urgent: bool, gain: float = 0.0
@@ -187,7 +193,7 @@
         return _Candidate(loss, self._unfitness(context, worker, target), worker.instance)
 
     def _unfitness(self, context: PlanningContext, worker: WorkerState, target: ModelClass) -> float:
-        unfitness = WORKER_LOAD_COST * self._fleet.load_of(worker, self._demand, context.now_s)
+        unfitness = WORKER_LOAD_COST * context.values.load_of(worker)
         if target.adapter:
             return unfitness + ADAPTER_COUNT_COST * len(worker.holdings[target.model].adapters)
         if not self._fleet.is_on_disk(worker, target.model):
--- a/arrowfold/placement/valuation.py
+++ b/arrowfold/placement/valuation.py
@@ -23,9 +23,36 @@
     """Gains and losses of copies at one moment."""
 
     def __init__(self, fleet: PlacementFleet, demand: DemandEstimator, now_s: float) -> None:
-        self._fleet = fleet
         self._demand = demand
         self._now_s = now_s
+        self._copies = fleet.model_copies()
+        self._adapter_copies = fleet.adapter_copies()
+        self._loads: dict[str, float] = {}
+
+    def copies(self, model: str) -> int:
+        """Workers on which the model stands or to which it is on its way, and that will stay."""
+        return self._copies[model]
+
+    def adapter_copies(self, key: ModelClass) -> int:
+        """Workers that hold this adapter and will stay."""
+        return self._adapter_copies[key]
+
+    def load_of(self, worker: WorkerState) -> float:
+        """Requests that run on this worker, if each class's workload is spread evenly over its holders."""
+        load = self._loads.get(worker.instance)
+        if load is None:
+            load = self._loads[worker.instance] = self._estimate_load(worker)
+        return load
+
+    def _estimate_load(self, worker: WorkerState) -> float:
+        load = sum(
+            self._demand.of_class(ModelClass(model)).workload(self._now_s) / max(1, self._copies[model])
+            for model in worker.holdings
+        )
+        return load + sum(
+            self._demand.of_class(key).workload(self._now_s) / max(1, self._adapter_copies[key])
+            for key in worker.ready_adapters()
+        )
 
     def gain(self, model: str, copies: int) -> float:
         """What one more copy adds where `copies` stand."""
@@ -41,7 +68,7 @@
         """What it costs to unload this model from this worker."""
         if not worker.serves:
             return 0.0
-        copies = max(1, self._fleet.copies(model))
+        copies = max(1, self._copies[model])
         workload = self._demand.model(model).workload(self._now_s)
         running = RUNNING_COST * workload / copies
         return self.gain(model, copies - 1) + running + self._adapters_loss(worker, model)
--- a/arrowfold/placement/worker_state.py
+++ b/arrowfold/placement/worker_state.py
@@ -13,6 +13,7 @@
 
 from arrowfold.internal.messages import HeldModel, WorkerRecord
 from arrowfold.placement.catalogue import ModelCatalogue
+from arrowfold.placement.demand import ModelClass
 from arrowfold.placement.orders import Operation, Order, WorkerReport
 
 AVAILABLE = "available"
@@ -106,6 +107,15 @@
             return False
         return not adapter or adapter in holding.adapters
 
+    def ready_adapters(self) -> list[ModelClass]:
+        """The adapters to which requests can be sent there now."""
+        return [
+            ModelClass(model, adapter)
+            for model, holding in self.holdings.items()
+            for adapter in holding.adapters
+            if self.holds(model, adapter)
+        ]
+
     def used_mb(self, catalogue: ModelCatalogue) -> float:
         """The room taken, if every load that may have been taken was."""
         used = sum(
