--- a/arrowfold/market/trading.py
+++ b/arrowfold/market/trading.py
@@ -1,7 +1,7 @@
 """The rules of the token market (Chen's thesis): token counts, prices, the three trades (docs/design.md).
 
-L_g, T_s, T_r and T are project defaults: L_g gives a worker FINE tokens on average; T_s = -T_r = T is the
-usual spread of loads round their mean, over all resources.
+L_g, T_s, T_r and T are project defaults: L_g gives a worker `tokens_per_worker` on average; T_s = -T_r = T is
+`trade_threshold` times the usual spread of loads round their mean, over all resources.
 """
 
 from __future__ import annotations
@@ -14,7 +14,6 @@
 
 SAMPLE = 8  # workers looked at in a round
 PARTNERS = 3  # workers looked at when a drawn token is traded at once
-FINE = 24  # tokens a worker holds on average: enough that each has some of every class
 MOST_TOKENS = 4800  # of all classes; of more workers than 200 each holds fewer
 TRADED = 1000  # tokens granted or recalled in one round: a turn of the loop is to stay short
 
@@ -50,7 +49,8 @@
     def _recount(self) -> None:
         """N_i = ceil(L_i / L_g): add or recall tokens as the measured workload moves (ch. 5)."""
         workload = {name: table.workload(self.now) for name, table in self.tables.items()}
-        left, unit = TRADED, sum(workload.values()) / max(FINE, min(self.fleet * FINE, MOST_TOKENS))
+        left, fine = TRADED, self.tokens_per_worker
+        unit = sum(workload.values()) / max(fine, min(self.fleet * fine, MOST_TOKENS))
         if not 0.7 * self.unit < unit < 1.4 * self.unit:  # hysteresis: L_g stays while tokens trade
             self.unit = unit
         for name, table in self.tables.items():
@@ -69,7 +69,7 @@
 
     def _trade(self, workers: list[HolderT]) -> None:
         """Senders give, receivers pull, exchangers swap (ch. 4)."""
-        edge = self.spread * len(self.mean)  # T_s = -T_r = T
+        edge = self.trade_threshold * self.spread * len(self.mean)  # T_s = -T_r = T
         state = {id(w): self._imbalance(w) for w in workers}
         by_load = sorted(workers, key=lambda w: state[id(w)][0])
         for worker in by_load[::-1]:
--- a/arrowfold/market/view.py
+++ b/arrowfold/market/view.py
@@ -21,6 +21,8 @@
     mean: list[float]  # L_avg^k
     spread: float  # how far loads lie from their mean, on average
     fleet: int  # how many workers serve
+    tokens_per_worker: int = 24  # gives L_g; so many that each worker has some of every usual class
+    trade_threshold: float = 1.0  # T_s = -T_r = T, in spreads
 
     @abstractmethod
     def _load(self, worker: HolderT, k: int) -> float:
--- a/arrowfold/selection/class_market.py
+++ b/arrowfold/selection/class_market.py
@@ -54,6 +54,8 @@
 
     def __init__(self, options: SelectionOptions, draw: random.Random) -> None:
         self.options = options
+        self.tokens_per_worker = options.tokens_per_worker
+        self.trade_threshold = options.trade_threshold
         self.random = draw
         self.now = 0
         self.now_s = 0.0
@@ -117,6 +119,10 @@
         """A worker denied that it holds the class."""
         self._holders.pop(request_class, None)
 
+    def token_of(self, worker: EngineWorker, table: ClassTable) -> Token[EngineWorker] | None:
+        """A token of the class that the worker holds."""
+        return next((token for token in worker.tokens if token.table is table), None)
+
     def draw_token(self, table: ClassTable, excluded: Iterable[str]) -> Token[EngineWorker] | None:
         """A token of the class by chance, not of an excluded holder; granted first if there is none."""
         if not table.tokens and not self._grant(table):
@@ -175,10 +181,6 @@
         """C_j(w) of the class at this worker."""
         return self._cost(worker, table)
 
-    def usual_imbalance(self, worker: EngineWorker) -> bool:
-        """Whether the worker lies no further above the mean load than T_s."""
-        return self._imbalance(worker)[0] <= self.spread * len(self.mean)
-
     def _load(self, worker: EngineWorker, k: int) -> float:
         others = self.others(worker)
         if k == 0:
--- a/arrowfold/selection/market_selector.py
+++ b/arrowfold/selection/market_selector.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from arrowfold.internal.messages import ClassDemand, WorkerRecord
-from arrowfold.market.tokens import SECOND, Token
+from arrowfold.market.tokens import SECOND
 from arrowfold.selection.admission import Admission, Shortage
 from arrowfold.selection.class_market import ClassMarket, ClassTable, RequestClass
 from arrowfold.selection.engine_worker import SILENT, EngineWorker, InFlight
@@ -239,17 +239,18 @@
         self, request: RequestProfile, table: ClassTable, fit: list[EngineWorker], excluded: Collection[str]
     ) -> Choice:
         homes = self._homes(request, fit)
-        token = self._draw_token(table, homes, excluded)
+        token = self.market.draw_token(table, excluded)
         pool = list(dict.fromkeys(homes + ([token.holder] if token is not None else []) + self._some(fit)))
         candidates = {w.instance: self._candidate(request, table, w, homes) for w in pool}
         best = min(candidates.values(), key=lambda c: c.score)
-        chosen = candidates[token.holder.instance] if token is not None else best
-        if chosen is not best and not self._will_do(request, chosen, best):
-            chosen = best
+        preferred = [*homes, token.holder] if token is not None else homes
+        chosen = next(
+            (c for w in preferred if self._will_do(request, c := candidates[w.instance], best)), best
+        )
         if refusal := self.admission.refuse_late(request, fit, chosen.predicted_s, self.market):
             self.counters["refused_late"] += 1
             return refusal
-        if token is not None and token.holder is not chosen.worker:
+        if token is not None and self.market.token_of(chosen.worker, table) is None:
             self.counters["traded"] += 1
             token.move(chosen.worker)
         self._expected_prefill[request.request] = chosen.prefill_tokens
@@ -260,16 +261,6 @@
         priority = self.admission.priority_header(request, chosen.prefill_tokens, mean_prefill)
         return ChosenWorker(chosen.worker.instance, chosen.worker.record.address, priority)
 
-    def _draw_token(
-        self, table: ClassTable, homes: list[EngineWorker], excluded: Collection[str]
-    ) -> Token[EngineWorker] | None:
-        """A token of the class: one that a home of the prompt holds, in their order, else any by chance."""
-        for home in homes:
-            for token in home.tokens:
-                if token.table is table:
-                    return token
-        return self.market.draw_token(table, excluded)
-
     def _homes(self, request: RequestProfile, fit: list[EngineWorker]) -> list[EngineWorker]:
         key = home_key(request)
         return rendezvous(key, fit, self.options.homes) if key is not None else []
@@ -290,7 +281,7 @@
         return Candidate(worker, prefill_tokens, predicted_s, score + blur)
 
     def _will_do(self, request: RequestProfile, drawn: Candidate, best: Candidate) -> bool:
-        """Whether the drawn holder is kept although another is better."""
+        """Whether a home or the drawn holder is kept although another is better."""
         left_s = request.arrived_s + request.latency_objective_s - self.market.now_s
         if drawn.predicted_s > self.options.in_time * left_s and best.predicted_s < drawn.predicted_s:
             return False
--- /dev/null
+++ b/tests/system/test_selection_tokens.py
@@ -0,0 +1,85 @@
+"""Tokens are never minted or lost, in any order of what an edge may be told."""
+
+from __future__ import annotations
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, invariant, rule
+
+from arrowfold.market.tokens import Token
+from arrowfold.selection.engine_worker import EngineWorker
+from arrowfold.selection.interface import ChosenWorker, Outcome, RequestProfile
+from tests.system.selection_stage import Stage, worker
+
+NAMES = [f"w{number}" for number in range(5)]
+MODELS = ["m", "n", "m/x", "n/x,y"]
+ASKED = ["m", "n", "m/x", "n/y", "absent"]
+
+
+class TokenMachine(RuleBasedStateMachine):
+    """Workers come, change, leave and come back; requests end in every way; the market has its rounds."""
+
+    in_flight = Bundle("in_flight")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.stage = Stage(edges=3)
+        self.seen: dict[str, EngineWorker] = {}
+
+    @rule(
+        held=strategies.dictionaries(
+            strategies.sampled_from(NAMES),
+            strategies.tuples(
+                strategies.sampled_from(["available", "draining", "silent", "gone"]),
+                strategies.lists(strategies.sampled_from(MODELS), unique_by=lambda m: m[0], max_size=2),
+            ),
+        )
+    )
+    def table(self, held: dict[str, tuple[str, list[str]]]) -> None:
+        self.stage.workers(*(worker(name, *models, state=state) for name, (state, models) in held.items()))
+        self.seen.update({f"{n} {id(w)}": w for n, w in self.stage.selector._workers.items()})
+
+    @rule(target=in_flight, model=strategies.sampled_from(ASKED), tokens=strategies.integers(1, 30_000))
+    def request(self, model: str, tokens: int) -> tuple[RequestProfile, str]:
+        request = self.stage.request(model, (("shared", 100), (f"own{tokens}", tokens)))
+        choice = self.stage.choose(request)
+        name = choice.instance if isinstance(choice, ChosenWorker) else ""
+        if name:
+            self.stage.selector.sent(request, name, self.stage.now_s)
+        return request, name
+
+    @rule(sent=in_flight, outcome=strategies.sampled_from(list(Outcome)), first=strategies.booleans())
+    def end(self, sent: tuple[RequestProfile, str], outcome: Outcome, first: bool) -> None:
+        request, name = sent
+        if first:
+            self.stage.selector.first_event(request, name, self.stage.now_s)
+        self.stage.selector.ended(request, name, outcome, self.stage.now_s)
+
+    @rule(name=strategies.sampled_from(NAMES), running=strategies.integers(0, 40))
+    def report(self, name: str, running: int) -> None:
+        self.stage.selector.load_reported(name, running, running // 4, 16, self.stage.now_s)
+
+    @rule(seconds=strategies.floats(0.01, 90.0))
+    def time_passes(self, seconds: float) -> None:
+        self.stage.advance(min(seconds, 2.0))
+        self.stage.now_s += seconds
+        self.stage.selector.market_round(self.stage.now_s)
+
+    @invariant()
+    def every_token_has_one_table_and_one_holder(self) -> None:
+        listed: list[Token[EngineWorker]] = [
+            token for table in self.stage.selector.market.tables.values() for token in table.tokens
+        ]
+        held = [token for w in self.seen.values() for token in w.tokens]
+        assert len(listed) == len({id(token) for token in listed})
+        assert {id(token) for token in listed} == {id(token) for token in held}
+        assert len(held) == len(listed)
+        assert all(token in token.holder.tokens for token in listed)
+
+    @invariant()
+    def nobody_unknown_holds_tokens(self) -> None:
+        known = self.stage.selector._workers.values()
+        assert all(any(w is k for k in known) for w in self.seen.values() if w.tokens)
+
+
+TokenMachine.TestCase.settings = settings(max_examples=40, stateful_step_count=40, deadline=None)
+TestTokens = TokenMachine.TestCase
