--- a/arrowfold/expectations/check.py
+++ b/arrowfold/expectations/check.py
@@ -6,8 +6,9 @@
 from dataclasses import replace
 from typing import Any
 
-from arrowfold.expectations.claims import Expectation, Finding, Tally, judge_all, share_owed
+from arrowfold.expectations.claims import Finding
 from arrowfold.expectations.contradictions import contradict
+from arrowfold.expectations.judgement import Expectation, Tally, judge_all, share_owed
 from arrowfold.expectations.plan_settings import path_of, settings_of
 from arrowfold.expectations.reports import Report
 from arrowfold.expectations.sampling import sample_subjects, sample_worlds
--- a/arrowfold/expectations/claims.py
+++ b/arrowfold/expectations/claims.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
 
-from arrowfold.expectations.history import ZERO, Attempt, History, Life, State, View
-from arrowfold.routes.rules import Match
-from arrowfold.routes.table import holds
+from arrowfold.expectations.history import ZERO, Attempt, Life, State, View
 
 SOON = timedelta(milliseconds=50)
 Regions = Mapping[str, frozenset[str]]  # a region's zones
@@ -316,85 +314,6 @@
                           f"{_sent(life, attempt)}: {count} within {seconds(self.per)}")
 
 
-@dataclass(frozen=True, slots=True)
-class When:
-    """What an expectation is about: sessions as a rule matches them, attempts by that moment's states."""
-
-    match: Match = field(default_factory=Match)
-    server: frozenset[State] = frozenset()  # the chosen server is in all of these
-    region: frozenset[State] = frozenset()  # its region is: every server of its zone
-    lag_under: timedelta | None = None  # the list runs behind by less
-
-    @property
-    def of_attempts(self) -> bool:
-        return bool(self.server or self.region or self.lag_under is not None)
-
-    def attempts(self, view: View, life: Life) -> list[Attempt]:
-        if not self.of_attempts:
-            return life.attempts
-        return [attempt for attempt in life.attempts if self._holds(view, attempt)]
-
-    def _holds(self, view: View, attempt: Attempt) -> bool:
-        server, at = attempt.server, attempt.sent
-        if any(view.since(server, state, at) is None for state in self.server):
-            return False
-        if self.region:
-            sight = view.sight(server, at)
-            zone = {sight.zone} if sight is not None else set()
-            if not all(view.region_is(zone, state, at) for state in self.region):
-                return False
-        return self.lag_under is None or view.lag(server, at) < self.lag_under
-
-
-@dataclass(frozen=True, slots=True)
-class Expectation:
-    """One promise: its name, where it stands in the document, what it is about, and its claim."""
-
-    name: str
-    path: str
-    when: When
-    claim: Claim
-
-
-@dataclass(slots=True)
-class Tally:
-    """What one history says of one expectation."""
-
-    good: int = 0
-    bad: list[Finding] = field(default_factory=list)
-
-    @property
-    def applied(self) -> int:
-        return self.good + len(self.bad)
-
-
-def judge(expectation: Expectation, view: View, regions: Regions) -> Tally:
-    """Hold a history to one expectation."""
-    tally, when = Tally(), expectation.when
-    for life in view.history.lives:
-        if not holds(when.match, life.subject):
-            continue
-        attempts = when.attempts(view, life)
-        if when.of_attempts and not attempts:
-            continue
-        for finding in expectation.claim.judge(view, regions, life, attempts):
-            if finding.ok:
-                tally.good += 1
-            else:
-                tally.bad.append(finding)
-    return tally
-
-
-def share_owed(claim: Claim) -> float:
-    """The part of findings that must be good; all, but where the claim says less."""
-    return claim.share if isinstance(claim, Prefers | GoesOver) else 1.0
-
-
-def judge_all(history: History, expectations: Sequence[Expectation], regions: Regions) -> list[Tally]:
-    view = View(history)
-    return [judge(expectation, view, regions) for expectation in expectations]
-
-
 def seconds(span: timedelta) -> str:
     return f"{span.total_seconds():.3f} s"
 
--- a/arrowfold/expectations/contradictions.py
+++ b/arrowfold/expectations/contradictions.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Sequence
 
-from arrowfold.expectations.claims import Answered, Denied, Expectation, Prefers, Reaches
+from arrowfold.expectations.claims import Answered, Denied, Prefers, Reaches
+from arrowfold.expectations.judgement import Expectation
 from arrowfold.expectations.worlds import Plan
 from arrowfold.routes.rules import Subject
 from arrowfold.routes.table import holds
--- a/arrowfold/expectations/sampling.py
+++ b/arrowfold/expectations/sampling.py
@@ -11,7 +11,7 @@
 from allpairspy import AllPairs  # type: ignore[import-untyped]
 
 from arrowfold import interface as api
-from arrowfold.expectations.claims import Expectation
+from arrowfold.expectations.judgement import Expectation
 from arrowfold.expectations.worlds import ENDINGS, EVENTS, LOADS, TARGETS, Plan, World
 from arrowfold.networks import read_network
 from arrowfold.routes.rules import Match, Routes, Subject
--- a/arrowfold/program/commands.py
+++ b/arrowfold/program/commands.py
@@ -109,7 +109,7 @@
     TRACE is the file that the document's trace node has a node write. Claims that count from what a server
     did itself need --fleet. Exit codes as for check.
     """
-    from arrowfold.expectations.claims import judge_all, share_owed
+    from arrowfold.expectations.judgement import judge_all, share_owed
     from arrowfold.expectations.reports import Report
     from arrowfold.program.judging import TraceError, read_history
 
--- a/arrowfold/program/edge.py
+++ b/arrowfold/program/edge.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 from pathlib import Path
 
-from arrowfold.expectations.claims import Expectation
+from arrowfold.expectations.judgement import Expectation
 from arrowfold.program.document import DocumentError, Place, read_document
 from arrowfold.program.edge_expectations import read_expectations
 from arrowfold.program.edge_quotas import read_quotas
--- a/arrowfold/program/edge_expectations.py
+++ b/arrowfold/program/edge_expectations.py
@@ -6,8 +6,9 @@
 from datetime import timedelta
 
 from arrowfold.expectations import claims
-from arrowfold.expectations.claims import Claim, Expectation, Target, When
+from arrowfold.expectations.claims import Claim, Target
 from arrowfold.expectations.history import ZERO, State
+from arrowfold.expectations.judgement import Expectation, When
 from arrowfold.program.document import Place
 from arrowfold.program.edge_routes import MATCHES, read_match, read_region
 
