--- a/arrowfold/controlplane/node.py
+++ b/arrowfold/controlplane/node.py
@@ -145,7 +145,7 @@
                 self._log.warning("storage.open_failed", reason=str(error))
                 await asyncio.sleep(OPEN_RETRY_S)
 
-    def take_settings(self, settings: NodeSettings) -> None:
+    def apply_settings(self, settings: NodeSettings) -> None:
         """Take changed settings: other seeds."""
         self._settings = settings
         if self._replica is not None:
--- /dev/null
+++ b/tests/system/test_startup.py
@@ -0,0 +1,135 @@
+"""Both programs: settings found and followed, one line where they can't be used, an end in order."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from arrowfold.node.logs import RateLimitedLog
+from arrowfold.node.settings import SETTINGS_VARIABLE, NodeSettings
+from arrowfold.programs.startup import SETTINGS_CHECK_INTERVAL_S, follow_settings, open_settings, run_node
+
+from .virtual_time import run_virtual
+
+SETTINGS = """
+nodeName = "n"
+ipAddress = "127.0.0.1"
+internalPorts = [7660, 7675]
+zone = "first"
+"""
+SECOND = SETTINGS.replace("first", "the second one")
+BAD = "nodeName = "
+
+
+class RecordingNode:
+    """A node that says on which settings it was told to go on, and how it was started and stopped."""
+
+    def __init__(self) -> None:
+        self.zones: list[str] = []
+        self.calls: list[str] = []
+
+    async def start(self) -> None:
+        self.calls.append("start")
+
+    async def stop(self) -> None:
+        self.calls.append("stop")
+
+    def apply_settings(self, settings: NodeSettings) -> None:
+        self.zones.append(settings.zone)
+
+
+@pytest.fixture
+def file(tmp_path: Path) -> Path:
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS, encoding="utf-8")
+    return path
+
+
+def followed(file: Path, texts: list[str], signalled: bool) -> list[str]:
+    """The zones that a node was told of while the file held one text after another."""
+    node = RecordingNode()
+
+    async def story() -> None:
+        hangup = asyncio.Event()
+        task = asyncio.create_task(follow_settings(file, hangup, node.apply_settings, RateLimitedLog("n")))
+        await asyncio.sleep(SETTINGS_CHECK_INTERVAL_S / 2)
+        for text in texts:
+            file.write_text(text, encoding="utf-8")
+            if signalled:
+                hangup.set()
+                await asyncio.sleep(SETTINGS_CHECK_INTERVAL_S / 100)
+            else:
+                await asyncio.sleep(2 * SETTINGS_CHECK_INTERVAL_S)
+        task.cancel()
+
+    run_virtual(story())
+    return node.zones
+
+
+@pytest.mark.parametrize("signalled", [True, False])
+def test_a_changed_file_is_applied_with_and_without_a_signal(file: Path, signalled: bool) -> None:
+    assert followed(file, [SECOND], signalled) == ["the second one"]
+
+
+@pytest.mark.parametrize("signalled", [True, False])
+def test_a_bad_file_changes_nothing_and_a_good_one_after_it_does(file: Path, signalled: bool) -> None:
+    assert followed(file, [BAD, SECOND], signalled) == ["the second one"]
+
+
+def test_a_file_that_did_not_change_is_applied_on_a_signal_only(file: Path) -> None:
+    assert followed(file, [SETTINGS], signalled=True) == ["first"]
+
+    async def story() -> list[str]:
+        node = RecordingNode()
+        follower = follow_settings(file, asyncio.Event(), node.apply_settings, RateLimitedLog("n"))
+        task = asyncio.create_task(follower)
+        await asyncio.sleep(10 * SETTINGS_CHECK_INTERVAL_S)
+        task.cancel()
+        return node.zones
+
+    assert run_virtual(story()) == []
+
+
+def test_settings_are_found_by_name_or_by_the_environment(
+    file: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(file))
+    assert open_settings().unwrap().settings.zone == "first"
+    monkeypatch.delenv(SETTINGS_VARIABLE)
+    assert open_settings(str(file)).unwrap().path == file
+    assert "602" in open_settings().unwrap_err()
+
+
+def test_a_node_is_started_and_stopped_in_order_by_a_signal(file: Path) -> None:
+    node = RecordingNode()
+
+    async def story() -> None:
+        asyncio.get_running_loop().call_soon(os.kill, os.getpid(), signal.SIGTERM)
+        await run_node(open_settings(str(file)).unwrap(), lambda log: node)
+
+    before = signal.getsignal(signal.SIGTERM)
+    try:
+        asyncio.run(story())
+    finally:
+        signal.signal(signal.SIGTERM, before)
+    assert node.calls == ["start", "stop"]
+
+
+@pytest.mark.parametrize("program", ["edge", "control"])
+@pytest.mark.parametrize(
+    ("text", "words"), [(BAD, "error 601"), (SETTINGS.replace("nodeName", "name"), "nodeName")]
+)
+def test_a_program_with_a_bad_file_ends_with_one_line(
+    program: str, text: str, words: str, file: Path
+) -> None:
+    file.write_text(text, encoding="utf-8")
+    command = [sys.executable, "-m", f"arrowfold.programs.{program}", f"--settings={file}"]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert done.returncode == 2
+    assert words in done.stderr and done.stderr.count("\n") == 1
