--- a/arrowfold/__init__.py
+++ b/arrowfold/__init__.py
@@ -1,7 +1,25 @@
 """arrowfold: a token market that decides which worker a dispatcher sends each job to."""
 
-from arrowfold.choice import Dispatcher
-from arrowfold.interface import Settings
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from arrowfold.choice import Dispatcher
+    from arrowfold.interface import Settings
 
 __all__ = ["Dispatcher", "Settings"]
 __version__ = "0.1.0"
+
+
+def __getattr__(name: str) -> Any:
+    """Load the dispatcher when it is asked for: programs that don't use it start sooner without it."""
+    if name == "Dispatcher":
+        from arrowfold.choice import Dispatcher
+
+        return Dispatcher
+    if name == "Settings":
+        from arrowfold.interface import Settings
+
+        return Settings
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/arrowfold/dataplane/forwarding.py
+++ b/arrowfold/dataplane/forwarding.py
@@ -25,11 +25,12 @@
     end_to_end,
     find,
     parse_load,
+    parse_number,
 )
 from arrowfold.dataplane.own_answers import OVERLOAD_RETRY_S, OwnAnswer, may_have_run, not_executed
 from arrowfold.dataplane.retry_budget import RetryBudget
 from arrowfold.dataplane.streams import relay_stream
-from arrowfold.dataplane.tables import FleetSnapshot
+from arrowfold.dataplane.tables import ConfigurationSnapshot, FleetSnapshot
 from arrowfold.node.result_codes import ResultCode
 from arrowfold.selection.interface import (
     ChosenWorker,
@@ -44,6 +45,7 @@
 MOST_CHOICES = 24  # choices of a worker for one request, those included that could not be reached
 LONGEST_RESUME_WAIT_S = 1.2  # a stream that broke off waits this long for a worker to go on at
 RESUME_PAUSE_S = 0.1
+START_WAIT_S = 0.8  # for a first configuration: clients give up a node that reads nothing for a second
 SLOW_PROMPT_TOKENS_S = 15_000  # a busy worker reads prompts faster
 
 
@@ -75,8 +77,8 @@
 
     async def forward(self, request: ClientRequest, answer: ClientAnswer) -> None:
         """Answer one request."""
-        configuration = self._snapshot().configuration
         attempt_id = find(request.headers, names.ATTEMPT_ID)
+        configuration = await self._configuration(request)
         if configuration is None:
             await _send_own(answer, not_executed(ResultCode.NO_CONFIGURATION_YET), attempt_id)
             return
@@ -95,6 +97,19 @@
         except TimeoutError:
             await self._end_without_worker(progress, answer, ResultCode.DEADLINE_PASSED, None)
 
+    async def _configuration(self, request: ClientRequest) -> ConfigurationSnapshot | None:
+        """The configuration in force; a node that has just started waits a little for its first."""
+        patience_ms = parse_number(find(request.headers, names.DEADLINE_MS))
+        longest_s = START_WAIT_S if patience_ms is None else min(START_WAIT_S, patience_ms / 2000)
+        while (configuration := self._snapshot().configuration) is None:
+            left_s = request.arrived_s + longest_s - self._clock()
+            if left_s <= 0:
+                return None
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+        return configuration
+
     async def _run(self, progress: RequestProgress, answer: ClientAnswer) -> None:
         refusal = RefusedRequest(ResultCode.OVERLOADED, OVERLOAD_RETRY_S)
         for _ in range(MOST_CHOICES):
--- a/arrowfold/dataplane/front.py
+++ b/arrowfold/dataplane/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
@@ -14,12 +15,12 @@
 from arrowfold.configuration.routes import Limits
 from arrowfold.dataplane.exchange import ClientAnswer, ClientRequest
 from arrowfold.dataplane.own_answers import OwnAnswer
+from arrowfold.node.listeners import BACKLOG
 from arrowfold.node.result_codes import ResultCode
 
 DEFAULT_HEADER_BYTES = 64 * 1024
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
 IDLE_CLOSE_S = 600.0  # longer than any client may rest a connection
-BACKLOG = 1024
 CLOSING_LOOK_S = 0.05  # between looks at what is left while the front ends
 QUIET_S = 0.1  # without a byte: no request is just being read
 _LOGGER = logging.getLogger("arrowfold.front")
@@ -108,9 +109,9 @@
         self._web = web.Server(self._handle, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
 
-    async def start(self, address: str) -> str:
-        """Listen at HOST:PORT; tells the address, for port 0 the one that was given."""
-        self._listener = await _listen(self._connection, address)
+    async def start(self, address: str, opened: socket.socket | None = None) -> str:
+        """Serve at HOST:PORT, or at a socket that listens there; tells the address."""
+        self._listener = await _listen(self._connection, address, opened)
         return _bound_address(self._listener)
 
     def _connection(self) -> ClientConnection:
@@ -218,9 +219,9 @@
         self._web = web.Server(self._handle, access_log=None)
         self._listener: asyncio.Server | None = None
 
-    async def start(self, address: str) -> str:
-        """Listen at HOST:PORT; tells the address, for port 0 the one that was given."""
-        self._listener = await _listen(self._web, address)
+    async def start(self, address: str, opened: socket.socket | None = None) -> str:
+        """Serve at HOST:PORT, or at a socket that listens there; tells the address."""
+        self._listener = await _listen(self._web, address, opened)
         return _bound_address(self._listener)
 
     async def stop(self) -> None:
@@ -233,9 +234,14 @@
         return web.Response(status=200 if self._ready() else 503)
 
 
-async def _listen(server: Callable[[], asyncio.BaseProtocol], address: str) -> asyncio.Server:
+async def _listen(
+    server: Callable[[], asyncio.BaseProtocol], address: str, opened: socket.socket | None
+) -> asyncio.Server:
+    loop = asyncio.get_running_loop()
+    if opened is not None:
+        return await loop.create_server(server, sock=opened, backlog=BACKLOG)
     host, port = address.rsplit(":", 1)
-    return await asyncio.get_running_loop().create_server(server, host, int(port), backlog=BACKLOG)
+    return await loop.create_server(server, host, int(port), backlog=BACKLOG)
 
 
 def _bound_address(listener: asyncio.Server) -> str:
--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -17,6 +17,7 @@
 from arrowfold.dataplane.worker_connections import FEWEST_CONNECTIONS, WorkerConnections
 from arrowfold.internal.channel import ChannelClient
 from arrowfold.internal.messages import NodeIdentity
+from arrowfold.node.listeners import Listeners
 from arrowfold.node.logs import RateLimitedLog
 from arrowfold.node.settings import NodeSettings
 from arrowfold.selection.interface import EngineFacts, WorkerSelector
@@ -38,6 +39,7 @@
         self._log = log
         self._clock = loop.time
         self._stopping = False
+        self._configured = False
         bounds = settings.bounds
         self._budget = RetryBudget(
             bounds.retryBudgetRatio, bounds.budgetExtra, bounds.budgetWindowS, loop.time()
@@ -73,13 +75,13 @@
         self._early_report: asyncio.Task[None] | None = None
         self._forwarder.on_missing = self._report_missing
 
-    async def start(self) -> None:
-        """Listen, and begin to pull."""
+    async def start(self, listeners: Listeners) -> None:
+        """Serve, at the sockets that are open already or at new ones, and begin to pull."""
         addresses = self._settings.listenAddresses
         if addresses.readiness is not None:
-            await self._readiness.start(addresses.readiness)
+            await self._readiness.start(addresses.readiness, listeners.get("readiness"))
         if addresses.front is not None:
-            await self._front.start(addresses.front)
+            await self._front.start(addresses.front, listeners.get("front"))
         self._puller.start()
         self._tasks = [
             asyncio.create_task(self._run_rounds()),
@@ -113,6 +115,9 @@
     def _apply_tables(self) -> None:
         snapshot = self._tables.snapshot
         now_s = self._clock()
+        if snapshot.configuration is not None and not self._configured:
+            self._configured = True
+            self._log.info("ready", version=snapshot.configuration.version)
         workers = self._overlay.corrected(snapshot.workers.values(), snapshot.placements, now_s)
         self._selector.apply_workers(workers, now_s)
         self._selector.apply_engines(_engine_facts(snapshot))
--- a/tests/system/edge_loopback.py
+++ b/tests/system/edge_loopback.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -187,8 +188,10 @@
     front: EdgeFront | None = None
     connections: WorkerConnections | None = None
 
-    async def start(self, **workers: tuple[str, RawWorker]) -> LoopbackEdge:
-        """Start workers, named by instance with their service, and the edge."""
+    async def start(
+        self, opened: socket.socket | None = None, **workers: tuple[str, RawWorker]
+    ) -> LoopbackEdge:
+        """Start workers, named by instance with their service, and the edge, at a socket that listens or a new one."""
         loop = asyncio.get_running_loop()
         self.workers = workers
         updates: list[Any] = [configuration_update(configuration(self.routes, **self.limits))]
@@ -214,7 +217,7 @@
             return tables.snapshot.configuration.routes.limits
 
         self.front = EdgeFront(forwarder.forward, limits)
-        self.address = await self.front.start("127.0.0.1:0")
+        self.address = await self.front.start("127.0.0.1:0", opened)
         return self
 
     async def client(self) -> RawClient:
--- a/tests/system/test_edge_forwarding.py
+++ b/tests/system/test_edge_forwarding.py
@@ -7,6 +7,7 @@
 import pytest
 
 from arrowfold.dataplane.exchange import SendFailure
+from arrowfold.internal.messages import WorkerUpdate
 from tests.system.edge_stories import (
     HOST,
     ROUTES,
@@ -48,6 +49,22 @@
         answer = await edge.ask("/pay/1")
         assert answer.status == 503
         assert answer.header("Retry-After") is not None
+        assert answer.ended_s <= 0.8 + 0.01
+
+    run_virtual(story())
+
+
+def test_a_request_that_comes_before_the_first_configuration_waits_a_little_for_it() -> None:
+    async def story() -> None:
+        edge = EdgeStory()
+        edge.workers.scripts["w1"] = answers(whole())
+        task = asyncio.create_task(edge.ask("/pay/1"))
+        await asyncio.sleep(0.5)
+        updates = (configuration_update(configuration(ROUTES)), WorkerUpdate("o", 1, worker("w1", "cards")))
+        edge.tell(*updates)
+        answer = await task
+        assert answer.status == 200
+        assert answer.ended_s == pytest.approx(0.51, abs=0.01)
 
     run_virtual(story())
 
@@ -202,8 +219,6 @@
         edge.workers.scripts["w1"] = answers(whole())
         edge.depart("w1")
         assert (await edge.ask("/pay/1")).status == 503
-        from arrowfold.internal.messages import WorkerUpdate
-
         edge.tell(WorkerUpdate("other", 5, worker("w1", "cards", "available", call=9)))
         assert (await edge.ask("/pay/1")).status == 503
         assert edge.workers.arrivals == []
@@ -322,8 +337,6 @@
 
 def test_a_request_that_waits_for_its_model_goes_out_when_a_worker_has_it() -> None:
     async def story() -> None:
-        from arrowfold.internal.messages import WorkerUpdate
-
         edge = models()
         edge.workers.scripts["m1"] = answers(events(1, 1))
         task = asyncio.create_task(edge.ask("/talk/1"))
