--- a/tests/system/edge_loopback.py
+++ b/tests/system/edge_loopback.py
@@ -191,7 +191,7 @@
     async def start(
         self, opened: socket.socket | None = None, **workers: tuple[str, RawWorker]
     ) -> LoopbackEdge:
-        """Start workers, named by instance with their service, and the edge, at a socket that listens or a new one."""
+        """Start workers, named by instance with their service, and the edge (at an open socket)."""
         loop = asyncio.get_running_loop()
         self.workers = workers
         updates: list[Any] = [configuration_update(configuration(self.routes, **self.limits))]
