--- a/arrowfold/programs/startup.py
+++ b/arrowfold/programs/startup.py
@@ -12,9 +12,10 @@
 
 from result import Err, Ok, Result
 
+from arrowfold.node.listeners import SETTINGS_VARIABLE
 from arrowfold.node.logs import RateLimitedLog
 from arrowfold.node.result_codes import ResultCode
-from arrowfold.node.settings import SETTINGS_VARIABLE, NodeSettings, load_settings, settings_path
+from arrowfold.node.settings import NodeSettings, load_settings, settings_path
 
 EXIT_FAULTY = 2  # exit code where the settings file or the command line is at fault
 SETTINGS_CHECK_INTERVAL_S = 1.0  # between looks at a settings file that may change without a signal
--- a/tests/system/test_startup.py
+++ b/tests/system/test_startup.py
@@ -11,8 +11,9 @@
 
 import pytest
 
+from arrowfold.node.listeners import SETTINGS_VARIABLE
 from arrowfold.node.logs import RateLimitedLog
-from arrowfold.node.settings import SETTINGS_VARIABLE, NodeSettings
+from arrowfold.node.settings import NodeSettings
 from arrowfold.programs.startup import SETTINGS_CHECK_INTERVAL_S, follow_settings, open_settings, run_node
 
 from .virtual_time import run_virtual
