Unload only what a load will follow soon; keep a holder free for adapters

Change: an unload reserves a place in the ceiling; a load that surely did not begin gives its place back; what was decided and not begun is decided anew; the last free holder of a model with adapters is dear.

--- a/arrowfold/placement/ceiling.py
+++ b/arrowfold/placement/ceiling.py
@@ -24,10 +24,14 @@
         self._tokens = 0.0
         self._refilled_s = now_s
 
-    def allows(self, now_s: float) -> bool:
-        """True if a load may be sent now."""
+    def allows(self, now_s: float, reserved: int = 0) -> bool:
+        """True if a load may be sent now and so many others soon."""
         self._refill(now_s)
-        return self._tokens >= 1.0
+        return self._tokens >= 1.0 + reserved
+
+    def not_taken(self) -> None:
+        """A load that was counted has surely not begun."""
+        self._tokens = min(BURST_LOADS, self._tokens + 1.0)
 
     def next_allowed_s(self, now_s: float) -> float:
         """The time from which a load may be sent."""
--- a/arrowfold/placement/placer.py
+++ b/arrowfold/placement/placer.py
@@ -136,14 +136,19 @@
         self._apply_report(worker, report, now_s)
 
     def _may_send(self, planned: PlannedOrder, now_s: float) -> bool:
-        if planned.operation is not Operation.LOAD or planned.target.adapter:
+        """Loads of weights, and the unloads that make room for them, wait for the ceiling and the store."""
+        target = self._planner.target_of(planned.instance)
+        if target is None or target.adapter:
             return True
-        worker = self._fleet.workers[planned.instance]
-        if not self._ceiling.allows(now_s):
+        reserved = self._planner.loads_begun(beside=planned.instance)
+        if self._planner.is_begun(planned.instance):
+            reserved = 0  # its own place in the ceiling is among those kept
+        if not self._ceiling.allows(now_s, reserved):
             return False
-        return self._fleet.is_on_disk(worker, planned.target.model) or self._store_loads() < (
-            self._catalogue.parallel_loads
-        )
+        worker = self._fleet.workers[planned.instance]
+        if self._fleet.is_on_disk(worker, target.model):
+            return True
+        return self._store_loads() < self._catalogue.parallel_loads
 
     def _send(self, planned: PlannedOrder, now_s: float) -> SendOrder:
         worker = self._fleet.workers[planned.instance]
@@ -156,6 +161,8 @@
         if order.loads_weights:
             worker.pending.from_own_disk = self._fleet.is_on_disk(worker, target.model)
             self._ceiling.sent(now_s)
+        elif order.operation is Operation.UNLOAD:
+            self._planner.note_unload(worker.instance)
         return SendOrder(order)
 
     def _accepted(self, worker: WorkerState, pending: PendingOrder, now_s: float) -> None:
@@ -188,6 +195,8 @@
         worker.report_due_s = now_s + expected_s + REPORT_LAG_S / 2
 
     def _not_taken(self, worker: WorkerState, answer: OrderAnswer, now_s: float) -> None:
+        if worker.pending is not None and worker.pending.order.loads_weights:
+            self._ceiling.not_taken()
         worker.pending = None
         worker.report_due_s = now_s + REPORT_LAG_S
         if answer is OrderAnswer.CONFLICT:
--- a/arrowfold/placement/planner.py
+++ b/arrowfold/placement/planner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from arrowfold.placement.catalogue import ModelCatalogue
 from arrowfold.placement.demand import DemandEstimator, ModelClass
@@ -20,6 +20,7 @@
 WORKER_LOAD_COST = 0.01  # a second, for each request that runs on the chosen worker
 STORE_COST = 0.05  # for a worker that has to read the weights from the store
 SAME_ZONE_COST = 0.01  # for a zone that has a holder already
+ADAPTER_MISS_SHARE = 0.3  # of the requests for adapters, taken to need a load
 ADAPTER_COUNT_COST = 0.02  # for each adapter of the model that the worker holds already
 ADAPTER_WORKLOAD = 2.0  # requests running at a time that one further copy of an adapter serves
 SPARE_ADAPTER_RATE_S = 0.1  # requests a second from which an adapter has a second copy, where there is room
@@ -35,6 +36,7 @@
     target: ModelClass
     urgent: bool  # a request is waiting for it
     since_s: float
+    begun: bool = False  # something was unloaded for it
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +84,23 @@
         """The intent for this worker was carried out, or can't be."""
         self._intents.pop(instance, None)
 
+    def note_unload(self, instance: str) -> None:
+        """Something is being unloaded for the intent of this worker."""
+        if instance in self._intents:
+            self._intents[instance] = replace(self._intents[instance], begun=True)
+
+    def loads_begun(self, beside: str) -> int:
+        """Workers, apart from this one, on which something was unloaded for a load that has not been sent."""
+        return sum(1 for instance, intent in self._intents.items() if intent.begun and instance != beside)
+
+    def is_begun(self, instance: str) -> bool:
+        """True if something was unloaded for the load that this worker is being prepared for."""
+        return instance in self._intents and self._intents[instance].begun
+
+    def target_of(self, instance: str) -> ModelClass | None:
+        """What this worker is being prepared for."""
+        return self._intents[instance].target if instance in self._intents else None
+
     def _drop_intents(self, context: PlanningContext) -> None:
         for instance, intent in list(self._intents.items()):
             if self._is_outdated(context, instance, intent):
@@ -96,6 +115,8 @@
             return True
         if target.adapter and not worker.holds(target.model):
             return True
+        if not intent.begun and worker.pending is None:
+            return True  # nothing was done for it: it is decided anew
         return context.now_s - intent.since_s > INTENT_VALID_S
 
     def _is_coming(self, target: ModelClass) -> bool:
@@ -104,14 +125,24 @@
         return any(intent.target == target for intent in self._intents.values())
 
     def _want_missed(self, context: PlanningContext) -> None:
-        """Requests are waiting for classes that stand nowhere."""
-        for key in self._demand.missed_classes(context.now_s):
-            if self._fleet.is_ready(key):
-                self._demand.served(key)
-            elif context.catalogue.known(key.model, key.adapter):
-                target = key if self._fleet.holders(key.model) else ModelClass(key.model)
-                if not self._is_coming(target):
-                    self._choose_worker(context, target, urgent=True)
+        """Requests are waiting for classes that stand nowhere; adapters first, which take milliseconds."""
+        targets = dict.fromkeys(
+            target
+            for key in self._demand.missed_classes(context.now_s)
+            if (target := self._missed_target(context, key)) is not None
+        )
+        for target in sorted(targets, key=lambda target: not target.adapter):
+            if not self._is_coming(target):
+                self._choose_worker(context, target, urgent=True)
+
+    def _missed_target(self, context: PlanningContext, key: ModelClass) -> ModelClass | None:
+        """What has to be loaded for a class that was missed; None if nothing."""
+        if self._fleet.is_ready(key):
+            self._demand.served(key)
+            return None
+        if not context.catalogue.known(key.model, key.adapter):
+            return None
+        return key if self._fleet.holders(key.model) else ModelClass(key.model)
 
     def _want_copies(self, context: PlanningContext) -> None:
         """Further copies where they gain most, as far as the store has room beside urgent loads."""
@@ -190,8 +221,25 @@
         if victims is None:
             return None
         loss = sum(victim.loss for victim in victims)
+        if not target.adapter:
+            loss += self._blocking_loss(context, worker, target)
         return _Candidate(loss, self._unfitness(context, worker, target), worker.instance)
 
+    def _blocking_loss(self, context: PlanningContext, worker: WorkerState, target: ModelClass) -> float:
+        """What it costs that no adapter can be loaded meanwhile, for models without another free holder."""
+        load_time_s = context.catalogue.models[target.model].load_time_s
+        return sum(
+            context.values.adapter_rate_s(model) * ADAPTER_MISS_SHARE * load_time_s / PAYBACK_S
+            for model in worker.holdings
+            if not self._has_other_free_holder(model, worker)
+        )
+
+    def _has_other_free_holder(self, model: str, worker: WorkerState) -> bool:
+        return any(
+            holder is not worker and holder.takes_orders and holder.instance not in self._intents
+            for holder in self._fleet.holders(model)
+        )
+
     def _unfitness(self, context: PlanningContext, worker: WorkerState, target: ModelClass) -> float:
         unfitness = WORKER_LOAD_COST * context.values.load_of(worker)
         if target.adapter:
--- a/arrowfold/placement/valuation.py
+++ b/arrowfold/placement/valuation.py
@@ -37,6 +37,11 @@
         """Workers that hold this adapter and will stay."""
         return self._adapter_copies[key]
 
+    def adapter_rate_s(self, model: str) -> float:
+        """Requests a second for adapters of this model."""
+        rate_s = self._demand.model(model).rate_s(self._now_s)
+        return max(0.0, rate_s - self._demand.of_class(ModelClass(model)).rate_s(self._now_s))
+
     def load_of(self, worker: WorkerState) -> float:
         """Requests that run on this worker, if each class's workload is spread evenly over its holders."""
         load = self._loads.get(worker.instance)
