--- a/tests/system/test_placement_stories.py
+++ b/tests/system/test_placement_stories.py
@@ -6,7 +6,7 @@
 from collections import deque
 
 from arrowfold.internal.messages import WorkerCorrection
-from arrowfold.placement.orders import Operation, OrderAnswer
+from arrowfold.placement.orders import Operation, OrderAnswer, ReadReport
 from tests.system.placement_world import PlacementWorld, catalogue
 
 
@@ -347,3 +347,108 @@
     # Then it took the place of that model
     assert sorted(world.models_of("w0")) == ["m0", "m1", "m5"]
     assert [order.operation for order, _ in world.answers] == [Operation.UNLOAD, Operation.LOAD]
+
+
+def test_nothing_is_unloaded_for_a_load_that_the_ceiling_holds_back() -> None:
+    # Given five full workers, and a store that allows few loads
+    world = PlacementWorld(catalogue(30, load_time_s=3.0, load_rate_s=0.5), workers=5)
+    for index in range(5):
+        world.hold(f"w{index}", *(f"m{3 * index + place}" for place in range(3)))
+    world.run(10.0)
+    # When five models are asked for at once
+    for index in range(20, 25):
+        world.ask(f"m{index}", missing=True)
+    world.run(1.0)
+    # Then no more places were emptied than loads were ordered
+    operations = [order.operation for order, _ in world.answers]
+    assert 0 < operations.count(Operation.UNLOAD) <= operations.count(Operation.LOAD)
+
+
+def test_a_load_that_met_a_conflict_does_not_count_against_the_ceiling() -> None:
+    # Given a ceiling of two loads at once, and workers that have taken orders of somebody else
+    world = PlacementWorld(catalogue(load_time_s=2.0, load_rate_s=1.0), workers=2)
+    world.run(10.0)
+    for worker in world.workers.values():
+        worker.take_unseen_order(world.now_s)
+    # When two models are asked for
+    world.ask("m1", missing=True)
+    world.ask("m2", missing=True)
+    world.run(0.6)
+    # Then both were refused for their revision, and both are loading by now all the same
+    answers = [answer for _, answer in world.answers]
+    assert answers == [OrderAnswer.CONFLICT] * 2 + [OrderAnswer.ACCEPTED] * 2
+
+
+def test_one_holder_of_a_model_with_adapters_stays_free_for_them() -> None:
+    # Given two holders of a model whose adapters are asked for, and slow loads
+    world = PlacementWorld(catalogue(load_time_s=3.0, load_rate_s=2.1), workers=2)
+    world.hold("w0", "m0", "m1")
+    world.hold("w1", "m0", "m2")
+    adapters = iter(range(1, 1000))
+    world.run(2.0, lambda: world.ask("m0", f"a{next(adapters) % 4 + 1}", requests=0.3))
+
+    def ask() -> None:
+        world.ask("m0", f"a{next(adapters) % 4 + 1}", requests=0.3)
+        world.ask("m1", requests=0.15, took_s=1.0)
+        world.ask("m2", requests=0.15, took_s=1.0)
+
+    # When both of their other models rise
+    busy_at_once = 0
+
+    def look() -> None:
+        nonlocal busy_at_once
+        ask()
+        busy = sum(1 for worker in world.workers.values() if worker.busy_until_s > world.now_s + 0.5)
+        busy_at_once = max(busy_at_once, busy)
+
+    world.run(3.0, look)
+    # Then one of them loads, and they don't at the same time
+    assert busy_at_once == 1
+
+
+def test_adapters_spread_over_the_holders_of_their_model() -> None:
+    # Given three holders of a model
+    world = PlacementWorld(catalogue(), workers=3)
+    for index in range(3):
+        world.hold(f"w{index}", "m0")
+    world.run(0.5)
+    # When six adapters are asked for, each rarely
+    for index in range(1, 7):
+        world.ask("m0", f"a{index}", requests=0.01, missing=True)
+        world.run(0.2)
+    # Then each holder has two
+    assert [len(world.models_of(f"w{index}")["m0"]) for index in range(3)] == [2, 2, 2]
+
+
+def test_an_adapter_that_is_asked_for_often_gets_a_second_copy_only_where_there_is_room() -> None:
+    # Given two holders of a model, of which one has no place for a further adapter
+    world = PlacementWorld(catalogue(), workers=2)
+    world.hold("w0", "m0")
+    world.hold("w1", "m0", "m1")
+    world.models_of("w1")["m1"].update(f"a{index}" for index in range(1, 9))
+    full = [f"a{index}" for index in range(1, 9)]
+    world.run(1.0, lambda: [world.ask("m1", adapter, requests=0.05) for adapter in full])
+    # When an adapter is asked for often
+    world.ask("m0", "a1", missing=True)
+
+    def ask() -> None:
+        world.ask("m0", "a1", requests=0.2)
+        for adapter in full:
+            world.ask("m1", adapter, requests=0.05)
+
+    world.run(3.0, ask)
+    # Then the full worker keeps what it has
+    assert world.models_of("w1")["m1"] == set(full)
+    assert world.models_of("w0")["m0"] == {"a1"}
+
+
+def test_a_new_holder_reads_reports_before_it_may_give_orders() -> None:
+    # Given an owner that has just taken over and may not give orders yet
+    world = PlacementWorld(catalogue(), workers=2)
+    assert world.placer is not None
+    world.placer.apply_workers([worker.record() for worker in world.workers.values()], world.now_s)
+    world.ask("m1", missing=True)
+    # When it is asked what to do
+    before = world.placer.actions(world.now_s, may_order=False)
+    # Then it reads the reports of all workers and orders nothing
+    assert [type(action) for action in before] == [ReadReport, ReadReport]
