--- a/benchmarks/capacity/system/fleet.py
+++ b/benchmarks/capacity/system/fleet.py
@@ -28,6 +28,7 @@
 MEASURED_S = 12.0
 HEARD_WITHIN_S = 60.0
 IN_FORCE_WITHIN_S = 20.0
+CHANGES = 5  # of configuration, one after the other
 EDGE_MODULE = "benchmarks.capacity.system.hollow_edges"
 WORKER_MODULE = "benchmarks.capacity.system.hollow_workers"
 
@@ -104,6 +105,21 @@
         return _Reading(fleet).since(before, edges)
 
 
+def demanded(edges: int, workers: int, reports: int, seed: int) -> Figures:
+    """Edges that report demand to the owner of the placement, or not: what becomes of the control nodes."""
+    with hollow_fleet(edges, workers, 0.0, seed, target.FEW_CONTROL) as fleet:
+        fleet.ask(fleet.edges, "start")
+        time.sleep(SETTLING_S)
+        if reports:
+            fleet.ask(fleet.edges, "demand")
+        time.sleep(SETTLING_S)
+        before = _Reading(fleet)
+        time.sleep(MEASURED_S)
+        after = _Reading(fleet)
+        orders = after.total(after.workers, "orders") - before.total(before.workers, "orders")
+        return {**after.since(before, edges), "orders": orders}
+
+
 class _Reading:
     """All counters of a fleet at one moment."""
 
@@ -179,7 +195,7 @@
         text = configuration(target.MODELS, target.ADAPTERS, target.ROUTES)
         first = _Reading(fleet)
         delays = []
-        for version in range(2, 7):
+        for version in range(2, 2 + CHANGES):
             text = {
                 **text,
                 "version": version,
