--- a/arrowfold/configuration/validity.py
+++ b/arrowfold/configuration/validity.py
@@ -13,6 +13,8 @@
 from arrowfold.configuration.routes import normal_host
 from arrowfold.node.result_codes import ResultCode
 
+LONGEST_QUOTE = 80  # characters of an operator's text in a fault
+
 
 def parse_configuration(
     body: bytes, max_body_bytes: int | None = None
@@ -46,6 +48,11 @@
     return path
 
 
+def _quoted(text: str) -> str:
+    """An operator's text as a fault tells it: its beginning, with no line ends."""
+    return repr(text[:LONGEST_QUOTE])
+
+
 def _invalid(path: str, text: str) -> ConfigurationFault:
     return ConfigurationFault(ResultCode.CONFIGURATION_INVALID, path, text)
 
@@ -66,7 +73,9 @@
     for index, item in enumerate(items):
         first = positions.setdefault(item.name, index)
         if first != index:
-            return _invalid(f"{member}[{index}].name", f"{item.name!r} is the name of {member}[{first}] too")
+            return _invalid(
+                f"{member}[{index}].name", f"{_quoted(item.name)} is the name of {member}[{first}] too"
+            )
     return None
 
 
@@ -75,7 +84,7 @@
     for index, route in enumerate(routes):
         first = positions.setdefault((normal_host(route.hostname), route.pathPrefix), index)
         if first != index:
-            place = f"{route.hostname}{route.pathPrefix}"
+            place = _quoted(route.hostname + route.pathPrefix)
             return _invalid(f"routes[{index}].pathPrefix", f"{place} is the place of routes[{first}] too")
     return None
 
@@ -96,7 +105,7 @@
             _invalid(place, "neither targetService nor trafficSplit") if route.trafficSplit is None else None
         )
     if route.targetService not in known:
-        return _invalid(f"{place}.targetService", f"there is no service {route.targetService!r}")
+        return _invalid(f"{place}.targetService", f"there is no service {_quoted(route.targetService)}")
     return None
 
 
@@ -106,7 +115,7 @@
     for index, part in enumerate(route.trafficSplit):
         if part.targetService not in known:
             path = f"{place}.trafficSplit[{index}].targetService"
-            return _invalid(path, f"there is no service {part.targetService!r}")
+            return _invalid(path, f"there is no service {_quoted(part.targetService)}")
     if not sum(part.weight for part in route.trafficSplit) > 0:
         return _invalid(f"{place}.trafficSplit", "the weights add up to 0")
     return None
--- a/arrowfold/controlplane/changes.py
+++ b/arrowfold/controlplane/changes.py
@@ -15,7 +15,7 @@
 from arrowfold.controlplane.primary_calls import PrimaryCalls
 from arrowfold.internal.messages import ReadConfiguration, SubmitChange, SubmitResult
 from arrowfold.node.result_codes import ResultCode
-from arrowfold.replication.ports import Caller
+from arrowfold.replication.ports import Caller, EventLog
 from arrowfold.replication.proposals import Proposal, ReplicaPort, ReplicationFault
 from arrowfold.replication.state import ConfigurationStep, ControlState
 
@@ -39,8 +39,9 @@
 class ConfigurationService:
     """Takes, acknowledges and reads configurations, whichever member it runs on."""
 
-    def __init__(self, replica: ReplicaPort, caller: Caller) -> None:
+    def __init__(self, replica: ReplicaPort, caller: Caller, log: EventLog) -> None:
         self._replica = replica
+        self._log = log
         self._parsed: tuple[bytes, ConfigurationDocument] | None = None
         self._submissions = PrimaryCalls(replica, caller, self.on_submit, _is_settled)
         self._reads = PrimaryCalls(replica, caller, self.on_read, _is_settled)
@@ -62,6 +63,7 @@
         digest = change_digest(change.kind, change.if_match, change.body)
         result = await self._replica.propose(lambda state: self._decide(state, change, digest))
         if isinstance(result, Err):
+            self._log.warning("configuration.not_committed", kind=change.kind, reason=str(result.err_value))
             return _not_committed(result.err_value)
         return result.ok_value
 
@@ -78,11 +80,13 @@
         prepare = prepare_put if change.kind == PUT else prepare_patch
         prepared = prepare(current, change.if_match, change.body)
         if isinstance(prepared, Err):
+            self._log.info("configuration.refused", kind=change.kind, reason=str(prepared.err_value))
             return Proposal(_refused(prepared.err_value))
         document = prepared.ok_value
         text = document.to_json()
         patch = delta(current, document) if current is not None else None
         self._parsed = (text, document)
+        self._log.info("configuration.accepted", kind=change.kind, version=document.version)
         step = ConfigurationStep(document.version, digest, text, patch)
         return Proposal(_accepted(document.version), step)
 
--- a/arrowfold/controlplane/node.py
+++ b/arrowfold/controlplane/node.py
@@ -102,7 +102,7 @@
             clock,
             self._log,
         )
-        configurations = ConfigurationService(replica, self._passed_on)
+        configurations = ConfigurationService(replica, self._passed_on, self._log)
         registrations = RegistrationService(replica, registry, self._passed_on, distributor.wake)
         node = NodeIdentity(
             settings.nodeName, identity.member, settings.zone, settings.internal_address, settings.serves
--- a/tests/system/control_simulation/machines.py
+++ b/tests/system/control_simulation/machines.py
@@ -144,7 +144,9 @@
                 break
             except OSError:
                 await asyncio.sleep(0.3)
-        service = ConfigurationService(replica, SimulatedCaller(self.network, self.address))
+        service = ConfigurationService(
+            replica, SimulatedCaller(self.network, self.address), TraceLog(self._trace, self.name)
+        )
         registry = WorkerRegistry(replica.member, self.clock, 1.2)
         caller = SimulatedCaller(self.network, self.address)
         registrations = RegistrationService(replica, registry, caller, lambda: None)
--- a/tests/system/test_configuration_validity.py
+++ b/tests/system/test_configuration_validity.py
@@ -129,3 +129,10 @@
     body = text_of(value)
     for length in range(0, len(body), max(1, len(body) // 10)):
         assert parse_configuration(body[:length]).is_err()
+
+
+def test_a_fault_does_not_repeat_a_long_text() -> None:
+    name = "long\n" * 10_000
+    value = configuration(routes=[route(targetService=name)])
+    fault = fault_of(value)
+    assert len(str(fault)) < 300 and "\n" not in str(fault)
