--- a/arrowfold/quotas/ledger.py
+++ b/arrowfold/quotas/ledger.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable, Mapping
 from datetime import timedelta
@@ -15,6 +14,7 @@
 from typing import Any
 
 from arrowfold.quotas.accounts import Account, Path, Refusal, Ticket
+from arrowfold.quotas.borrowing import may_borrow, pay_debt, withheld_now
 from arrowfold.quotas.comebacks import Comebacks
 from arrowfold.quotas.tree import MOST_AMOUNT, Level, Limit, Resource, Tree
 from arrowfold.quotas.window import Window
@@ -82,19 +82,19 @@
         """
         borrowing, full = [], []
         for depth, account in enumerate(chain):
-            self._pay(account, now_us)
+            pay_debt(account, now_us, self.tree.payback)
             parent = chain[depth - 1] if depth else None
             for number, (limit, window) in enumerate(zip(account.level.limits, account.windows, strict=True)):
                 cost = costs.get(limit.resource, 0)
                 if cost <= 0:
                     continue
-                over = cost - (window.room(now_us) - self._withheld(account, number))
+                over = cost - (window.room(now_us) - withheld_now(account, number, self.tree.payback))
                 if keep and over <= 0 and account.comebacks is not None and account.path not in told:
                     over += account.comebacks.kept(window, cost, now_us)
                 if over <= 0:
                     continue
-                if parent is not None and self._may_borrow(
-                        account, number, cost, parent, now_us, account.path in told):
+                if parent is not None and may_borrow(
+                        account, number, cost, parent, now_us, account.path in told, self.tree.payback):
                     borrowing.append((account, number, min(cost, over)))
                 else:
                     full.append((account, number))
@@ -157,65 +157,6 @@
         except (AttributeError, IndexError, TypeError, ValueError, OverflowError) as error:
             raise ValueError(f"no charge: {error}") from error
 
-    # --- borrowing ---------------------------------------------------------------------------------------
-
-    def _may_borrow(
-            self, account: Account, number: int, cost: int, parent: Account, now_us: int, told: bool,
-    ) -> bool:
-        """Whether siblings leave so much: the window around has room for it and for what they are owed.
-
-        One that was told to come back now may go beyond its level's part of what there is to borrow.
-        """
-        if not account.level.borrow:
-            return False
-        limit = account.level.limits[number]
-        around = next((n for n, wide in enumerate(parent.level.limits)
-                       if wide.resource is limit.resource and wide.per == limit.per), None)
-        if around is None:
-            return False
-        window, span_us = parent.windows[around], account.windows[number].span_us
-        owed, wanting, shares = 0, 0.0, 0
-        for path, sibling in list(parent.children.items()):
-            if now_us - sibling.seen_us > span_us:
-                if sibling is not account and sibling.seen_us + 60 * span_us < now_us:
-                    del parent.children[path]  # it left long ago
-                continue
-            own = next((n for n, own in enumerate(sibling.level.limits)
-                        if own.resource is limit.resource and own.per == limit.per), None)
-            if own is None:
-                continue
-            shares += sibling.windows[own].limit
-            if sibling is not account:
-                owed += max(0, sibling.windows[own].room(now_us) - self._withheld(sibling, own))
-            if sibling.borrowed and (sibling is account or sibling.borrowed[own].room(now_us) <
-                                     sibling.borrowed[own].limit):
-                wanting += self._pull(sibling, own)
-        if window.room(now_us) - owed < cost or told:
-            return window.room(now_us) - owed >= cost
-        pool = max(0, window.limit - shares)
-        lent = account.borrowed[number].limit - account.borrowed[number].room(now_us)
-        return lent + cost <= pool * self._pull(account, number) / max(wanting, 1e-9)
-
-    @staticmethod
-    def _pull(account: Account, number: int) -> float:
-        """Who borrows first: by weight, and less the more it owes."""
-        return account.level.weight / (1 + account.debt[number] / max(1, account.windows[number].limit))
-
-    def _withheld(self, account: Account, number: int) -> int:
-        """The part of a debtor's own share that pays its debt now."""
-        debt = account.debt[number]
-        return min(debt, int(self.tree.payback * account.windows[number].limit)) if debt else 0
-
-    def _pay(self, account: Account, now_us: int) -> None:
-        """Debts shrink by what was withheld since."""
-        elapsed, account.debt_us = now_us - account.debt_us, now_us
-        if elapsed <= 0 or not any(account.debt):
-            return
-        for number, debt in enumerate(account.debt):
-            window = account.windows[number]
-            paid = math.ceil(self.tree.payback * window.limit * min(elapsed, 10**12) / window.span_us)
-            account.debt[number] = max(0, debt - paid)
-
     # --- refusals ----------------------------------------------------------------------------------------
 
     def _refuse(
@@ -249,7 +190,7 @@
         return Refusal(path, named, timedelta(microseconds=at_us - now_us))
 
     def _free_at(self, account: Account, number: int, cost: int, at_us: int, now_us: int) -> int:
-        window, withheld = account.windows[number], self._withheld(account, number)
+        window, withheld = account.windows[number], withheld_now(account, number, self.tree.payback)
         if cost + withheld > window.limit:  # its debt has to be paid first
             rate = max(1, int(self.tree.payback * window.limit))
             at_us = max(at_us, now_us + account.debt[number] * window.span_us // rate + window.span_us)
@@ -371,7 +312,7 @@
         account = self.accounts.get(path or ("",))
         if account is None:
             return []
-        self._pay(account, now_us)
+        pay_debt(account, now_us, self.tree.payback)
         return account.describe(now_us)
 
     def reset(self, path: Path) -> bool:
