--- a/benchmarks/capacity/system/fleet.py
+++ b/benchmarks/capacity/system/fleet.py
@@ -148,7 +148,7 @@
 
         divided = max(1, edges)
         return {
-            "control_core_share": statistics.mean(sorted(shares)[:-1]),
+            "control_core_share": statistics.mean(sorted(shares)[:-1] or shares),
             "control_core_most": max(shares),
             "control_own_share": statistics.mean(
                 (now.own_s - then.own_s) / passed_s for now, then in zip(self.uses, before.uses, strict=True)
