--- a/benchmarks/capacity/system/role_table.py
+++ b/benchmarks/capacity/system/role_table.py
@@ -96,10 +96,8 @@
 
 
 def _control_zone(at: Scaled) -> str:
-    encode_s = at.lines.at(Label.TABLE_ENCODE, at.workers) * MILLI
-    lost_s = _zone_records(at) * at.lines.at(Label.BURST_EDGES, at.edges) * MILLI
-    back = f"back: {number(ZONE_EDGES)} edges, {number(ZONE_EDGES * encode_s)} s"
-    return f"lost: {number(_zone_records(at))} records, {number(lost_s)} s of processor; {back}"
+    back = f"back: {number(ZONE_EDGES)} edges, {number(at.zone_back_s())} s"
+    return f"lost: {number(_zone_records(at))} records, {number(at.zone_lost_s())} s of processor; {back}"
 
 
 def _control_apart(at: Scaled) -> str:
--- a/benchmarks/capacity/system/verdict.py
+++ b/benchmarks/capacity/system/verdict.py
@@ -12,7 +12,6 @@
 from benchmarks.capacity.system.role_table import EIGHT, FAR, TARGET_DOCUMENT, ZONE_EDGES
 from benchmarks.capacity.system.saying import (
     KILO,
-    MILLI,
     PERCENT,
     Cell,
     core,
@@ -207,17 +206,13 @@
 
 
 def _zone_measured(at: Scaled) -> str:
-    encode_s = ZONE_EDGES * at.lines.at(Label.TABLE_ENCODE, at.workers) * MILLI
-    lost = at.figure("registry", "zone_records", workers=target.WORKERS) * at.lines.at(
-        Label.BURST_EDGES, at.edges
-    )
-    back = f"back: {number(encode_s)} s, an edge waits {number(PULL_PATIENCE_S)} s"
-    return f"lost: {milliseconds(lost)} of each control node; {back}"
+    back = f"back: {number(at.zone_back_s())} s, an edge waits {number(PULL_PATIENCE_S)} s"
+    return f"lost: {number(at.zone_lost_s())} s of the busiest control node; {back}"
 
 
 def _zone_verdict(at: Scaled) -> str:
-    back = ZONE_EDGES * at.lines.at(Label.TABLE_ENCODE, at.workers) * MILLI
-    return f"lost {HOLDS}; back {_within(back, PULL_PATIENCE_S)}"
+    lost = _within(at.zone_lost_s(), target.IN_FORCE_S)
+    return f"lost {lost}; back {_within(at.zone_back_s(), PULL_PATIENCE_S)}"
 
 
 def _apart_measured(at: Scaled) -> str:
--- a/benchmarks/capacity/system/worked_out.py
+++ b/benchmarks/capacity/system/worked_out.py
@@ -120,6 +120,14 @@
 
     # A control node
 
+    def zone_lost_s(self) -> float:
+        """Processor seconds of the busiest node for a lost zone: each node tells of its workers at once."""
+        return target.CONTROL_MACHINES * self.fan_out_ms() * MILLI
+
+    def zone_back_s(self) -> float:
+        """Processor seconds until a control node has answered the edges of a zone that begin at once."""
+        return self.edges / target.ZONES * self.lines.at(Label.TABLE_ENCODE, self.workers) * MILLI
+
     @property
     def updated_edges(self) -> float:
         """Edges that the busiest node sends updates to: those of its zone and of zones without one."""
