--- a/arrowfold/controlplane/registration.py
+++ b/arrowfold/controlplane/registration.py
@@ -126,6 +126,8 @@
         if already_committed(self._replica.committed, notice.instance, notice.state):
             return Ok(None)
         if await self._departures.ask(notice) is not None:
+            if notice.state == GONE and self._registry.departed(notice.instance):
+                self._on_change()
             return Ok(None)
         return Err(RegistrationFault(ResultCode.REGISTRATION_NOT_DURABLE, "no primary committed it in time"))
 
--- a/arrowfold/registry/workers.py
+++ b/arrowfold/registry/workers.py
@@ -18,6 +18,7 @@
 GONE = "gone"
 SILENT = "silent"
 MISSED_BEATS = 3  # heartbeats that a worker may miss before it counts as silent
+DRAINED_SILENCE_S = 15.0  # after which a worker that was leaving is taken to be gone
 KEPT_AFTER_END_S = 600.0  # how long a record of a silent or gone worker is kept
 _FINAL_RANK = {AVAILABLE: 0, SILENT: 1, DRAINING: 2, GONE: 3}
 
@@ -78,6 +79,13 @@
             return False
         return self._make(record, now)
 
+    def departed(self, instance: str) -> bool:
+        """A worker said that it is gone, and that is committed; True if a record was made of it."""
+        known = self._known.get(instance)
+        if known is None or known.update.record.state == GONE:
+            return False
+        return self._make(replace(known.update.record, state=GONE), self._clock())
+
     def _make(self, record: WorkerRecord, now: float) -> bool:
         self._counter += 1
         self._vector[self.origin] = self._counter
@@ -131,11 +139,14 @@
         changed = False
         for instance, known in list(self._known.items()):
             quiet_s = now - known.heard_at
-            if known.update.record.state != AVAILABLE:
+            state = known.update.record.state
+            if state in (SILENT, GONE):
                 if quiet_s > KEPT_AFTER_END_S:
                     del self._known[instance]
-            elif quiet_s > self._silence_s and not self._is_others(known.update.origin, is_live):
-                changed |= self._make(replace(known.update.record, state=SILENT), now)
+                continue
+            patience_s, ended = (DRAINED_SILENCE_S, GONE) if state == DRAINING else (self._silence_s, SILENT)
+            if quiet_s > patience_s and not self._is_others(known.update.origin, is_live):
+                changed |= self._make(replace(known.update.record, state=ended), now)
         return changed
 
     def _is_others(self, origin: str, is_live: Callable[[str], bool]) -> bool:
--- a/arrowfold/replication/messages.py
+++ b/arrowfold/replication/messages.py
@@ -141,6 +141,14 @@
     record: EpochRecord | None
 
 
+@message(73)
+@dataclass(frozen=True, slots=True)
+class Introduction:
+    """The newest record of the sender, for a node that the seeds name and the record does not."""
+
+    record: EpochRecord
+
+
 @message(72)
 @dataclass(frozen=True, slots=True)
 class Departing:
--- a/arrowfold/replication/primary.py
+++ b/arrowfold/replication/primary.py
@@ -17,9 +17,9 @@
 from arrowfold.replication.membership import Membership, PeerView, copies_required, next_membership
 from arrowfold.replication.messages import AcceptEpoch, AppendEntries, Heartbeat, HeartbeatAnswer, Verdict
 from arrowfold.replication.ports import Caller, EventLog
-from arrowfold.replication.proposals import Decide, ReplicationFault
+from arrowfold.replication.proposals import Decide, Proposal, ReplicationFault
 from arrowfold.replication.records import EpochRecord, RecordConfirmed, has_majorities
-from arrowfold.replication.state import Entry, apply_entry
+from arrowfold.replication.state import ControlState, Entry, apply_entry
 
 LARGEST_BATCH = 64  # proposals that share one sync
 AUTHORITY_MARGIN = 1.1  # steady clocks of two machines may differ in speed
@@ -315,14 +315,18 @@
         state = self._member.image.state
         entries: list[Entry] = []
         answers: list[Any] = []
+        decided: list[_Waiting] = []
         for waiting in batch:
-            proposal = waiting.decide(state)
+            proposal = _decided(waiting, state)
+            if proposal is None:
+                continue
+            decided.append(waiting)
             answers.append(proposal.answer)
             if proposal.entry is not None:
                 entries.append(proposal.entry)
                 state = apply_entry(state, proposal.entry)
         committed = await self._commit(tuple(entries)) if entries else True
-        for waiting, answer in zip(batch, answers, strict=True):
+        for waiting, answer in zip(decided, answers, strict=True):
             if committed and self.is_active():
                 _settle(waiting, Ok(answer))
             else:
@@ -424,6 +428,16 @@
         self.send_heartbeats()
 
 
+def _decided(waiting: _Waiting, state: ControlState) -> Proposal[Any] | None:
+    """The decision on one proposal; None if it failed, which must not end the others."""
+    try:
+        return waiting.decide(state)
+    except Exception as error:
+        fault = ReplicationFault(ResultCode.STATE_DAMAGED, f"{type(error).__name__}: {error}")
+        _settle(waiting, Err(fault))
+        return None
+
+
 def _settle(waiting: _Waiting, result: Result[Any, ReplicationFault]) -> None:
     if not waiting.future.done():
         waiting.future.set_result(result)
--- a/arrowfold/replication/replica.py
+++ b/arrowfold/replication/replica.py
@@ -21,6 +21,7 @@
     FetchState,
     Heartbeat,
     InstallState,
+    Introduction,
     JoinAnswer,
     JoinRequest,
     PrepareEpoch,
@@ -32,6 +33,7 @@
 from arrowfold.replication.roles import next_grant, propose_grant
 from arrowfold.replication.state import ControlState
 
+INTRODUCTION_INTERVAL_S = 1.0  # between calls to nodes that the seeds name and the record does not
 FOUNDING_STEP_S = 0.6  # between the moments at which the seeds offer to found the first group
 
 
@@ -61,6 +63,7 @@
         self._started_at = member.clock()
         self._next_attempt = 0.0
         self._next_join = 0.0
+        self._next_introduction = 0.0
         self._next_epoch = 0
         self._newest_seen: EpochRecord | None = None
         self._stopping = False
@@ -169,6 +172,7 @@
             Heartbeat: self._member.heartbeat,
             JoinRequest: self._on_join,
             Departing: self._on_departing,
+            Introduction: self._on_introduction,
         }
 
     async def _on_join(self, request: JoinRequest) -> JoinAnswer:
@@ -176,6 +180,10 @@
             self._term.join(request.member)
         return JoinAnswer(self._member.image.record)
 
+    async def _on_introduction(self, request: Introduction) -> Acknowledgement:
+        self._note_record(request.record)
+        return Acknowledgement()
+
     async def _on_departing(self, request: Departing) -> Acknowledgement:
         if self._term is not None:
             self._term.leave(request.member)
@@ -193,6 +201,7 @@
 
     async def _step(self) -> None:
         self._spawn(self._member.durable.repair())
+        self._introduce_group()
         if self._term is not None:
             self._term.tick()
             if self._term.ended:
@@ -329,6 +338,20 @@
         if primary is not None and primary.address not in (address, self._member.info.address):
             await self._caller.call(primary.address, JoinRequest(self._member.info), self._timings.call_s)
 
+    def _introduce_group(self) -> None:
+        """Tell nodes that the seeds name, and the group does not know, where the group is."""
+        record = self._member.image.record
+        if record is None or self._clock() < self._next_introduction:
+            return
+        self._next_introduction = self._clock() + INTRODUCTION_INTERVAL_S
+        known = {witness.address for witness in record.witnesses}
+        for address in self._addresses:
+            if address not in known and address != self._member.info.address:
+                self._spawn(self._introduce_at(address, record))
+
+    async def _introduce_at(self, address: str, record: EpochRecord) -> None:
+        await self._caller.call(address, Introduction(record), self._timings.call_s)
+
     # The end
 
     async def stop(self) -> None:
--- a/tests/system/test_control_failures.py
+++ b/tests/system/test_control_failures.py
@@ -253,3 +253,26 @@
 
 def test_given_a_backup_that_hears_nothing_then_the_primary_is_not_replaced() -> None:
     run_world(_one_way_suspicion())
+
+
+async def _seeds_name_only_the_gone() -> None:
+    world, _ = await _core(seed=20)
+    world.machines.pop("core1").kill()
+    # Given a newcomer whose seeds name only a machine that is gone
+    newcomer = world.add_machine("core4")
+    newcomer.seeds = ("core1:1",)
+    newcomer.start()
+    await asyncio.sleep(3.0)
+    assert newcomer.replica is not None and newcomer.replica.epoch == 0
+    # When the others are told of it by their seeds
+    for machine in world.machines.values():
+        if machine is not newcomer and machine.replica is not None:
+            machine.replica.set_addresses((newcomer.address,))
+    # Then it is taken in
+    await world.until(world.is_whole, 4.0, "the newcomer in the group")
+    assert await world.change(1, 2, 9.0) == 2
+    world.require_sound()
+
+
+def test_given_seeds_that_name_only_the_gone_then_the_group_finds_the_newcomer() -> None:
+    run_world(_seeds_name_only_the_gone())
