--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -32,9 +32,16 @@
 class EdgeNode:
     """One edge process."""
 
-    def __init__(self, settings: NodeSettings, selector: WorkerSelector, log: RateLimitedLog) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        selector: WorkerSelector,
+        log: RateLimitedLog,
+        listeners: Listeners | None = None,
+    ) -> None:
         loop = asyncio.get_running_loop()
         self._settings = settings
+        self._listeners = listeners or {}
         self._selector = selector
         self._log = log
         self._clock = loop.time
@@ -75,13 +82,13 @@
         self._early_report: asyncio.Task[None] | None = None
         self._forwarder.on_missing = self._report_missing
 
-    async def start(self, listeners: Listeners) -> None:
+    async def start(self) -> None:
         """Serve, at the sockets that are open already or at new ones, and begin to pull."""
         addresses = self._settings.listenAddresses
         if addresses.readiness is not None:
-            await self._readiness.start(addresses.readiness, listeners.get("readiness"))
+            await self._readiness.start(addresses.readiness, self._listeners.get("readiness"))
         if addresses.front is not None:
-            await self._front.start(addresses.front, listeners.get("front"))
+            await self._front.start(addresses.front, self._listeners.get("front"))
         self._puller.start()
         self._tasks = [
             asyncio.create_task(self._run_rounds()),
