--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -42,6 +42,7 @@
         loop = asyncio.get_running_loop()
         self._listeners = listeners or {}
         self._settings = settings
+        self._listeners = listeners or {}
         self._selector = selector
         self._log = log
         self._clock = loop.time
--- a/arrowfold/node/settings.py
+++ b/arrowfold/node/settings.py
@@ -5,15 +5,12 @@
 
 from __future__ import annotations
 
-import os
 import tomllib
 from pathlib import Path
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
-from arrowfold.node.listeners import SETTINGS_VARIABLE
-
 
 class SettingsError(Exception):
     """The settings file can't be used; the text is one line that names the file and the key's path."""
@@ -129,12 +126,6 @@
         return Err(SettingsError(f"{source}: {path}: {first['msg']}"))
 
 
-def settings_path() -> Path | None:
-    """The path that the environment names, if it names one."""
-    name = os.environ.get(SETTINGS_VARIABLE)
-    return Path(name) if name else None
-
-
 def load_settings(path: Path) -> Result[NodeSettings, SettingsError]:
     """Read and check the settings file at `path`."""
     try:
--- a/arrowfold/programs/edge.py
+++ b/arrowfold/programs/edge.py
@@ -23,12 +23,12 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run an edge node until it is told to end; returns the exit code."""
     options = docopt(__doc__, argv=arguments)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the settings are followed
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node follows the settings file
     listeners = open_listeners(options["--settings"])
     # What follows takes a good part of a second to load; connections that come meanwhile wait.
-    from arrowfold.programs.edge_process import serve
+    from arrowfold.programs.edge_assembly import run_edge
 
-    return serve(options["--settings"], options["--log-level"], options["--json-log"], listeners)
+    return run_edge(options, listeners)
 
 
 if __name__ == "__main__":
