Split the primary's term and the search for the group into modules; accept only echoes of this life

An echo of a clock reading of an earlier life could have given a restarted machine authority for as long as its steady clock was behind: found by reading. Only readings told in this life count now.

--- a/arrowfold/replication/member.py
+++ b/arrowfold/replication/member.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Callable
 
 from result import Err, Ok, Result
@@ -39,6 +40,7 @@
 from arrowfold.replication.timings import Timings
 from arrowfold.storage.faults import StorageFault
 
+TOLD_CLOCKS = 32
 Decision = Result[LogRecord, StorageFault]
 
 
@@ -73,6 +75,8 @@
         self.heard_at = clock()  # when the primary's last heartbeat came
         self.committed_known = -1  # how far the primary's last message said that the log is committed
         self._authority_until = 0.0
+        # Readings of the own clock told in this life: an echo of an earlier life's clock extends nothing.
+        self._told_clocks: deque[float] = deque(maxlen=TOLD_CLOCKS)
         self.published = ControlState()
         self.on_change: Callable[[], None] = lambda: None
 
@@ -217,9 +221,10 @@
         if granted:
             self.grant_lease(request.primary.member)
             self.heard_at = now
-            if request.echo is not None:
-                self._authority_until = request.echo + self.timings.lease_s
+            if request.echo in self._told_clocks:
+                self._authority_until = (request.echo or 0.0) + self.timings.lease_s
             self._learn_committed(request.epoch, request.committed)
+        self._told_clocks.append(now)
         return HeartbeatAnswer(
             granted=granted,
             member=self.info,
--- /dev/null
+++ b/arrowfold/replication/peers.py
@@ -0,0 +1,99 @@
+"""What a primary knows of the other witnesses: lease grants, health, and the authority that it passed on."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from arrowfold.replication.membership import PeerView
+from arrowfold.replication.messages import HeartbeatAnswer
+from arrowfold.replication.ports import Clock
+from arrowfold.replication.records import EpochRecord, has_majorities
+from arrowfold.replication.timings import Timings
+
+AUTHORITY_MARGIN = 1.1  # steady clocks of two machines may differ in speed
+
+
+@dataclass(slots=True)
+class Peer:
+    """One witness; times are by the primary's steady clock."""
+
+    answered_at: float  # when its last answer came
+    granted_at: float = -math.inf  # when the last heartbeat was sent that it answered with a grant
+    clock: float | None = None  # its own clock reading in its last answer
+    healthy: bool = True
+    left_out_at: float = -math.inf  # when it last left the group
+    echoed_at: float = -math.inf  # when its authority was last extended
+    calling: bool = False  # a heartbeat to it is under way
+
+    def answered(self, now: float, answer: HeartbeatAnswer) -> None:
+        """Take what it said of itself."""
+        self.answered_at = now
+        self.healthy = answer.disk_healthy
+        self.clock = answer.clock
+
+    def takes_writes(self, in_group: bool) -> bool:
+        """Whether its disk takes writes; of one outside the group only its own answer tells that."""
+        return self.healthy and (in_group or self.clock is not None)
+
+
+class PeerTable:
+    """All witnesses that a term has met; the primary itself counts as heard at any time."""
+
+    def __init__(self, own: str, clock: Clock, timings: Timings) -> None:
+        self._own = own
+        self._clock = clock
+        self._timings = timings
+        self._started_at = clock()
+        self._peers: dict[str, Peer] = {}
+
+    def get(self, member: str) -> Peer:
+        """What is known of a member; one that is met first counts as heard now."""
+        return self._peers.setdefault(member, Peer(answered_at=self._clock()))
+
+    def lease_until(self, record: EpochRecord) -> float:
+        """Until when a majority of the witnesses is known to promise nothing to others."""
+        grants = {member: peer.granted_at for member, peer in self._peers.items()}
+        grants[self._own] = self._clock()
+        for start in sorted(set(grants.values()), reverse=True):
+            votes = {member for member, granted_at in grants.items() if granted_at >= start}
+            if has_majorities(record.quorums[-1:], votes):
+                return start + self._timings.lease_s * self._timings.lease_margin
+        return -math.inf
+
+    def leave(self, member: str) -> None:
+        """A member stops: it counts as silent from now on."""
+        peer = self.get(member)
+        peer.answered_at = self._clock() - self._timings.silent_s - self._timings.heartbeat_s
+        peer.granted_at = -math.inf
+
+    def is_fit(self, record: EpochRecord, member: str) -> bool:
+        """Whether a member may hold roles: in the group, heard lately, and its disk takes writes."""
+        if member == self._own:
+            return True
+        peer = self._peers.get(member)
+        if peer is None or member not in record.group or not peer.healthy:
+            return False
+        return self._clock() - peer.answered_at <= self._timings.lease_s
+
+    def authority_ended(self, member: str) -> bool:
+        """Whether a member can't act under any role: its last extension has run out by its own clock."""
+        if member == self._own:
+            return False
+        peer = self.get(member)
+        # An extension reaches from the member's own answer, which came before the primary passed it back.
+        last_extension = min(peer.answered_at, max(peer.echoed_at, self._started_at))
+        return self._clock() - last_extension > self._timings.lease_s * AUTHORITY_MARGIN
+
+    def views(self, record: EpochRecord) -> dict[str, PeerView]:
+        """The witnesses as the choice of members needs them."""
+        now = self._clock()
+        views = {}
+        for witness in record.witness_ids():
+            peer = self.get(witness)
+            views[witness] = PeerView(
+                silence_s=now - peer.answered_at,
+                healthy=peer.takes_writes(witness in record.group),
+                rested=now - peer.left_out_at > self._timings.rejoin_s,
+            )
+        return views
--- a/arrowfold/replication/primary.py
+++ b/arrowfold/replication/primary.py
@@ -3,56 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 from result import Err, Ok, Result
 
 from arrowfold.internal.messages import MemberInfo
 from arrowfold.node.result_codes import ResultCode
+from arrowfold.replication.batches import ProposalQueue
 from arrowfold.replication.epochs import Composition, EpochChange, EpochFault, Found
 from arrowfold.replication.member import GroupMember
-from arrowfold.replication.membership import Membership, PeerView, copies_required, next_membership
+from arrowfold.replication.membership import Membership, copies_required, next_membership
 from arrowfold.replication.messages import AcceptEpoch, AppendEntries, Heartbeat, HeartbeatAnswer, Verdict
+from arrowfold.replication.peers import PeerTable
 from arrowfold.replication.ports import Caller, EventLog
-from arrowfold.replication.proposals import Decide, Proposal, ReplicationFault
-from arrowfold.replication.records import EpochRecord, RecordConfirmed, has_majorities
-from arrowfold.replication.state import ControlState, Entry, apply_entry
+from arrowfold.replication.proposals import Decide, ReplicationFault
+from arrowfold.replication.records import EpochRecord, RecordConfirmed
+from arrowfold.replication.state import Entry
 
-LARGEST_BATCH = 64  # proposals that share one sync
-AUTHORITY_MARGIN = 1.1  # steady clocks of two machines may differ in speed
 CHANGE_ATTEMPTS = 3  # at a new epoch, before the term ends
 
 
-@dataclass(slots=True)
-class _Peer:
-    """What the primary knows of one witness."""
-
-    answered_at: float  # when its last answer came
-    granted_at: float = -math.inf  # when the last heartbeat was sent that it answered with a grant
-    clock: float | None = None  # its own clock reading in its last answer
-    healthy: bool = True
-    left_out_at: float = -math.inf  # when it last left the group
-    echoed_at: float = -math.inf  # when its authority was last extended
-    calling: bool = False
-
-    def is_fit(self, in_group: bool) -> bool:
-        """Whether its disk takes writes; of one outside the group only its own answer tells that."""
-        return self.healthy and (in_group or self.clock is not None)
-
-
-@dataclass(slots=True)
-class _Waiting:
-    """A proposal and who waits for its answer."""
-
-    decide: Decide[Any]
-    future: asyncio.Future[Result[Any, ReplicationFault]] = field(
-        default_factory=lambda: asyncio.get_running_loop().create_future()
-    )
-
-
 class PrimaryTerm:
     """The work of a primary from the epoch that made it one until it loses its lease or resigns."""
 
@@ -74,9 +45,9 @@
         self._timings = member.timings
         self._clock = member.clock
         self._started_at = self._leased_at = member.clock()
-        self._peers: dict[str, _Peer] = {}
+        self._peers = PeerTable(member.info.member, member.clock, member.timings)
         self._newcomers: dict[str, tuple[MemberInfo, float]] = {}
-        self._queue: list[_Waiting] = []
+        self._queue = ProposalQueue()
         self._work = asyncio.Event()
         self._wanted: Membership | None = None
         self._outbid = 0  # a higher epoch that some witness promised to somebody
@@ -93,17 +64,6 @@
 
     # Lease
 
-    def _lease_start(self) -> float:
-        """The latest moment at which a majority of the witnesses is known to have granted the lease."""
-        own = self._member.info.member
-        grants = {member: peer.granted_at for member, peer in self._peers.items()}
-        grants[own] = self._clock()
-        for start in sorted(set(grants.values()), reverse=True):
-            votes = {member for member, granted_at in grants.items() if granted_at >= start}
-            if has_majorities(self.record.quorums[-1:], votes):
-                return start
-        return -math.inf
-
     def has_lease(self) -> bool:
         """Whether no other primary can be active at this moment."""
         if self.ended or self._member.image.promised_to != self._member.info.member:
@@ -112,7 +72,7 @@
 
     def lease_until(self) -> float:
         """Until when the lease holds, by the own steady clock."""
-        return self._lease_start() + self._timings.lease_s * self._timings.lease_margin
+        return self._peers.lease_until(self.record)
 
     def is_complete(self) -> bool:
         """Whether the group has the members that the losses to be borne ask for, as far as they exist."""
@@ -128,25 +88,22 @@
 
     # Heartbeats
 
-    def _peer(self, member: str) -> _Peer:
-        return self._peers.setdefault(member, _Peer(answered_at=self._clock()))
-
     def send_heartbeats(self) -> None:
         """Send one to every witness that does not still owe an answer to the last."""
         own = self._member.info.member
         self._member.grant_lease(own)
         for witness in self.record.witnesses:
-            if witness.member != own and not self._peer(witness.member).calling:
+            if witness.member != own and not self._peers.get(witness.member).calling:
                 task = asyncio.create_task(self._heartbeat(witness))
                 self._heartbeats.add(task)
                 task.add_done_callback(self._heartbeats.discard)
 
     async def _heartbeat(self, witness: MemberInfo) -> None:
-        peer = self._peer(witness.member)
+        peer = self._peers.get(witness.member)
         peer.calling = True
         sent_at = self._clock()
         record = self.record
-        echo = peer.clock if self.has_lease() and self.is_fit(witness.member) else None
+        echo = peer.clock if self.has_lease() and self._peers.is_fit(record, witness.member) else None
         if echo is not None:
             peer.echoed_at = sent_at
         request = Heartbeat(
@@ -159,9 +116,7 @@
         found = answer.ok()
         if not isinstance(found, HeartbeatAnswer) or found.member.member != witness.member or self.ended:
             return
-        peer.answered_at = self._clock()
-        peer.healthy = found.disk_healthy
-        peer.clock = found.clock
+        peer.answered(self._clock(), found)
         if found.granted:
             had_lease = self.is_active()
             peer.granted_at = max(peer.granted_at, sent_at)
@@ -214,31 +169,15 @@
 
     def leave(self, member: str) -> None:
         """A backup stops: writes need not wait for it."""
-        peer = self._peer(member)
-        peer.answered_at = self._clock() - self._timings.silent_s - self._timings.heartbeat_s
-        peer.granted_at = -math.inf
-
-    def is_fit(self, member: str) -> bool:
-        """Whether a member may hold roles: in the group, heard lately, and its disk takes writes."""
-        if member == self._member.info.member:
-            return True
-        peer = self._peers.get(member)
-        if peer is None or member not in self.record.group or not peer.healthy:
-            return False
-        return self._clock() - peer.answered_at <= self._timings.lease_s
+        self._peers.leave(member)
 
     def fit_members(self) -> tuple[str, ...]:
         """The members that may hold roles."""
-        return tuple(member for member in self.record.group if self.is_fit(member))
+        return tuple(member for member in self.record.group if self._peers.is_fit(self.record, member))
 
     def authority_ended(self, member: str) -> bool:
-        """Whether a member can't act under any role: its last extension has run out by its own clock."""
-        if member == self._member.info.member:
-            return False
-        peer = self._peer(member)
-        # An extension reaches from the member's own answer, which came before the primary passed it back.
-        last_extension = min(peer.answered_at, max(peer.echoed_at, self._started_at))
-        return self._clock() - last_extension > self._timings.lease_s * AUTHORITY_MARGIN
+        """Whether a member can't act under any role any longer."""
+        return self._peers.authority_ended(member)
 
     def tick(self) -> None:
         """The regular work: heartbeats, members that came or went, the own disk."""
@@ -261,18 +200,12 @@
 
     def _wanted_membership(self) -> Membership:
         now = self._clock()
-        views = {
-            witness.member: PeerView(
-                silence_s=now - self._peer(witness.member).answered_at,
-                healthy=self._peer(witness.member).is_fit(witness.member in self.record.group),
-                rested=now - self._peer(witness.member).left_out_at > self._timings.rejoin_s,
-            )
-            for witness in self.record.witnesses
-        }
         recent_s = 3 * self._timings.join_retry_s
         newcomers = tuple(info for info, at in self._newcomers.values() if now - at <= recent_s)
         own = self._member.info.member
-        wanted = next_membership(self.record, own, views, newcomers, self._losses, self._timings)
+        wanted = next_membership(
+            self.record, own, self._peers.views(self.record), newcomers, self._losses, self._timings
+        )
         if len(wanted.group) < copies_required(self._losses, len(wanted.witnesses)):
             return Membership(self.record.group, self.record.witnesses)
         return wanted
@@ -283,10 +216,9 @@
         """Queue a proposal; its answer is given once the batch that it belongs to is committed."""
         if not self.is_active():
             return Err(ReplicationFault(ResultCode.NO_QUORUM, "no lease, or too few members"))
-        waiting = _Waiting(decide)
-        self._queue.append(waiting)
+        answer = self._queue.add(decide)
         self._work.set()
-        return await waiting.future
+        return await answer
 
     async def serve(self) -> None:
         """Commit proposals and change members until the term ends."""
@@ -306,32 +238,15 @@
             self.ended = True
             for task in list(self._heartbeats):
                 task.cancel()
-            for waiting in self._queue:
-                _settle(waiting, Err(ReplicationFault(ResultCode.NOT_PRIMARY, "the term ended")))
-            self._queue.clear()
+            self._queue.fail_all()
 
     async def _commit_batch(self) -> None:
-        batch, self._queue = self._queue[:LARGEST_BATCH], self._queue[LARGEST_BATCH:]
-        state = self._member.image.state
-        entries: list[Entry] = []
-        answers: list[Any] = []
-        decided: list[_Waiting] = []
-        for waiting in batch:
-            proposal = _decided(waiting, state)
-            if proposal is None:
-                continue
-            decided.append(waiting)
-            answers.append(proposal.answer)
-            if proposal.entry is not None:
-                entries.append(proposal.entry)
-                state = apply_entry(state, proposal.entry)
-        committed = await self._commit(tuple(entries)) if entries else True
-        for waiting, answer in zip(decided, answers, strict=True):
-            if committed and self.is_active():
-                _settle(waiting, Ok(answer))
-            else:
-                fault = ReplicationFault(ResultCode.REPLICATION_TIMEOUT, "not known to be committed")
-                _settle(waiting, Err(fault))
+        batch = self._queue.next_batch(self._member.image.state)
+        committed = await self._commit(tuple(batch.entries)) if batch.entries else True
+        if committed and self.is_active():
+            batch.settle()
+        else:
+            batch.fail()
 
     async def _commit(self, entries: tuple[Entry, ...]) -> bool:
         """Store entries at every member of the group; a member that does not answer is left out."""
@@ -366,7 +281,7 @@
     async def _leave_out(self, missing: set[str]) -> bool:
         """Go on without some backups, under a new epoch."""
         for member in missing:
-            self._peer(member).left_out_at = self._clock()
+            self._peers.get(member).left_out_at = self._clock()
         group = tuple(member for member in self.record.group if member not in missing)
         self._log.warning("group.members_missing", epoch=self.record.epoch, missing=sorted(missing))
         return await self._new_epoch(Membership(group, self.record.witnesses))
@@ -378,7 +293,7 @@
             return
         now = self._clock()
         for member in set(self.record.group) - set(wanted.group):
-            self._peer(member).left_out_at = now
+            self._peers.get(member).left_out_at = now
         await self._new_epoch(wanted)
 
     async def _outbid_again(self) -> None:
@@ -426,18 +341,3 @@
         self._committed = self._member.image.state.sequence
         self._publish()
         self.send_heartbeats()
-
-
-def _decided(waiting: _Waiting, state: ControlState) -> Proposal[Any] | None:
-    """The decision on one proposal; None if it failed, which must not end the others."""
-    try:
-        return waiting.decide(state)
-    except Exception as error:
-        fault = ReplicationFault(ResultCode.STATE_DAMAGED, f"{type(error).__name__}: {error}")
-        _settle(waiting, Err(fault))
-        return None
-
-
-def _settle(waiting: _Waiting, result: Result[Any, ReplicationFault]) -> None:
-    if not waiting.future.done():
-        waiting.future.set_result(result)
--- a/arrowfold/replication/replica.py
+++ b/arrowfold/replication/replica.py
@@ -12,6 +12,7 @@
 from arrowfold.internal.messages import Acknowledgement, MemberInfo
 from arrowfold.node.result_codes import ResultCode
 from arrowfold.replication.epochs import Composition, EpochChange, EpochFault, Found
+from arrowfold.replication.joining import GroupFinder
 from arrowfold.replication.member import GroupMember
 from arrowfold.replication.membership import copies_required
 from arrowfold.replication.messages import (
@@ -29,11 +30,10 @@
 from arrowfold.replication.ports import Caller, EventLog
 from arrowfold.replication.primary import PrimaryTerm
 from arrowfold.replication.proposals import AnswerT, Decide, ReplicationFault
-from arrowfold.replication.records import EpochRecord, newest_record
+from arrowfold.replication.records import EpochRecord
 from arrowfold.replication.roles import next_grant, propose_grant
 from arrowfold.replication.state import ControlState
 
-INTRODUCTION_INTERVAL_S = 1.0  # between calls to nodes that the seeds name and the record does not
 FOUNDING_STEP_S = 0.6  # between the moments at which the seeds offer to found the first group
 
 
@@ -52,7 +52,6 @@
         self._member = member
         self._caller = caller
         self._seeds = founding_seeds
-        self._addresses = founding_seeds  # where to ask to be taken in
         self._losses = machine_losses
         self._log = log
         self._draw = draw
@@ -62,10 +61,9 @@
         self._term: PrimaryTerm | None = None
         self._started_at = member.clock()
         self._next_attempt = 0.0
-        self._next_join = 0.0
-        self._next_introduction = 0.0
         self._next_epoch = 0
-        self._newest_seen: EpochRecord | None = None
+        self._finder = GroupFinder(member.info, caller, member.clock, member.timings)
+        self._finder.seeds = founding_seeds
         self._stopping = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._passing: asyncio.Task[None] | None = None  # a role that is being passed on
@@ -157,7 +155,7 @@
 
     def set_addresses(self, addresses: tuple[str, ...]) -> None:
         """Where else to look for the group: the seeds of the settings, as they are now."""
-        self._addresses = addresses
+        self._finder.seeds = addresses
 
     # Calls from other members
 
@@ -181,7 +179,7 @@
         return JoinAnswer(self._member.image.record)
 
     async def _on_introduction(self, request: Introduction) -> Acknowledgement:
-        self._note_record(request.record)
+        self._finder.note(request.record)
         return Acknowledgement()
 
     async def _on_departing(self, request: Departing) -> Acknowledgement:
@@ -201,7 +199,7 @@
 
     async def _step(self) -> None:
         self._spawn(self._member.durable.repair())
-        self._introduce_group()
+        self._finder.introduce(self._member.image.record)
         if self._term is not None:
             self._term.tick()
             if self._term.ended:
@@ -209,22 +207,13 @@
             elif self._term.is_active() and (self._passing is None or self._passing.done()):
                 self._passing = self._spawn(self._pass_roles_on(self._term))
             return
-        record = self._newest_record()
+        record = self._finder.newest(self._member.image.record)
         if record is None and self._may_found():
             await self._found_group()
         elif record is not None and record.find(self.member) is not None:
             await self._stand_if_leaderless()
         else:
-            self._ask_to_join()
-
-    def _newest_record(self) -> EpochRecord | None:
-        """The newest record that this member accepted, or was told of."""
-        return newest_record((self._member.image.record, self._newest_seen))
-
-    def _note_record(self, record: EpochRecord | None) -> None:
-        newest = self._newest_record()
-        if record is not None and (newest is None or record.epoch > newest.epoch):
-            self._newest_seen = record
+            self._finder.ask_to_join(self._member.image.record)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
@@ -263,7 +252,7 @@
     # Election
 
     async def _stand_if_leaderless(self) -> None:
-        record = self._newest_record()
+        record = self._finder.newest(self._member.image.record)
         assert record is not None
         order = [*record.group, *(name for name in record.witness_ids() if name not in record.group)]
         order = [name for name in order if name != record.primary] + [record.primary]
@@ -295,7 +284,7 @@
             result = await self._change.run(epoch, compose)
         if isinstance(result, Err):
             self._next_epoch = max(self._next_epoch, result.err_value.promised)
-            self._note_record(result.err_value.newest)
+            self._finder.note(result.err_value.newest)
             pause_s = self._timings.election_retry_s * (0.5 + self._draw.random())
             self._next_attempt = self._clock() + pause_s
             self._log.info("election.failed", epoch=epoch, reason=str(result.err_value))
@@ -316,42 +305,6 @@
         term.send_heartbeats()
         self._notify()
 
-    # Joining
-
-    def _ask_to_join(self) -> None:
-        if self._clock() < self._next_join:
-            return
-        self._next_join = self._clock() + self._timings.join_retry_s
-        newest = self._newest_record()
-        known = [witness.address for witness in newest.witnesses] if newest is not None else []
-        for address in dict.fromkeys([*known, *self._addresses]):
-            if address != self._member.info.address:
-                self._spawn(self._join_at(address))
-
-    async def _join_at(self, address: str) -> None:
-        answer = await self._caller.call(address, JoinRequest(self._member.info), self._timings.call_s)
-        found = answer.ok()
-        if not isinstance(found, JoinAnswer) or found.record is None:
-            return
-        self._note_record(found.record)
-        primary = found.record.find(found.record.primary)
-        if primary is not None and primary.address not in (address, self._member.info.address):
-            await self._caller.call(primary.address, JoinRequest(self._member.info), self._timings.call_s)
-
-    def _introduce_group(self) -> None:
-        """Tell nodes that the seeds name, and the group does not know, where the group is."""
-        record = self._member.image.record
-        if record is None or self._clock() < self._next_introduction:
-            return
-        self._next_introduction = self._clock() + INTRODUCTION_INTERVAL_S
-        known = {witness.address for witness in record.witnesses}
-        for address in self._addresses:
-            if address not in known and address != self._member.info.address:
-                self._spawn(self._introduce_at(address, record))
-
-    async def _introduce_at(self, address: str, record: EpochRecord) -> None:
-        await self._caller.call(address, Introduction(record), self._timings.call_s)
-
     # The end
 
     async def stop(self) -> None:
