--- a/arrowfold/programs/edge.py
+++ b/arrowfold/programs/edge.py
@@ -12,37 +12,23 @@
 
 from __future__ import annotations
 
-import asyncio
-import secrets
+import signal
 import sys
 
-import uvloop
 from docopt import docopt
-from result import Err
 
-from arrowfold.dataplane.node import EdgeNode
-from arrowfold.node.logs import RateLimitedLog, configure
-from arrowfold.programs.startup import SettingsFile, open_settings, refuse, run_node
-from arrowfold.selection.market_selector import MarketSelector
-
-
-def make_edge(file: SettingsFile, log: RateLimitedLog) -> EdgeNode:
-    """An edge node that has not started; needs a running event loop."""
-    selector = MarketSelector(file.settings.zone, secrets.randbits(64))
-    return EdgeNode(file.settings, selector, log)
+from arrowfold.node.listeners import open_listeners
 
 
 def main(arguments: list[str] | None = None) -> int:
     """Run an edge node until it is told to end; returns the exit code."""
     options = docopt(__doc__, argv=arguments)
-    configure(options["--log-level"], options["--json-log"])
-    opened = open_settings(options["--settings"])
-    if isinstance(opened, Err):
-        return refuse(opened.err_value)
-    file = opened.ok_value
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(run_node(file, lambda log: make_edge(file, log)))
-    return 0
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the settings are followed
+    listeners = open_listeners(options["--settings"])
+    # What follows takes a good part of a second to load; connections that come meanwhile wait.
+    from arrowfold.programs.edge_process import serve
+
+    return serve(options["--settings"], options["--log-level"], options["--json-log"], listeners)
 
 
 if __name__ == "__main__":
