--- a/benchmarks/capacity/system/documents.py
+++ b/benchmarks/capacity/system/documents.py
@@ -49,7 +49,7 @@
     put = json.dumps(
         {**configuration(models, adapters, routes), "version": 2}, separators=(",", ":")
     ).encode()
-    entry = ConfigurationStep(2, DIGEST, changed.to_json(), step)
+    entry = ConfigurationStep(2, DIGEST, None, step)
     view = cluster_view(target.CONTROL_MACHINES, target.NODES)
     whole = PullResponse(True, view, {"state": 1}, (ConfigurationUpdate(1, 1, text),))
     tables = FleetTables()
--- a/benchmarks/capacity/system/failover.py
+++ b/benchmarks/capacity/system/failover.py
@@ -122,9 +122,12 @@
 
     def _decide(self, state: ControlState) -> Proposal[int]:
         self._version += 1
-        text = document_text(target.MODELS, target.ADAPTERS, target.ROUTES, self._version)
         digest = DIGEST[8:] + self._version.to_bytes(8, "big")
-        step = ConfigurationStep(self._version, digest, text, change_of_one_route(self._version))
+        if state.configuration is None:
+            text = document_text(target.MODELS, target.ADAPTERS, target.ROUTES, self._version)
+            step = ConfigurationStep(self._version, digest, text)
+        else:
+            step = ConfigurationStep(self._version, digest, None, change_of_one_route(self._version))
         return Proposal(state.sequence, step)
 
     async def lose_primary(self) -> tuple[float, float]:
--- a/benchmarks/capacity/system/mechanisms.py
+++ b/benchmarks/capacity/system/mechanisms.py
@@ -10,8 +10,8 @@
 from benchmarks.capacity.page import MISSING, number, table
 from benchmarks.capacity.system import target
 from benchmarks.capacity.system.fits import Label, Unmeasured
-from benchmarks.capacity.system.role_table import TARGET_DOCUMENT, WATCHED
-from benchmarks.capacity.system.saying import KILO, MEGA, Cell, amount, core, milliseconds, rate, say, scaled
+from benchmarks.capacity.system.role_table import WATCHED
+from benchmarks.capacity.system.saying import KILO, Cell, amount, core, milliseconds, rate, say, scaled
 from benchmarks.capacity.system.worked_out import (
     BOUNDED,
     FACTORS,
@@ -112,15 +112,6 @@
     return f"{one} for one worker's news, {core(at.edge_news_core())} with the operators' loads"
 
 
-def _log_now(at: Scaled) -> str:
-    return f"{number(at.commit_bytes_a_day() / MEGA)} MB a day to backups: the whole document each time"
-
-
-def _log_then(at: Scaled) -> str:
-    delta = at.figure("document", "delta_bytes", **TARGET_DOCUMENT)
-    return f"{number(target.CHANGES_PER_DAY * delta * (target.CONTROL_MACHINES - 1) / MEGA)} MB a day"
-
-
 def _election(at: Scaled, delay: int) -> str:
     return number(at.figure("failover", "failover_most_s", members=target.CONTROL_MACHINES, delay=delay))
 
@@ -182,12 +173,6 @@
         lambda at: "by the classes that the worker gained or lost",
         "`selection/class_market.py`, `dataplane/node.py`",
     ),
-    Mechanism(
-        "deltas in the replicated log",
-        _log_now,
-        _log_then,
-        "`controlplane/changes.py`, `replication/state.py`",
-    ),
     Mechanism(
         "time-outs that follow the measured round trip",
         _timings_now,
--- a/tests/system/test_capacity.py
+++ b/tests/system/test_capacity.py
@@ -14,6 +14,7 @@
 from arrowfold.configuration.changes import prepare_patch
 from arrowfold.configuration.diffs import delta
 from arrowfold.configuration.validity import parse_configuration
+from arrowfold.controlplane.distribution import configuration_updates
 from arrowfold.internal.codec import encode
 from arrowfold.internal.messages import PullResponse
 from arrowfold.replication.state import ConfigurationStep, ControlState, apply_entry
@@ -182,10 +183,12 @@
     state = ControlState()
     changes = target.CHANGES_PER_DAY * target.APART_S // target.SECONDS_PER_DAY
     for version in range(1, changes + 1):
+        whole = documents.document_text(13, 130, 13) if version == 1 else None
         patch = documents.change_of_one_route(version) if version > 1 else None
-        step = ConfigurationStep(version, version.to_bytes(32, "big"), b"x" * 45_000, patch)
+        step = ConfigurationStep(version, version.to_bytes(32, "big"), whole, patch)
         state = apply_entry(state, step)
     assert len(state.patches) == changes - 1
+    assert len(configuration_updates(state, 1)) == changes - 1
 
 
 # Growth at an edge
