--- a/benchmarks/capacity/system/tables.py
+++ b/benchmarks/capacity/system/tables.py
@@ -14,6 +14,7 @@
 PERCENT = 100.0
 KILO = 1e-3
 CARRIED = {
+    "classes": target.REQUESTS_PER_S / target.NODES * target.REPORT_INTERVAL_S,
     "workers": target.WORKERS,
     "edges": target.NODES,
     "models": target.MODELS,
--- a/tests/system/test_capacity.py
+++ b/tests/system/test_capacity.py
@@ -183,7 +183,7 @@
     state = ControlState()
     changes = target.CHANGES_PER_DAY * target.APART_S // target.SECONDS_PER_DAY
     for version in range(1, changes + 1):
-        whole = documents.document_text(13, 130, 13) if version == 1 else None
+        whole = documents.document_text(130, 12_000, 130) if version == 1 else None
         patch = documents.change_of_one_route(version) if version > 1 else None
         step = ConfigurationStep(version, version.to_bytes(32, "big"), whole, patch)
         state = apply_entry(state, step)
