--- a/arrowfold/node/settings.py
+++ b/arrowfold/node/settings.py
@@ -12,7 +12,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
-SETTINGS_VARIABLE = "ARROWFOLD_NODE_FILE"
+from arrowfold.node.listeners import SETTINGS_VARIABLE
 
 
 class SettingsError(Exception):
