--- a/arrowfold/replication/member.py
+++ b/arrowfold/replication/member.py
@@ -74,6 +74,7 @@
         self.yielded_at = -math.inf  # when this member last promised an epoch to another
         self.heard_at = clock()  # when the primary's last heartbeat came
         self.committed_known = -1  # how far the primary's last message said that the log is committed
+        self._handed_over = 0  # the epoch whose primary handed its lease over: late heartbeats grant nothing
         self._authority_until = 0.0
         # Readings of the own clock told in this life: an echo of an earlier life's clock extends nothing.
         self._told_clocks: deque[float] = deque(maxlen=TOLD_CLOCKS)
@@ -217,7 +218,7 @@
         """Grant the primary its lease, unless a higher epoch is promised."""
         now = self.clock()
         image = self.image
-        granted = request.epoch >= self.highest_epoch
+        granted = request.epoch >= self.highest_epoch and request.epoch != self._handed_over
         if granted:
             self.grant_lease(request.primary.member)
             self.heard_at = now
@@ -269,5 +270,6 @@
         if record is not None and request.was_primary and request.epoch == record.epoch:
             if self._lease_holder == request.member:
                 self._lease_until = 0.0
+            self._handed_over = request.epoch
             self.heard_at = self.clock() - self.timings.suspicion_s
             self._log.info("primary.handed_over", epoch=request.epoch, member=request.member)
--- a/arrowfold/replication/primary.py
+++ b/arrowfold/replication/primary.py
@@ -55,6 +55,7 @@
         self._committed = member.image.state.sequence
         self._ever_active = False
         self.ended = False
+        self.hands_over = False  # the term ended by itself: others need not wait for its lease to run out
         self.on_active: Callable[[], None] = lambda: None
 
     @property
@@ -128,7 +129,8 @@
             self._outbid = max(self._outbid, found.promised)
             self._work.set()
 
-    def _end(self, reason: str) -> None:
+    def _end(self, reason: str, hand_over: bool = False) -> None:
+        self.hands_over = self.hands_over or hand_over
         if not self.ended:
             self._log.warning("primary.ended", epoch=self.record.epoch, reason=reason)
         self.ended = True
@@ -158,7 +160,7 @@
 
     def resign(self) -> None:
         """End the term; what waits is answered as not known to be committed."""
-        self._end("resigned")
+        self._end("resigned", hand_over=True)
 
     # Members
 
@@ -181,9 +183,9 @@
 
     def tick(self) -> None:
         """The regular work: heartbeats, members that came or went, the own disk."""
-        self.send_heartbeats()
         if self.ended:
             return
+        self.send_heartbeats()
         now = self._clock()
         if self.has_lease():
             self._leased_at = self._member.heard_at = now
@@ -191,7 +193,7 @@
             self._end("no lease")
             return
         if not self._member.durable.is_healthy(self._timings.disk_s):
-            self._end("the own disk is in trouble")
+            self._end("the own disk is in trouble", hand_over=True)
             return
         wanted = self._wanted_membership()
         if self.has_lease() and wanted != Membership(self.record.group, self.record.witnesses):
@@ -253,7 +255,7 @@
         request = AppendEntries(self.record.epoch, self._member.image.position, entries, self._committed)
         missing = await self._append_everywhere(request)
         if self._member.info.member in missing:
-            self._end("the own disk did not take the entries")
+            self._end("the own disk did not take the entries", hand_over=True)
             return False
         if missing and not await self._leave_out(missing):
             return False
--- a/arrowfold/replication/replica.py
+++ b/arrowfold/replication/replica.py
@@ -222,7 +222,9 @@
         return task
 
     def _end_term(self) -> None:
-        self._term = None
+        term, self._term = self._term, None
+        if term is not None and term.hands_over:
+            self._spawn(self._announce_departure(was_primary=True))
         self._next_attempt = self._clock() + self._timings.suspicion_s
         self._notify()
 
@@ -311,12 +313,16 @@
         """Hand over what this member leads, leave the group, and stop."""
         self._stopping = True
         term, self._term = self._term, None
-        record = self._member.image.record
         if term is not None:
             term.resign()
+        await self._announce_departure(was_primary=term is not None)
+
+    async def _announce_departure(self, was_primary: bool) -> None:
+        """Tell the others that they need not wait for this member, nor for its lease."""
+        record = self._member.image.record
         if record is None:
             return
-        notice = Departing(record.epoch, self.member, term is not None)
+        notice = Departing(record.epoch, self.member, was_primary)
         calls = [
             self._caller.call(witness.address, notice, self._timings.call_s)
             for witness in record.witnesses
--- a/benchmarks/control_state/__main__.py
+++ b/benchmarks/control_state/__main__.py
@@ -4,9 +4,11 @@
   control_state run [--from SEED] [--schedules N] [--machines N] [--losses N]
   control_state replay SEED [--machines N] [--losses N]
   control_state planted [--schedules N] [NAME]...
+  control_state failover [--schedules N]
 
 `run` plays schedules and tells what was lost; `replay` prints the trace of one; `planted` tells how many
-schedules each planted fault takes to be found.
+schedules each planted fault takes to be found; `failover` measures the time from a failure of the primary to
+the next acknowledged change.
 
 Options:
   --from SEED    The first seed [default: 0].
@@ -23,6 +25,7 @@
 
 from docopt import docopt
 
+from benchmarks.control_state.failover import tell_fail_overs
 from tests.system.control_simulation.planted import PLANTED, planted
 from tests.system.control_simulation.schedules import Outcome, run_schedule
 
@@ -77,6 +80,8 @@
         print("\n".join(outcome.trace))
         print(outcome.violation or "no violation")
         return int(outcome.violation is not None)
+    if options["failover"]:
+        return tell_fail_overs(count)
     return int(not all([_find(name, count) for name in options["NAME"] or PLANTED]))
 
 
