--- a/arrowfold/controlplane/changes.py
+++ b/arrowfold/controlplane/changes.py
@@ -15,9 +15,9 @@
 from arrowfold.controlplane.primary_calls import PrimaryCalls
 from arrowfold.internal.messages import ReadConfiguration, SubmitChange, SubmitResult
 from arrowfold.node.result_codes import ResultCode
-from arrowfold.replication.ports import Caller
+from arrowfold.replication.ports import Caller, EventLog
 from arrowfold.replication.proposals import Proposal, ReplicaPort, ReplicationFault
-from arrowfold.replication.state import ConfigurationStep, ControlState
+from arrowfold.replication.state import ConfigurationStep, ControlState, patched_document
 
 UNAVAILABLE = 503
 PUT = "PUT"
@@ -39,8 +39,9 @@
 class ConfigurationService:
     """Takes, acknowledges and reads configurations, whichever member it runs on."""
 
-    def __init__(self, replica: ReplicaPort, caller: Caller) -> None:
+    def __init__(self, replica: ReplicaPort, caller: Caller, log: EventLog) -> None:
         self._replica = replica
+        self._log = log
         self._parsed: tuple[bytes, ConfigurationDocument] | None = None
         self._submissions = PrimaryCalls(replica, caller, self.on_submit, _is_settled)
         self._reads = PrimaryCalls(replica, caller, self.on_read, _is_settled)
@@ -62,6 +63,7 @@
         digest = change_digest(change.kind, change.if_match, change.body)
         result = await self._replica.propose(lambda state: self._decide(state, change, digest))
         if isinstance(result, Err):
+            self._log.warning("configuration.not_committed", kind=change.kind, reason=str(result.err_value))
             return _not_committed(result.err_value)
         return result.ok_value
 
@@ -78,13 +80,12 @@
         prepare = prepare_put if change.kind == PUT else prepare_patch
         prepared = prepare(current, change.if_match, change.body)
         if isinstance(prepared, Err):
+            self._log.info("configuration.refused", kind=change.kind, reason=str(prepared.err_value))
             return Proposal(_refused(prepared.err_value))
         document = prepared.ok_value
-        text = document.to_json()
-        patch = delta(current, document) if current is not None else None
-        self._parsed = (text, document)
-        step = ConfigurationStep(document.version, digest, text, patch)
-        return Proposal(_accepted(document.version), step)
+        self._parsed = (document.to_json(), document)
+        self._log.info("configuration.accepted", kind=change.kind, version=document.version)
+        return Proposal(_accepted(document.version), _step(state.configuration, current, document, digest))
 
     def _parse(self, text: bytes | None) -> ConfigurationDocument | None:
         if text is None:
@@ -96,6 +97,19 @@
         return self._parsed[1]
 
 
+def _step(
+    text: bytes | None, current: ConfigurationDocument | None, document: ConfigurationDocument, digest: bytes
+) -> ConfigurationStep:
+    """The log entry of a change: a patch where that is shorter and leads to exactly the same bytes."""
+    whole = document.to_json()
+    if text is None or current is None:
+        return ConfigurationStep(document.version, digest, whole)
+    patch = delta(current, document)
+    if 2 * len(patch) > len(whole) or patched_document(text, patch) != whole:
+        return ConfigurationStep(document.version, digest, whole)
+    return ConfigurationStep(document.version, digest, None, patch)
+
+
 def _is_settled(answer: object) -> bool:
     return isinstance(answer, SubmitResult) and answer.status != UNAVAILABLE
 
--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -40,6 +40,7 @@
         listeners: Listeners | None = None,
     ) -> None:
         loop = asyncio.get_running_loop()
+        self._listeners = listeners or {}
         self._settings = settings
         self._listeners = listeners or {}
         self._selector = selector
