--- a/arrowfold/node/listeners.py
+++ b/arrowfold/node/listeners.py
@@ -6,23 +6,24 @@
 
 from __future__ import annotations
 
-import os
 import socket
 import tomllib
-from pathlib import Path
+
+from arrowfold.node.settings_path import settings_path
 
 BACKLOG = 1024
-SETTINGS_VARIABLE = "ARROWFOLD_NODE_FILE"
 Listeners = dict[str, socket.socket]  # by the name of what is served: front, readiness
 
 
-def open_listeners(named: str | Path | None) -> Listeners:
-    """Listen at every address in the settings file: the one that is named, else the environment's.
+def open_listeners(named: str | None = None) -> Listeners:
+    """Listen at every address of the settings file's `listenAddresses` (named, or the environment's).
 
     What can't be read or bound is left out: the full check of the settings reports it.
     """
-    path = Path(named if named else os.environ.get(SETTINGS_VARIABLE, ""))
+    path = settings_path(named)
     try:
+        if path is None:
+            return {}
         settings = tomllib.loads(path.read_text(encoding="utf-8"))
         addresses = dict(settings["listenAddresses"])
     except (OSError, ValueError, KeyError, TypeError):
