Let a primary that restarts lead again without waiting out its own lease

After all processes were killed the edges waited 1.2 s for a control node that was current: every witness waited out the lease that it might have granted. A witness now grants only heartbeats of the epoch whose record it has on its disk, so an earlier life's lease is that record's primary's, and that one need not wait for itself.

--- a/arrowfold/replication/member.py
+++ b/arrowfold/replication/member.py
@@ -68,11 +68,13 @@
         self._log = log
         self._promising = 0  # the epoch of a promise that is being written
         # A lease may have been granted just before the process ended: it is waited out.
-        has_record = durable.image.record is not None
-        self._lease_until = clock() + timings.lease_s if has_record else 0.0
-        self._lease_holder = ""
+        # It can only be that of the record's primary, since no other epoch's heartbeats are granted.
+        record = durable.image.record
+        self._lease_until = clock() + timings.lease_s if record is not None else 0.0
+        self._lease_holder = record.primary if record is not None else ""
         self.yielded_at = -math.inf  # when this member last promised an epoch to another
         self.heard_at = clock()  # when the primary's last heartbeat came
+        self.heard_in_this_life = False  # whether any heartbeat came since the start
         self.committed_known = -1  # how far the primary's last message said that the log is committed
         self._handed_over = 0  # the epoch whose primary handed its lease over: late heartbeats grant nothing
         self._authority_until = 0.0
@@ -111,7 +113,7 @@
         if request.epoch <= self.highest_epoch and not again:
             return f"epoch {self.highest_epoch} is promised"
         if self.clock() < self._lease_until and self._lease_holder != request.candidate.member:
-            return f"the lease of {self._lease_holder or 'an earlier life'} holds"
+            return f"the lease of {self._lease_holder} holds"
         if not self.durable.is_healthy(self.timings.disk_s):
             return "the disk is in trouble"
         return None
@@ -215,13 +217,16 @@
         return await self._durably(decide)
 
     async def heartbeat(self, request: Heartbeat) -> HeartbeatAnswer:
-        """Grant the primary its lease, unless a higher epoch is promised."""
+        """Grant the primary its lease, if its record is accepted here and no higher epoch is promised."""
         now = self.clock()
         image = self.image
-        granted = request.epoch >= self.highest_epoch and request.epoch != self._handed_over
+        leads = request.epoch >= self.highest_epoch and request.epoch != self._handed_over
+        granted = leads and image.record is not None and image.record.epoch == request.epoch
+        if leads:
+            self.heard_at = now
+            self.heard_in_this_life = True
         if granted:
             self.grant_lease(request.primary.member)
-            self.heard_at = now
             if request.echo in self._told_clocks:
                 self._authority_until = (request.echo or 0.0) + self.timings.lease_s
             self._learn_committed(request.epoch, request.committed)
--- a/arrowfold/replication/primary.py
+++ b/arrowfold/replication/primary.py
@@ -15,7 +15,7 @@
 from arrowfold.replication.member import GroupMember
 from arrowfold.replication.membership import Membership, copies_required, next_membership
 from arrowfold.replication.messages import AcceptEpoch, AppendEntries, Heartbeat, HeartbeatAnswer, Verdict
-from arrowfold.replication.peers import PeerTable
+from arrowfold.replication.peers import Peer, PeerTable
 from arrowfold.replication.ports import Caller, EventLog
 from arrowfold.replication.proposals import Decide, ReplicationFault
 from arrowfold.replication.records import EpochRecord, RecordConfirmed
@@ -119,16 +119,28 @@
             return
         peer.answered(self._clock(), found)
         if found.granted:
-            had_lease = self.is_active()
-            peer.granted_at = max(peer.granted_at, sent_at)
-            if not had_lease and self.is_active():
-                self._activated()
-            if found.record_epoch < record.epoch:
-                await self._caller.call(witness.address, AcceptEpoch(record), self._timings.durable_call_s)
+            self._granted(peer, sent_at)
+        elif found.record_epoch < record.epoch and found.promised <= record.epoch:
+            await self._bring_record(witness, record)
         elif found.promised > self._member.highest_epoch:
             self._outbid = max(self._outbid, found.promised)
             self._work.set()
 
+    def _granted(self, peer: Peer, sent_at: float) -> None:
+        had_lease = self.is_active()
+        peer.granted_at = max(peer.granted_at, sent_at)
+        if not had_lease and self.is_active():
+            self._activated()
+
+    async def _bring_record(self, witness: MemberInfo, record: EpochRecord) -> None:
+        """A witness lacks the record: to accept it grants the lease as well."""
+        sent_at = self._clock()
+        request = AcceptEpoch(record)
+        answer = await self._caller.call(witness.address, request, self._timings.durable_call_s)
+        verdict = answer.ok()
+        if isinstance(verdict, Verdict) and verdict.done and record == self.record and not self.ended:
+            self._granted(self._peers.get(witness.member), sent_at)
+
     def _end(self, reason: str, hand_over: bool = False) -> None:
         self.hands_over = self.hands_over or hand_over
         if not self.ended:
--- a/arrowfold/replication/replica.py
+++ b/arrowfold/replication/replica.py
@@ -260,6 +260,8 @@
         order = [name for name in order if name != record.primary] + [record.primary]
         rank = order.index(self._member.info.member)
         patience_s = self._timings.suspicion_s + rank * self._timings.suspicion_step_s
+        if record.primary == self.member and not self._member.heard_in_this_life:
+            patience_s = 0.0  # this member led when its processes ended: nobody's lease is to be waited out
         now = self._clock()
         if now - self._member.heard_at < patience_s or now < self._next_attempt:
             return
--- a/tests/system/test_control_failures.py
+++ b/tests/system/test_control_failures.py
@@ -276,3 +276,39 @@
 
 def test_given_seeds_that_name_only_the_gone_then_the_group_finds_the_newcomer() -> None:
     run_world(_seeds_name_only_the_gone())
+
+
+async def _all_killed_and_back() -> None:
+    world, _ = await _core(seed=21)
+    for machine in world.machines.values():
+        machine.kill()
+    await asyncio.sleep(0.5)
+    # When all processes start again, none after the other by more than a fifth of a second
+    for number, machine in enumerate(world.machines.values()):
+        asyncio.get_running_loop().call_later(0.1 * number, machine.start)
+    # Then the one that led leads again without waiting for its own lease to run out
+    assert await world.until(lambda: world.primary() is not None, 3.0, "a primary") < 0.5
+    assert await world.change(1, 2, 9.0) == 2
+    await world.settle()
+    world.require_sound()
+
+
+def test_given_all_processes_killed_then_the_one_that_led_leads_again_at_once() -> None:
+    run_world(_all_killed_and_back())
+
+
+async def _primary_restarts_quickly() -> None:
+    world, primary = await _core(seed=22)
+    watching = asyncio.create_task(world.watch_primaries())
+    primary.kill()
+    await asyncio.sleep(0.3)
+    primary.start()
+    assert await world.until(lambda: world.primary() is not None, 3.0, "a primary") < 0.3
+    assert world.primary() is primary
+    assert await world.change(1, 2, 9.0) == 2
+    watching.cancel()
+    world.require_sound()
+
+
+def test_given_a_primary_that_restarts_within_its_lease_then_it_leads_under_a_new_epoch() -> None:
+    run_world(_primary_restarts_quickly())
