--- a/arrowfold/dataplane/front.py
+++ b/arrowfold/dataplane/front.py
@@ -22,6 +22,8 @@
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
 IDLE_CLOSE_S = 600.0  # longer than any client may rest a connection
 CLOSING_LOOK_S = 0.05  # between looks at what is left while the front ends
+LIMIT_SLACK_S = 0.5  # beyond the time limits of the configuration
+IDLE_FACTOR = 1.25  # a connection is closed after this part of the longest idle time that was ever in force
 QUIET_S = 0.1  # without a byte: no request is just being read
 _LOGGER = logging.getLogger("arrowfold.front")
 Forward = Callable[[ClientRequest, ClientAnswer], Awaitable[None]]
@@ -87,15 +89,34 @@
 
 
 class ClientConnection(web.RequestHandler):
-    """A client's connection that knows when bytes last came on it."""
+    """A client's connection that knows when bytes last came, and since when a request has been coming."""
 
     received_s = 0.0
+    coming_since_s: float | None = None  # the first bytes of a request that is not under way yet
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to rest."""
+        self.received_s = self._loop.time()
+        super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes of the client."""
         self.received_s = self._loop.time()
+        if self.coming_since_s is None:
+            self.coming_since_s = self.received_s
         super().data_received(data)
 
+    def request_began(self) -> None:
+        """The head of a request has come whole."""
+        self.coming_since_s = None
+
+    def is_overdue(self, limits: Limits, longest_idle_s: float, now_s: float) -> bool:
+        """Whether its client has taken too long for a head, or has rested too long."""
+        if self.coming_since_s is not None:
+            allowed_s = limits.header_timeout_s
+            return allowed_s is not None and now_s - self.coming_since_s > allowed_s + LIMIT_SLACK_S
+        return now_s - self.received_s > longest_idle_s * IDLE_FACTOR
+
 
 class EdgeFront:
     """Serves clients at one address."""
@@ -105,6 +126,7 @@
         self._forward = forward
         self._limits = limits
         self._draining = False
+        self._longest_idle_s = 0.0  # of all configurations that were in force
         self._busy: set[object] = set()  # connections whose request is not answered yet
         self._web = web.Server(self._handle, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
@@ -141,6 +163,19 @@
             await asyncio.sleep(CLOSING_LOOK_S)
         await self._web.shutdown(0.1)
 
+    def close_overdue(self) -> None:
+        """Close connections whose clients have taken, or rested, longer than the configuration allows."""
+        limits = self._limits()
+        self._longest_idle_s = max(self._longest_idle_s, limits.idle_timeout_s or 0.0)
+        if not self._longest_idle_s:
+            return
+        now_s = self._loop.time()
+        for connection in self._web.connections:
+            if not isinstance(connection, ClientConnection) or connection in self._busy:
+                continue
+            if connection.is_overdue(limits, self._longest_idle_s, now_s):
+                connection.force_close()
+
     def _close_idle(self) -> None:
         """Close connections on which no request is under way, not even one that has just come."""
         now_s = self._loop.time()
@@ -150,11 +185,16 @@
                 connection.force_close()
 
     async def _handle(self, request: BaseRequest) -> web.StreamResponse:
-        self._busy.add(request.protocol)
+        connection = request.protocol
+        self._busy.add(connection)
+        if isinstance(connection, ClientConnection):
+            connection.request_began()
         try:
             return await self._serve(request)
         finally:
-            self._busy.discard(request.protocol)
+            self._busy.discard(connection)
+            if isinstance(connection, ClientConnection):
+                connection.received_s = self._loop.time()
 
     async def _serve(self, request: BaseRequest) -> web.StreamResponse:
         arrived_s = asyncio.get_running_loop().time()
--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -156,6 +156,7 @@
             await asyncio.sleep(ROUND_S)
             self._selector.market_round(self._clock())
             self._connections.close_expired()
+            self._front.close_overdue()
             if self._overlay.has_expired(self._clock()):
                 self._apply_tables()
             await self._report_demand()
--- a/tests/system/test_edge_http.py
+++ b/tests/system/test_edge_http.py
@@ -9,6 +9,7 @@
 import pytest
 import uvloop
 
+from arrowfold.dataplane.front import ClientConnection
 from arrowfold.dataplane.stalled_exchanges import StalledExchangeWatch
 from arrowfold.node.logs import RateLimitedLog
 from tests.system.edge_loopback import SEAL, LoopbackEdge, RawExchange, RawWorker, field_of, request_bytes
@@ -540,3 +541,73 @@
         await edge.stop()
 
     play(story)
+
+
+def front_connection(edge: LoopbackEdge) -> ClientConnection:
+    assert edge.front is not None
+    (connection,) = edge.front._web.connections
+    assert isinstance(connection, ClientConnection)
+    return connection
+
+
+@pytest.mark.parametrize(("rested_s", "closed"), [(14.9, False), (18.0, False), (19.0, True)])
+def test_a_connection_may_rest_as_long_as_the_configuration_allows(rested_s: float, closed: bool) -> None:
+    async def story() -> None:
+        edge, _ = await edge_with(plain, idleTimeoutMs=15000, headerTimeoutMs=3000)
+        assert edge.front is not None
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1"))
+        assert (await client.read()).status == 200
+        await asyncio.sleep(0.02)
+        front_connection(edge).received_s -= rested_s
+        edge.front.close_overdue()
+        if closed:
+            assert await client.reader.read() == b""
+        else:
+            await client.send(request_bytes("/pay/1", "a2"))
+            assert (await client.read()).status == 200
+        await edge.stop()
+
+    play(story)
+
+
+@pytest.mark.parametrize(("taken_s", "closed"), [(3.0, False), (4.0, True)])
+def test_a_head_must_come_within_its_time(taken_s: float, closed: bool) -> None:
+    async def story() -> None:
+        edge, _ = await edge_with(plain, idleTimeoutMs=15000, headerTimeoutMs=3000)
+        assert edge.front is not None
+        client = await edge.client()
+        data = request_bytes("/pay/1", "a1")
+        await client.send(data[:20])
+        await asyncio.sleep(0.05)
+        connection = front_connection(edge)
+        assert connection.coming_since_s is not None
+        connection.coming_since_s -= taken_s
+        edge.front.close_overdue()
+        if closed:
+            assert await client.reader.read() == b""
+        else:
+            await client.send(data[20:])
+            assert (await client.read()).status == 200
+        await edge.stop()
+
+    play(story)
+
+
+def test_a_request_under_way_is_never_overdue() -> None:
+    async def slow(exchange: RawExchange) -> None:
+        await asyncio.sleep(0.2)
+        await exchange.answer()
+
+    async def story() -> None:
+        edge, _ = await edge_with(slow, idleTimeoutMs=15000, headerTimeoutMs=3000)
+        assert edge.front is not None
+        client = await edge.client()
+        await client.send(request_bytes("/pay/1", "a1"))
+        await asyncio.sleep(0.05)
+        front_connection(edge).received_s -= 100
+        edge.front.close_overdue()
+        assert (await client.read()).status == 200
+        await edge.stop()
+
+    play(story)
