--- a/tests/system/edge_loopback.py
+++ b/tests/system/edge_loopback.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import uvloop
+
 from arrowfold.configuration.routes import Limits
 from arrowfold.dataplane.forwarding import RequestForwarder
 from arrowfold.dataplane.front import EdgeFront
@@ -17,7 +19,7 @@
 from arrowfold.dataplane.tables import FleetTables
 from arrowfold.dataplane.worker_connections import WorkerConnections
 from arrowfold.internal.messages import WorkerRecord, WorkerUpdate
-from tests.system.edge_stories import HOST, configuration, configuration_update, response
+from tests.system.edge_stories import HOST, configuration, configuration_update, response, route
 
 SEAL = b"X-Server-Seal: seal\r\n"
 Serve = Callable[["RawExchange"], Awaitable[None]]
@@ -231,3 +233,55 @@
         self.connections.keep_only(set())
         for _, raw in self.workers.values():
             raw.stop()
+
+
+HTTP_ROUTES = [
+    route("pay", "/pay/", "cards", "non_idempotent"),
+    route("look", "/look/", "cards", "idempotent"),
+    route("talk", "/talk/", "cards", "streaming", resumable=True),
+    route("draft", "/draft/", "cards", "streaming"),
+]
+CHUNKED = SEAL + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: x\n\n" % number
+
+
+async def plain(exchange: RawExchange) -> None:
+    await exchange.answer()
+
+
+def stream_head(exchange: RawExchange) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\n" % (exchange.attempt_id, CHUNKED)
+
+
+def play(story: Callable[[], Awaitable[None]]) -> None:
+    """Run a story on loopback, on the loop that the program uses, with a bound on its time."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(10):
+            await story()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(bounded())
+
+
+def age(edge: LoopbackEdge, seconds: float, pools: bool = True) -> None:
+    """Let all exchanges (and instances) have been silent for so long."""
+    assert edge.connections is not None
+    for pool in edge.connections.pools.values():
+        pool.heard_s -= seconds if pools else 0.0
+        for connection in pool.active:
+            connection.heard_s -= seconds
+            connection.sent_s -= seconds
+
+
+async def edge_with(*scripts: Any, **limits: Any) -> tuple[LoopbackEdge, RawWorker]:
+    worker = RawWorker(*scripts)
+    edge = await LoopbackEdge(HTTP_ROUTES, limits).start(w1=("cards", worker))
+    return edge, worker
