--- a/arrowfold/selection/first_events.py
+++ b/arrowfold/selection/first_events.py
@@ -71,18 +71,6 @@
             expected += ahead / worker.slots * self.run_s(request.service)
         return expected
 
-    def reading_s(
-        self, worker: EngineWorker, request: RequestProfile, prefill_tokens: float, now_s: float
-    ) -> float:
-        """Seconds that the worker reads prompts without a break if the request is sent there now."""
-        trend = self._trend(request.service, request.model)
-        if trend is None:
-            return 0.0
-        pace = min(SLOWEST, max(FASTEST, worker.pace.get(1.0)))
-        read = prefill_tokens + worker.backlog_tokens(now_s, trend.slope)
-        waiting = worker.waiting_of_others(now_s, self._options.delay_half_life_s)
-        return pace * trend.slope * read + waiting * self._prefill_s(request.service, trend)
-
     def alone_s(self, request: RequestProfile, read_tokens: float) -> float:
         """Seconds to the first event where nothing of others is in the way; 0 while nothing is known."""
         trend = self._trend(request.service, request.model)
--- a/arrowfold/selection/market_selector.py
+++ b/arrowfold/selection/market_selector.py
@@ -28,7 +28,6 @@
 from arrowfold.selection.prompt_parts import home_key, rendezvous, shared_parts
 
 COMPARED = 4  # workers drawn by chance that a drawn holder is compared with
-MOST_HARMED = 8.0  # running streams that count at most
 SMALL_POOL = 8  # of up to so many holders all are compared
 MISSING_AGAIN_S = 0.5  # a request that still waits is counted as missing again: its owner may have changed
 MOST_WAITING = 4096  # requests remembered as counted while they wait
@@ -281,27 +280,9 @@
         predicted_s = self.first_events.predict(worker, request, prefill_tokens, others, self.market.now_s)
         score = self.market.price(worker, table)
         score += self.options.predicted_weight * predicted_s / max(0.001, request.latency_objective_s)
-        score += self._pauses(request, worker, prefill_tokens, others)
         blur = self.market.spread * self._draw.random() if self._edges > 1 and rank is None else 0.0
         return Candidate(worker, prefill_tokens, predicted_s, score + blur)
 
-    def _pauses(
-        self, request: RequestProfile, worker: EngineWorker, prefill_tokens: float, others: float
-    ) -> float:
-        """What the running streams of a worker lose: while it reads a long prompt they may pause too long."""
-        if request.pause_objective_s <= 0:
-            return 0.0
-        slope = self.first_events.seconds_per_token(request.service, request.model)
-        if prefill_tokens * slope < 0.4 * request.pause_objective_s:
-            return 0.0
-        reading_s = self.first_events.reading_s(worker, request, prefill_tokens, self.market.now_s)
-        start = self.options.pause_from
-        danger = (reading_s / request.pause_objective_s - start) / (1 - start)
-        if danger <= 0:
-            return 0.0
-        running = worker.out - worker.unstarted() + max(0.0, others - worker.waiting_others)
-        return self.options.pause_weight * min(1.0, danger) * min(MOST_HARMED, running)
-
     def _will_do(self, request: RequestProfile, drawn: Candidate, best: Candidate) -> bool:
         """Whether a home or the drawn holder is kept although another is better."""
         left_s = request.arrived_s + request.latency_objective_s - self.market.now_s
--- a/arrowfold/selection/options.py
+++ b/arrowfold/selection/options.py
@@ -21,8 +21,6 @@
     home_least_tokens: int = 512  # shared tokens from which on a prompt has homes
     follow_margin: float = 0.15  # the drawn holder is left when another is better by more
     predicted_weight: float = 1.0  # of the predicted part of the objective, beside the price
-    pause_weight: float = 0.3  # for each running stream that the prompt would make pause too long
-    pause_from: float = 0.6  # of the longest pause in time: from so much reading on, streams are in danger
     cross_zone_toll: float = 0.03  # on the price of a worker in another zone
     in_time: float = 0.9  # predicted beyond this part of the objective counts as late
     hold_share: float = 0.45  # of the time a request has, waiting for its model at most
