--- a/arrowfold/selection/market_selector.py
+++ b/arrowfold/selection/market_selector.py
@@ -25,7 +25,7 @@
     RequestProfile,
 )
 from arrowfold.selection.options import SelectionOptions
-from arrowfold.selection.prompt_parts import home_key, rendezvous, shared_parts
+from arrowfold.selection.prompt_parts import home_key, rendezvous
 
 COMPARED = 4  # workers drawn by chance that a drawn holder is compared with
 SMALL_POOL = 8  # of up to so many holders all are compared
@@ -263,10 +263,7 @@
 
     def _homes(self, request: RequestProfile, fit: list[EngineWorker]) -> list[EngineWorker]:
         key = home_key(request)
-        shared = sum(part.tokens for part in shared_parts(request)) or request.prompt_tokens
-        if key is None or shared < self.options.home_least_tokens:
-            return []
-        return rendezvous(key, fit, self.options.homes)
+        return rendezvous(key, fit, self.options.homes) if key is not None else []
 
     def _some(self, fit: list[EngineWorker]) -> list[EngineWorker]:
         return fit if len(fit) <= SMALL_POOL else self._draw.sample(fit, COMPARED)
--- a/arrowfold/selection/options.py
+++ b/arrowfold/selection/options.py
@@ -18,7 +18,6 @@
     rate_memory_s: float = 10.0  # of the measured arrival rates R_i
     homes: int = 2  # workers that all edges name for a shared prompt part
     home_kept: tuple[float, ...] = (0.75, 0.25)  # part of what is shared that a home keeps, if unknown
-    home_least_tokens: int = 512  # shared tokens from which on a prompt has homes
     follow_margin: float = 0.15  # the drawn holder is left when another is better by more
     predicted_weight: float = 1.0  # of the predicted part of the objective, beside the price
     cross_zone_toll: float = 0.03  # on the price of a worker in another zone
