--- a/arrowfold/programs/startup.py
+++ b/arrowfold/programs/startup.py
@@ -14,7 +14,8 @@
 
 from arrowfold.node.logs import RateLimitedLog
 from arrowfold.node.result_codes import ResultCode
-from arrowfold.node.settings import SETTINGS_VARIABLE, NodeSettings, load_settings, settings_path
+from arrowfold.node.settings import NodeSettings, load_settings
+from arrowfold.node.settings_path import SETTINGS_VARIABLE, settings_path
 
 EXIT_FAULTY = 2  # exit code where the settings file or the command line is at fault
 SETTINGS_CHECK_INTERVAL_S = 1.0  # between looks at a settings file that may change without a signal
@@ -43,7 +44,7 @@
 
 def open_settings(named: str | None = None) -> Result[SettingsFile, str]:
     """The settings file that is named, else that of the environment; or one line that says what is wrong."""
-    path = Path(named) if named else settings_path()
+    path = settings_path(named)
     if path is None:
         return Err(f"error {int(ResultCode.USAGE)}: {SETTINGS_VARIABLE} names no settings file")
     loaded = load_settings(path)
