--- a/arrowfold/replication/member.py
+++ b/arrowfold/replication/member.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Callable
 
 from result import Err, Ok, Result
@@ -39,6 +40,7 @@
 from arrowfold.replication.timings import Timings
 from arrowfold.storage.faults import StorageFault
 
+TOLD_CLOCKS = 32
 Decision = Result[LogRecord, StorageFault]
 
 
@@ -72,7 +74,10 @@
         self.yielded_at = -math.inf  # when this member last promised an epoch to another
         self.heard_at = clock()  # when the primary's last heartbeat came
         self.committed_known = -1  # how far the primary's last message said that the log is committed
+        self._handed_over = 0  # the epoch whose primary handed its lease over: late heartbeats grant nothing
         self._authority_until = 0.0
+        # Readings of the own clock told in this life: an echo of an earlier life's clock extends nothing.
+        self._told_clocks: deque[float] = deque(maxlen=TOLD_CLOCKS)
         self.published = ControlState()
         self.on_change: Callable[[], None] = lambda: None
 
@@ -213,13 +218,14 @@
         """Grant the primary its lease, unless a higher epoch is promised."""
         now = self.clock()
         image = self.image
-        granted = request.epoch >= self.highest_epoch
+        granted = request.epoch >= self.highest_epoch and request.epoch != self._handed_over
         if granted:
             self.grant_lease(request.primary.member)
             self.heard_at = now
-            if request.echo is not None:
-                self._authority_until = request.echo + self.timings.lease_s
+            if request.echo in self._told_clocks:
+                self._authority_until = (request.echo or 0.0) + self.timings.lease_s
             self._learn_committed(request.epoch, request.committed)
+        self._told_clocks.append(now)
         return HeartbeatAnswer(
             granted=granted,
             member=self.info,
@@ -264,5 +270,6 @@
         if record is not None and request.was_primary and request.epoch == record.epoch:
             if self._lease_holder == request.member:
                 self._lease_until = 0.0
+            self._handed_over = request.epoch
             self.heard_at = self.clock() - self.timings.suspicion_s
             self._log.info("primary.handed_over", epoch=request.epoch, member=request.member)
