--- a/benchmarks/capacity/system/mechanisms.py
+++ b/benchmarks/capacity/system/mechanisms.py
@@ -58,7 +58,7 @@
 def _planning_now(at: Scaled) -> str:
     lease_ms = Timings().lease_s * Timings().lease_margin * KILO
     plan = milliseconds(at.figure("busyplan", "step_ms", workers=target.WORKERS))
-    steps = f"{core(at.owner_core())} of steps"
+    steps = f"{core(at.owner_core())} for a step at each report"
     return f"{steps}; a plan holds the loop for {plan}, the lease is {number(lease_ms)} ms"
 
 
@@ -78,7 +78,7 @@
 
 
 def _fan_out_now(at: Scaled) -> str:
-    return f"{rate(at.edge_bytes())} an edge; {core(at.fan_out_core())} at the busiest control node"
+    return f"{rate(at.edge_bytes())} an edge; {core(at.fan_out_core())} at the owner of a placement"
 
 
 def _fan_out_then(at: Scaled) -> str:
--- a/benchmarks/capacity/system/role_table.py
+++ b/benchmarks/capacity/system/role_table.py
@@ -53,7 +53,8 @@
 
 
 def _edge_rest(at: Scaled) -> str:
-    return f"one pull for updates, {target.CONTROL_MACHINES - 1} for notices: {rate(at.edge_bytes_at_rest())}"
+    pulls = f"{number(at.pulls_at_rest)} pulls a second from {target.CONTROL_MACHINES} control nodes"
+    return f"{pulls}: {rate(at.edge_bytes_at_rest())}"
 
 
 def _edge_peak(at: Scaled) -> str:
@@ -87,8 +88,9 @@
 
 
 def _control_peak(at: Scaled) -> str:
-    news = f"{number(at.news_a_second)} times a second news, {milliseconds(at.fan_out_ms())} each"
-    return f"the busiest: {news}, {core(at.fan_out_core())}"
+    news = f"{number(at.news_a_second)} times a second news"
+    owner = f"the owner of a placement {milliseconds(at.fan_out_ms())} each, {core(at.fan_out_core())}"
+    return f"{news}; {owner}; the others notices, {core(at.notice_core())}"
 
 
 def _control_mass_restart(at: Scaled) -> str:
@@ -151,8 +153,7 @@
 
 def _owner_rest(at: Scaled) -> str:
     reports = f"{number(at.reports_a_second())} reports a second"
-    steps = f"{number(at.owner_steps_a_second())} steps of {milliseconds(at.owner_step_ms())}"
-    return f"{reports}, {steps}: {core(at.owner_core())}"
+    return f"{reports}, a step of {milliseconds(at.owner_step_ms())} for each: {core(at.owner_core())}"
 
 
 def _owner_peak(at: Scaled) -> str:
--- a/benchmarks/capacity/system/verdict.py
+++ b/benchmarks/capacity/system/verdict.py
@@ -106,8 +106,8 @@
 
 def _loads_measured(at: Scaled) -> str:
     plan = milliseconds(at.figure("busyplan", "step_ms", workers=target.WORKERS))
-    news = f"news: {core(at.fan_out_core())} of the busiest control node"
-    return f"owner: {core(at.owner_core())} of steps, a plan {plan}; {news}"
+    news = f"news to edges: {core(at.fan_out_core())}"
+    return f"owner: {core(at.owner_core())} for a step at each report, a plan {plan}; {news}"
 
 
 def _loads_verdict(at: Scaled) -> str:
@@ -153,8 +153,7 @@
 
 
 def _edge_pull_core(at: Scaled) -> float:
-    pulls_a_second = 1 + at.notices_at_rest
-    return pulls_a_second * at.figure("fleet", "edge_core_share", **QUIET_FLEET)
+    return at.pulls_at_rest * at.figure("fleet", "edge_core_share", **QUIET_FLEET)
 
 
 def _core_verdict(at: Scaled) -> str:
@@ -187,12 +186,14 @@
 
 def _machines_measured(at: Scaled) -> str:
     rest = f"heartbeats {core(at.heartbeat_core())}, pulls {core(at.pull_core())}"
-    return f"{rest}, news {core(at.fan_out_core())}; the primary {core(at.owner_core())} more"
+    owner = f"the owner: news {core(at.fan_out_core())}, steps {core(at.owner_core())}"
+    return f"{rest}, notices {core(at.notice_core())}; {owner}"
 
 
 def _machines_verdict(at: Scaled) -> str:
-    each = at.heartbeat_core() + at.pull_core() + at.fan_out_core()
-    return f"seven {_within(each, 1.0)}; the primary {_within(each + at.owner_core(), 1.0)}"
+    each = at.heartbeat_core() + at.pull_core() + at.notice_core()
+    owner = each + at.fan_out_core() + at.owner_core()
+    return f"seven {_within(each, 1.0)}; the owner of the placement {_within(owner, 1.0)}"
 
 
 def _restarts_measured(at: Scaled) -> str:
@@ -303,10 +304,10 @@
     ),
     Row(
         f"control: {rate(target.CONTROL_BYTES_PER_S)}",
-        lambda at: "updates from one control node, notices from the others, all held open",
+        lambda at: "updates from the nearest control node and the owner, notices from the others",
         _bytes_measured,
         _bytes_verdict,
-        "long pulls: updates from one control node, notices from all",
+        "long pulls by version vector, notices",
     ),
     Row(
         f"{target.CONTROL_MACHINES} machines for control",
--- a/benchmarks/capacity/system/worked_out.py
+++ b/benchmarks/capacity/system/worked_out.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from arrowfold.controlplane.placement_executor import SHORTEST_PAUSE_S
 from arrowfold.dataplane.puller import ANSWER_SLACK_S, NOTICE_PAUSE_S, POLL_S
 from arrowfold.internal.channel import LARGEST_FRAME
 from benchmarks.capacity.fitting import Results
@@ -20,6 +19,7 @@
 MICRO = 1e-6
 PERCENT = 100.0
 RECORDS_A_LOAD = 2  # the heartbeat that tells the load, and the one that tells the unload before it
+UPDATE_SOURCES = 2  # control nodes that send an edge updates: the nearest, and the owner of a placement
 NOTICES_A_LOAD = 4  # placement updates: two orders, each sent and done
 CONTROL_SHARE = target.CONTROL_MACHINES / (target.NODES + target.CONTROL_MACHINES)
 LARGEST_FACTOR = 1_000.0  # beyond this nothing is said
@@ -81,11 +81,16 @@
     @property
     def notices_at_rest(self) -> float:
         """Pulls a second of an edge that ask control nodes for notices, while there is no news."""
-        return (target.CONTROL_MACHINES - 1) / (POLL_S + NOTICE_PAUSE_S)
+        return (target.CONTROL_MACHINES - UPDATE_SOURCES) / (POLL_S + NOTICE_PAUSE_S)
+
+    @property
+    def pulls_at_rest(self) -> float:
+        """All pulls a second of an edge while there is no news."""
+        return UPDATE_SOURCES / POLL_S + self.notices_at_rest
 
     def edge_bytes_at_rest(self, origins: float = target.CONTROL_MACHINES) -> float:
-        """Bytes a second of an edge's pulls without news: one for updates, the others for notices."""
-        return (1 / POLL_S + self.notices_at_rest) * self.pull_bytes(origins)
+        """Bytes a second of an edge's pulls without news: some for updates, the others for notices."""
+        return self.pulls_at_rest * self.pull_bytes(origins)
 
     @property
     def news_a_second(self) -> float:
@@ -104,9 +109,11 @@
         return answer + self.lines.at(Label.REQUEST_BYTES, target.CONTROL_MACHINES)
 
     def edge_bytes(self) -> float:
-        """Bytes a second with the operators' loads: updates from one node, notices from the others."""
-        notices = (target.CONTROL_MACHINES - 1) * self.notices_a_second
-        return self.news_a_second * self.news_bytes() + notices * self.pull_bytes()
+        """Bytes a second with the operators' loads: records from each source of updates, and notices."""
+        notices = (target.CONTROL_MACHINES - UPDATE_SOURCES) * self.notices_a_second
+        placement = self.loads_a_second * NOTICES_A_LOAD
+        updates = self.records_a_second * UPDATE_SOURCES + placement
+        return updates * self.news_bytes() + notices * self.pull_bytes()
 
     def edge_news_core(self) -> float:
         """Share of a core that an edge spends on news in its tables and its index of holders."""
@@ -128,24 +135,17 @@
         """Processor seconds until a control node has answered the edges of a zone that begin at once."""
         return self.edges / target.ZONES * self.lines.at(Label.TABLE_ENCODE, self.workers) * MILLI
 
-    @property
-    def updated_edges(self) -> float:
-        """Edges that the busiest node sends updates to: those of its zone and of zones without one."""
-        zones_without = max(0, target.ZONES - target.CONTROL_MACHINES)
-        return self.edges * (zones_without + 1) / target.ZONES
-
     def fan_out_ms(self) -> float:
-        """Processor time of one worker's news at the busiest node: updates to some, notices to others."""
-        update_ms = self.lines.at(Label.CHANGE_WORKERS, self.workers) / 100
-        notice_ms = self.lines.at(Label.NOTICE_EDGES, self.edges) / self.edges
-        return update_ms * self.updated_edges + notice_ms * (self.edges - self.updated_edges)
+        """Processor time of one worker's news at the owner of a placement, which updates all edges."""
+        return self.lines.at(Label.CHANGE_WORKERS, self.workers) / 100 * self.edges
 
     def fan_out_core(self) -> float:
-        """Share of a core that news to edges take at the busiest control node."""
-        update_ms = self.lines.at(Label.CHANGE_WORKERS, self.workers) / 100 * self.updated_edges
-        others = self.edges - self.updated_edges
-        notice_ms = self.lines.at(Label.NOTICE_EDGES, self.edges) / self.edges * others
-        return (self.news_a_second * update_ms + self.notices_a_second * notice_ms) * MILLI
+        """Share of a core that news to edges take at the owner of a placement, the busiest control node."""
+        return self.news_a_second * self.fan_out_ms() * MILLI
+
+    def notice_core(self) -> float:
+        """Share of a core that notices to all edges take at a control node that updates none."""
+        return self.notices_a_second * self.lines.at(Label.NOTICE_EDGES, self.edges) * MILLI
 
     def heartbeat_core(self) -> float:
         """Share of a core that heartbeats take at each control node, HTTP and the kernel's work with it."""
@@ -167,13 +167,9 @@
         """Demand reports that reach the owner."""
         return self.edges / target.REPORT_INTERVAL_S
 
-    def owner_steps_a_second(self) -> float:
-        """Steps that the reports ask for: each sets the owner off, at most one in its shortest pause."""
-        return min(self.reports_a_second(), 1 / SHORTEST_PAUSE_S)
-
     def owner_core(self) -> float:
-        """Share of a core that the owner's steps would take without a plan; over 1 it falls behind."""
-        return self.owner_steps_a_second() * self.owner_step_ms() * MILLI
+        """Share of a core for a step at each report, without a plan; over 1 the steps follow back to back."""
+        return self.reports_a_second() * self.owner_step_ms() * MILLI
 
     def mass_restart_s(self) -> float:
         """Seconds until a control node has answered all edges that begin at once, each table encoded anew."""
@@ -189,7 +185,7 @@
 
     def vector_days(self) -> float:
         """Days of ordinary restarts until pulls without news alone reach the bound of bytes."""
-        slope = 1 / POLL_S + self.notices_at_rest
+        slope = self.pulls_at_rest
         entry = self.lines.line(Label.REQUEST_BYTES).slope + self.lines.line(Label.RESPONSE_BYTES).slope
         left = target.CONTROL_BYTES_PER_S - self.edge_bytes_at_rest()
         return left / (slope * entry) / self.origins_a_day
@@ -251,7 +247,7 @@
         Scaled.edge_bytes,
     ),
     Bounded(
-        "news of workers to all edges at the busiest control node",
+        "news of workers to all edges at the owner of a placement",
         "`controlplane/distribution.py`, `registry/workers.py`",
         "of a core",
         1.0,
