--- a/arrowfold/replication/primary.py
+++ b/arrowfold/replication/primary.py
@@ -15,7 +15,7 @@
 from arrowfold.replication.member import GroupMember
 from arrowfold.replication.membership import Membership, copies_required, next_membership
 from arrowfold.replication.messages import AcceptEpoch, AppendEntries, Heartbeat, HeartbeatAnswer, Verdict
-from arrowfold.replication.peers import PeerTable
+from arrowfold.replication.peers import Peer, PeerTable
 from arrowfold.replication.ports import Caller, EventLog
 from arrowfold.replication.proposals import Decide, ReplicationFault
 from arrowfold.replication.records import EpochRecord, RecordConfirmed
@@ -55,6 +55,7 @@
         self._committed = member.image.state.sequence
         self._ever_active = False
         self.ended = False
+        self.hands_over = False  # the term ended by itself: others need not wait for its lease to run out
         self.on_active: Callable[[], None] = lambda: None
 
     @property
@@ -118,17 +119,30 @@
             return
         peer.answered(self._clock(), found)
         if found.granted:
-            had_lease = self.is_active()
-            peer.granted_at = max(peer.granted_at, sent_at)
-            if not had_lease and self.is_active():
-                self._activated()
-            if found.record_epoch < record.epoch:
-                await self._caller.call(witness.address, AcceptEpoch(record), self._timings.durable_call_s)
+            self._granted(peer, sent_at)
+        elif found.record_epoch < record.epoch and found.promised <= record.epoch:
+            await self._bring_record(witness, record)
         elif found.promised > self._member.highest_epoch:
             self._outbid = max(self._outbid, found.promised)
             self._work.set()
 
-    def _end(self, reason: str) -> None:
+    def _granted(self, peer: Peer, sent_at: float) -> None:
+        had_lease = self.is_active()
+        peer.granted_at = max(peer.granted_at, sent_at)
+        if not had_lease and self.is_active():
+            self._activated()
+
+    async def _bring_record(self, witness: MemberInfo, record: EpochRecord) -> None:
+        """A witness lacks the record: to accept it grants the lease as well."""
+        sent_at = self._clock()
+        request = AcceptEpoch(record)
+        answer = await self._caller.call(witness.address, request, self._timings.durable_call_s)
+        verdict = answer.ok()
+        if isinstance(verdict, Verdict) and verdict.done and record == self.record and not self.ended:
+            self._granted(self._peers.get(witness.member), sent_at)
+
+    def _end(self, reason: str, hand_over: bool = False) -> None:
+        self.hands_over = self.hands_over or hand_over
         if not self.ended:
             self._log.warning("primary.ended", epoch=self.record.epoch, reason=reason)
         self.ended = True
@@ -158,7 +172,7 @@
 
     def resign(self) -> None:
         """End the term; what waits is answered as not known to be committed."""
-        self._end("resigned")
+        self._end("resigned", hand_over=True)
 
     # Members
 
@@ -181,9 +195,9 @@
 
     def tick(self) -> None:
         """The regular work: heartbeats, members that came or went, the own disk."""
-        self.send_heartbeats()
         if self.ended:
             return
+        self.send_heartbeats()
         now = self._clock()
         if self.has_lease():
             self._leased_at = self._member.heard_at = now
@@ -191,7 +205,7 @@
             self._end("no lease")
             return
         if not self._member.durable.is_healthy(self._timings.disk_s):
-            self._end("the own disk is in trouble")
+            self._end("the own disk is in trouble", hand_over=True)
             return
         wanted = self._wanted_membership()
         if self.has_lease() and wanted != Membership(self.record.group, self.record.witnesses):
@@ -253,7 +267,7 @@
         request = AppendEntries(self.record.epoch, self._member.image.position, entries, self._committed)
         missing = await self._append_everywhere(request)
         if self._member.info.member in missing:
-            self._end("the own disk did not take the entries")
+            self._end("the own disk did not take the entries", hand_over=True)
             return False
         if missing and not await self._leave_out(missing):
             return False
--- a/arrowfold/replication/replica.py
+++ b/arrowfold/replication/replica.py
@@ -222,7 +222,9 @@
         return task
 
     def _end_term(self) -> None:
-        self._term = None
+        term, self._term = self._term, None
+        if term is not None and term.hands_over:
+            self._spawn(self._announce_departure(was_primary=True))
         self._next_attempt = self._clock() + self._timings.suspicion_s
         self._notify()
 
@@ -258,6 +260,8 @@
         order = [name for name in order if name != record.primary] + [record.primary]
         rank = order.index(self._member.info.member)
         patience_s = self._timings.suspicion_s + rank * self._timings.suspicion_step_s
+        if record.primary == self.member and not self._member.heard_in_this_life:
+            patience_s = 0.0  # this member led when its processes ended: nobody's lease is to be waited out
         now = self._clock()
         if now - self._member.heard_at < patience_s or now < self._next_attempt:
             return
@@ -311,12 +315,16 @@
         """Hand over what this member leads, leave the group, and stop."""
         self._stopping = True
         term, self._term = self._term, None
-        record = self._member.image.record
         if term is not None:
             term.resign()
+        await self._announce_departure(was_primary=term is not None)
+
+    async def _announce_departure(self, was_primary: bool) -> None:
+        """Tell the others that they need not wait for this member, nor for its lease."""
+        record = self._member.image.record
         if record is None:
             return
-        notice = Departing(record.epoch, self.member, term is not None)
+        notice = Departing(record.epoch, self.member, was_primary)
         calls = [
             self._caller.call(witness.address, notice, self._timings.call_s)
             for witness in record.witnesses
