--- a/arrowfold/internal/channel.py
+++ b/arrowfold/internal/channel.py
@@ -19,6 +19,7 @@
 
 PROTOCOL_VERSION = 1
 LARGEST_FRAME = 8 * 1024 * 1024  # bytes; a longer frame ends the connection
+CLOSE_TIMEOUT_S = 1.0  # for the tasks of ended connections
 CONNECT_TIMEOUT_S = 0.5
 UNACKNOWLEDGED_MS = 2_000  # TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged
 Handler = Callable[[Any], Awaitable[Any]]
@@ -57,6 +58,7 @@
         self._handlers = handlers
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.StreamWriter] = set()
+        self._serving: set[asyncio.Task[None] | None] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, address: str) -> None:
@@ -65,17 +67,25 @@
         self._server = await asyncio.start_server(self._serve, host, int(port), backlog=512)
 
     async def close(self) -> None:
-        """Stop listening and end all connections."""
+        """Stop listening and end all connections; returns once their tasks have ended."""
         if self._server is not None:
             self._server.close()
         for task in list(self._tasks):
             task.cancel()
         for writer in list(self._connections):
             writer.transport.abort()
+        serving = {task for task in self._serving if task is not None}
+        if serving:
+            await asyncio.wait(serving, timeout=CLOSE_TIMEOUT_S)
+
+    def is_serving(self) -> bool:
+        """Whether a connection is open."""
+        return bool(self._serving)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         _tune(writer.transport)
         self._connections.add(writer)
+        self._serving.add(asyncio.current_task())
         calls: set[asyncio.Task[None]] = set()
         try:
             while True:
@@ -90,6 +100,7 @@
             for task in list(calls):
                 task.cancel()
             self._connections.discard(writer)
+            self._serving.discard(asyncio.current_task())
             writer.transport.abort()
 
     async def _answer(self, writer: asyncio.StreamWriter, call: int, body: Any) -> None:
