--- a/tests/system/test_channel.py
+++ b/tests/system/test_channel.py
@@ -48,9 +48,9 @@
         while not server.is_serving():
             await asyncio.sleep(0)
         await server.close()
+        assert not server.is_serving()
         assert (await call).is_err()
         client.close()
-        assert not server.is_serving()
 
     asyncio.run(story())
     assert errors == []
