--- a/tests/system/virtual_time.py
+++ b/tests/system/virtual_time.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import selectors
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from contextvars import Context
 from typing import Any, TypeVar
 
 T = TypeVar("T")
 LONGEST_STORY_S = 3_600.0  # of virtual time
+SHORTEST_WAIT_S = 2e-9  # twice the precision that asyncio assumes: what is shorter would not move the clock
 MOST_TURNS_AT_ONCE = 100_000  # of the loop, while its clock stands
 
 
@@ -44,6 +46,13 @@
         """Virtual seconds since the start."""
         return self._jumping.now_s
 
+    def call_later(
+        self, delay: float, callback: Callable[..., object], *args: Any, context: Context | None = None
+    ) -> asyncio.TimerHandle:
+        """As asyncio's, but time that is waited for always passes, as on a real clock."""
+        waited_s = max(delay, SHORTEST_WAIT_S) if delay > 0 else delay
+        return super().call_later(waited_s, callback, *args, context=context)
+
 
 def run_virtual(story: Coroutine[Any, Any, T]) -> T:
     """Run a story to its end in virtual time."""
