Give the virtual clock's call_later asyncio's own signature

Ruled out: nothing else was red in lint. Change: the override takes the variadic types of the supertype. Before: 2 mypy errors; after: none.

--- a/tests/system/virtual_time.py
+++ b/tests/system/virtual_time.py
@@ -6,9 +6,10 @@
 import selectors
 from collections.abc import Callable, Coroutine
 from contextvars import Context
-from typing import Any, TypeVar
+from typing import Any, TypeVar, TypeVarTuple
 
 T = TypeVar("T")
+Arguments = TypeVarTuple("Arguments")
 LONGEST_STORY_S = 3_600.0  # of virtual time
 SHORTEST_WAIT_S = 2e-9  # twice the precision that asyncio assumes: what is shorter would not move the clock
 MOST_TURNS_AT_ONCE = 100_000  # of the loop, while its clock stands
@@ -47,7 +48,11 @@
         return self._jumping.now_s
 
     def call_later(
-        self, delay: float, callback: Callable[..., object], *args: Any, context: Context | None = None
+        self,
+        delay: float,
+        callback: Callable[[*Arguments], object],
+        *args: *Arguments,
+        context: Context | None = None,
     ) -> asyncio.TimerHandle:
         """As asyncio's, but time that is waited for always passes, as on a real clock."""
         waited_s = max(delay, SHORTEST_WAIT_S) if delay > 0 else delay
