--- a/tests/system/test_placement_stories.py
+++ b/tests/system/test_placement_stories.py
@@ -5,6 +5,8 @@
 import dataclasses
 from collections import deque
 
+import pytest
+
 from arrowfold.internal.messages import WorkerCorrection
 from arrowfold.placement.orders import Operation, OrderAnswer, ReadReport
 from tests.system.placement_world import PlacementWorld, catalogue
@@ -22,6 +24,20 @@
     assert len(world.all_loads) == 1
 
 
+@pytest.mark.parametrize(("load_time_s", "is_loaded"), [(4.0, True), (0.5, False)])
+def test_a_missed_model_is_remembered_for_as_long_as_loads_take(load_time_s: float, is_loaded: bool) -> None:
+    # Given one worker, which can't be read, and a request that missed its model
+    world = PlacementWorld(catalogue(load_time_s=load_time_s), workers=1)
+    world.unreachable.add("w0")
+    world.ask("m1", missing=True)
+    world.run(6.0)
+    # When it can be, later than a client waits for a short load
+    world.unreachable.clear()
+    world.run(8.0)
+    # Then the model is loaded only where its client may still come back for it
+    assert (world.held_by("m1") != []) is is_loaded
+
+
 def test_an_idle_model_gives_way_where_there_is_no_room() -> None:
     # Given one full worker with a busy model and two idle ones
     world = PlacementWorld(catalogue(), workers=1)
--- a/tests/system/test_selection_stories.py
+++ b/tests/system/test_selection_stories.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from unittest.mock import patch
 
 import pytest
 
@@ -78,6 +79,29 @@
     assert {token.holder.instance for token in table.tokens} == {"b"}
 
 
+def test_tokens_that_nobody_can_hold_move_as_soon_as_somebody_can() -> None:
+    # Given tokens of a class whose only holder has lost it
+    one, two = worker("a", "m"), worker("b", "n")
+    stage = Stage(one, two)
+    stage.serve(stage.request())
+    unloaded = worker("a", "n")
+    stage.workers(unloaded, two)
+    (table,) = [t for t in stage.selector.market.tables.values() if t.request_class.model == "m"]
+    assert {token.holder.instance for token in table.tokens} == {"a"}
+    # When another worker loads it, and nothing is new of the first
+    stage.workers(unloaded, worker("b", "n", "m"))
+    # Then they move there
+    assert {token.holder.instance for token in table.tokens} == {"b"}
+
+
+@pytest.mark.parametrize(("edges", "rounds"), [(1, 8), (16, 8), (41, 4), (400, 1)])
+def test_rounds_of_trades_are_further_apart_with_many_edges(edges: int, rounds: int) -> None:
+    stage = Stage(worker("a", "m"), worker("b", "m"), edges=edges)
+    with patch.object(stage.selector.market, "round") as traded:
+        stage.advance(4.0)
+    assert traded.call_count == rounds
+
+
 def test_a_silent_worker_is_used_only_where_nobody_else_holds_the_class() -> None:
     one, two = worker("a", "m", state="silent"), worker("b", "m")
     stage = Stage(one, two)
@@ -248,6 +272,23 @@
     assert isinstance(stage.choose(again), WaitForWorker)
 
 
+def test_who_comes_again_waits_longer_for_a_load_that_is_under_way() -> None:
+    # Given a load that ends within the time until the client gives up, but late in it
+    stage = Stage(worker("a", "n", arriving=(ArrivingModel("m", "", 1.5),)))
+    stage.choose(stage.request("m", objective_s=0.5, time_s=6.0))
+    again = stage.request("m", objective_s=0.5, time_s=4.0)
+    # When its client comes again
+    choice = stage.choose(again)
+    # Then it waits, for less than its client does
+    assert isinstance(choice, WaitForWorker)
+    assert 1.5 < choice.wait_s < 2.0
+    # And of a load that would end too late it is told at once
+    stage = Stage(worker("a", "n", arriving=(ArrivingModel("m", "", 1.9),)))
+    stage.choose(stage.request("m", objective_s=0.5, time_s=6.0))
+    again = stage.request("m", objective_s=0.5, time_s=4.0)
+    assert isinstance(stage.choose(again), RefusedRequest)
+
+
 def test_a_request_waits_for_a_late_load_that_no_advice_reaches() -> None:
     arriving = (ArrivingModel("m", "", 2.0),)
     stage = Stage(worker("a", "n", arriving=arriving))
