Share connections and take engine facts only when what they depend on has changed

Ruled out: dropping this for silent workers, whose resting connections are dropped at each answer as before. Change: facts by the configuration's identity, shares by configuration, number of edges and workers' states.

--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from dataclasses import dataclass
 
 from arrowfold.configuration.routes import Limits
 from arrowfold.dataplane.forwarding import RequestForwarder
@@ -13,7 +14,7 @@
 from arrowfold.dataplane.reports import DemandReporter
 from arrowfold.dataplane.retry_budget import RetryBudget
 from arrowfold.dataplane.stalled_exchanges import StalledExchangeWatch
-from arrowfold.dataplane.tables import SILENT, FleetSnapshot, FleetTables
+from arrowfold.dataplane.tables import SILENT, ConfigurationSnapshot, FleetSnapshot, FleetTables
 from arrowfold.dataplane.worker_connections import FEWEST_CONNECTIONS, WorkerConnections
 from arrowfold.internal.channel import ChannelClient
 from arrowfold.internal.messages import NodeIdentity
@@ -31,6 +32,26 @@
 DEFAULT_CONNECTIONS = 64  # to one worker, where the configuration has no bound
 
 
+@dataclass(frozen=True, slots=True)
+class _ConnectionSharers:
+    """What the shares of the workers' connections depend on."""
+
+    configuration: int | None  # its position in the replicated state
+    edges: int
+    states: frozenset[tuple[str, str]]  # of the workers, by instance
+
+    @classmethod
+    def of(cls, snapshot: FleetSnapshot, edges: int) -> _ConnectionSharers:
+        """Those of a snapshot."""
+        configuration = snapshot.configuration
+        states = frozenset((instance, record.state) for instance, record in snapshot.workers.items())
+        return cls(configuration.sequence if configuration is not None else None, edges, states)
+
+    def has_silent(self) -> bool:
+        """Whether a worker is silent: connections to it that rest are dropped again and again."""
+        return any(state == SILENT for _, state in self.states)
+
+
 class EdgeNode:
     """One edge process."""
 
@@ -79,6 +100,8 @@
         )
         self._reporter = DemandReporter(self._client, identity, selector)
         self._stalled_exchanges = StalledExchangeWatch(self._connections, log)
+        self._facts_of: ConfigurationSnapshot | None = None  # whose facts the selector has
+        self._sharers: _ConnectionSharers | None = None  # between whom connections were last shared
         self._tasks: list[asyncio.Task[None]] = []
         self._overlay = PlacementOverlay()
         self._reported_s = loop.time()
@@ -130,12 +153,17 @@
             self._log.info("ready", version=snapshot.configuration.version)
         workers = self._overlay.corrected(snapshot.workers.values(), snapshot.placements, now_s)
         self._selector.apply_workers(workers, now_s)
-        self._selector.apply_engines(_engine_facts(snapshot))
+        if snapshot.configuration is not self._facts_of:
+            self._facts_of = snapshot.configuration
+            self._selector.apply_engines(_engine_facts(snapshot))
         edges = snapshot.view.edges if snapshot.view is not None else 0
         if edges > 0:
             self._selector.apply_edges(edges)
             self._budget.apply_edges(edges, now_s)
-        self._share_connections(max(1, edges))
+        shared = _ConnectionSharers.of(snapshot, max(1, edges))
+        if shared != self._sharers or shared.has_silent():
+            self._sharers = shared
+            self._share_connections(shared.edges)
         self._forwarder.workers_changed()
 
     def _share_connections(self, edges: int) -> None:
