Hear a restarted owner at once, and take no body for the head of a next request

Cause: (1) a restarted owner numbers its placement updates from its token anew; edges with higher counters ignored them, and with deltas would have kept old corrections for good. Ruled out: the hand-over's wait (log of a trial with killed owners), the worker, an unhandled fault. Change: origins of updates name the life of the owner's process, tables compare tokens; ClientConnection knows a request under way.

--- a/arrowfold/controlplane/placement_notices.py
+++ b/arrowfold/controlplane/placement_notices.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -14,7 +15,6 @@
 
 ROLE_PREFIX = "placement/"
 READY_TOLERANCE_S = 0.1  # an expected time that moved by less is not told again
-_UPDATES_A_TOKEN = 2**32
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +41,7 @@
 
     service: str
     token: int
+    first: int  # the counter before its first update
     counter: int
     workers: dict[str, _Published] = field(default_factory=dict)
 
@@ -51,15 +52,16 @@
     def __init__(self, on_change: Callable[[], None], clock: Callable[[], float]) -> None:
         self._on_change = on_change
         self._clock = clock
+        self._life = secrets.token_hex(4)  # a restarted owner has its role under the same token
         self._services: dict[str, _ServiceNotices] = {}
 
     def publish(self, service: str, token: int, corrections: tuple[WorkerCorrection, ...]) -> None:
         """Take all corrections of a service that are in force now; pullers learn what changed."""
-        origin = ROLE_PREFIX + service
+        origin = f"{ROLE_PREFIX}{service}@{self._life}"
         known = self._services.get(origin)
         if known is None or token > known.token:
-            first = max(token * _UPDATES_A_TOKEN, known.counter if known is not None else 0)
-            known = self._services[origin] = _ServiceNotices(service, token, first)
+            first = known.counter if known is not None else 0
+            known = self._services[origin] = _ServiceNotices(service, token, first, first)
         known.counter += 1
         self._note(known, corrections)
         self._on_change()
@@ -88,8 +90,8 @@
         )
 
     def _update(self, origin: str, known: _ServiceNotices, since: int) -> PlacementUpdate:
-        """What changed after `since`; everything for a puller that follows an earlier owner, or none."""
-        if since <= known.token * _UPDATES_A_TOKEN:
+        """What changed after `since`; everything for a puller that has nothing of this tenure."""
+        if since <= known.first:
             since = 0
         changed = {
             instance: published for instance, published in known.workers.items() if published.counter > since
@@ -97,7 +99,13 @@
         corrections = tuple(item.correction for item in changed.values() if item.correction is not None)
         withdrawn = tuple(instance for instance, item in changed.items() if item.correction is None)
         return PlacementUpdate(
-            origin, known.counter, known.service, corrections, withdrawn if since else (), since
+            origin,
+            known.counter,
+            known.service,
+            corrections,
+            withdrawn if since else (),
+            since,
+            known.token,
         )
 
 
--- a/arrowfold/dataplane/front.py
+++ b/arrowfold/dataplane/front.py
@@ -93,6 +93,7 @@
 
     received_s = 0.0
     coming_since_s: float | None = None  # the first bytes of a request that is not under way yet
+    under_way = False  # a request whose head has come and whose answer has not ended
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to rest."""
@@ -102,13 +103,19 @@
     def data_received(self, data: bytes) -> None:
         """Take bytes of the client."""
         self.received_s = self._loop.time()
-        if self.coming_since_s is None:
+        if self.coming_since_s is None and not self.under_way:
             self.coming_since_s = self.received_s
         super().data_received(data)
 
     def request_began(self) -> None:
-        """The head of a request has come whole."""
+        """The head of a request has come whole; what comes now is its body."""
         self.coming_since_s = None
+        self.under_way = True
+
+    def request_ended(self) -> None:
+        """Its answer has ended: the connection rests."""
+        self.under_way = False
+        self.received_s = self._loop.time()
 
     def is_overdue(self, limits: Limits, longest_idle_s: float, now_s: float) -> bool:
         """Whether its client has taken too long for a head, or has rested too long."""
@@ -194,7 +201,7 @@
         finally:
             self._busy.discard(connection)
             if isinstance(connection, ClientConnection):
-                connection.received_s = self._loop.time()
+                connection.request_ended()
 
     async def _serve(self, request: BaseRequest) -> web.StreamResponse:
         arrived_s = asyncio.get_running_loop().time()
--- a/arrowfold/dataplane/placement_overlay.py
+++ b/arrowfold/dataplane/placement_overlay.py
@@ -27,7 +27,7 @@
     """
 
     def __init__(self) -> None:
-        self._tables: dict[str, tuple[PlacementTable, float]] = {}  # by origin, and when it was first seen
+        self._tables: dict[str, tuple[PlacementTable, float]] = {}  # by service, and when it was first seen
         self._first_seen: dict[str, tuple[WorkerCorrection, float]] = {}  # by instance
         self._laid: dict[str, _Laid] = {}
 
@@ -64,10 +64,10 @@
         self, tables: Mapping[str, PlacementTable], now_s: float
     ) -> dict[str, WorkerCorrection]:
         corrections: dict[str, WorkerCorrection] = {}
-        for origin, table in tables.items():
-            known = self._tables.get(origin)
+        for service, table in tables.items():
+            known = self._tables.get(service)
             if known is None or known[0] is not table:
-                known = self._tables[origin] = (table, now_s)
+                known = self._tables[service] = (table, now_s)
             if _is_valid(known[1], now_s):
                 corrections.update(table.corrections)
         seen = self._first_seen
--- a/arrowfold/dataplane/tables.py
+++ b/arrowfold/dataplane/tables.py
@@ -41,8 +41,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacementTable:
-    """The corrections in force of one service, by instance, after update `counter` of its owner."""
+    """The corrections in force of one service, by instance, after update `counter` of `origin`."""
 
+    origin: str
+    token: int
     counter: int
     corrections: dict[str, WorkerCorrection]
 
@@ -54,7 +56,7 @@
     configuration: ConfigurationSnapshot | None = None
     workers: dict[str, WorkerRecord] = field(default_factory=dict)
     view: ClusterView | None = None
-    placements: dict[str, PlacementTable] = field(default_factory=dict)
+    placements: dict[str, PlacementTable] = field(default_factory=dict)  # by service
 
     def may_send(self, instance: str) -> bool:
         """Whether requests may still be sent to this worker."""
@@ -142,15 +144,19 @@
 
 
 def _with_placement(known: dict[str, PlacementTable], update: PlacementUpdate) -> dict[str, PlacementTable]:
-    held = known.get(update.origin)
-    if held is not None and held.counter >= update.counter:
+    held = known.get(update.service)
+    if held is not None and held.token > update.token:
         return known
-    kept = held.corrections if held is not None and update.since else {}
+    same_owner = held is not None and held.origin == update.origin
+    if held is not None and same_owner and held.counter >= update.counter:
+        return known
+    kept = held.corrections if held is not None and same_owner and update.since else {}
     corrections = {
         **{instance: item for instance, item in kept.items() if instance not in update.withdrawn},
         **{item.instance: item for item in update.corrections},
     }
-    return {**known, update.origin: PlacementTable(update.counter, corrections)}
+    table = PlacementTable(update.origin, update.token, update.counter, corrections)
+    return {**known, update.service: table}
 
 
 def _is_later(record: WorkerRecord, known: WorkerRecord) -> bool:
--- a/arrowfold/internal/messages.py
+++ b/arrowfold/internal/messages.py
@@ -168,9 +168,9 @@
 class PlacementUpdate:
     """Corrections for the workers of a service, made after update `since` of the same origin.
 
-    `origin` is the owner's role; `counter` is higher for a later owner and for a later update. `withdrawn`
-    are instances that have no correction any longer. With `since` 0 these are all corrections in force. One
-    without any renews those before it.
+    `origin` is the role and the life of the owner's process, `token` its fencing token: of two origins the
+    one that came later under no lower token holds. `withdrawn` are instances that have no correction any
+    longer. With `since` 0 these are all corrections in force. One without any renews those before it.
     """
 
     origin: str
@@ -179,6 +179,7 @@
     corrections: tuple[WorkerCorrection, ...]
     withdrawn: tuple[str, ...] = ()
     since: int = 0
+    token: int = 0
 
 
 @message(20)
--- a/tests/system/test_edge_front.py
+++ b/tests/system/test_edge_front.py
@@ -155,3 +155,28 @@
         await edge.stop()
 
     play(story)
+
+
+def test_a_body_that_comes_after_its_head_is_not_the_head_of_a_next_request() -> None:
+    async def story() -> None:
+        # Given a request whose body comes by itself, and its answer
+        edge, _ = await edge_with(plain, idleTimeoutMs=15000, headerTimeoutMs=3000)
+        assert edge.front is not None
+        client = await edge.client()
+        data = request_bytes("/pay/1", "a1", body=b"in two parts")
+        await client.send(data[:-8])
+        await asyncio.sleep(0.05)
+        await client.send(data[-8:])
+        assert (await client.read()).status == 200
+        await asyncio.sleep(0.02)
+        connection = front_connection(edge)
+        # Then nothing is taken to be on its way
+        assert connection.coming_since_s is None
+        # And the connection may rest for longer than a head may take
+        connection.received_s -= 10
+        edge.front.close_overdue()
+        await client.send(request_bytes("/pay/1", "a2"))
+        assert (await client.read()).status == 200
+        await edge.stop()
+
+    play(story)
