Let the test of spread first calls run on a clock that stands still

The last landing failed on it alone: it took spans from the wall clock, and a busy machine paused between the reading and the timer (1.749 s against a bound of 1.6). Ruled out: the spread itself, which draws within LONGEST_SPREAD by construction. The loop's time now stands still in the test, and the bound is LONGEST_SPREAD without the 0.1 s of slack it had.

--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -11,6 +11,7 @@
 import time
 import unittest
 from collections import Counter
+from datetime import timedelta
 from itertools import pairwise
 from random import Random
 from typing import Any
@@ -128,6 +129,12 @@
                 continue
 
     def test_the_first_calls_of_a_fleet_that_starts_at_once_are_spread(self) -> None:
+        class StandingClock(Loop):
+            """A loop whose time stands still, so that spans between timers are exact."""
+
+            def now(self) -> timedelta:
+                return timedelta(days=1)
+
         class Core:
             listed = True
 
@@ -141,7 +148,7 @@
             """When each node's first call is due, in seconds after the start."""
             due = []
             for seed in range(60):
-                loop = Loop(lambda where, error: None)
+                loop = StandingClock(lambda where, error: None)
                 begun = loop.now()
                 one = watches.Discovery(
                     loop, ("127.0.0.1", 1), Core(nodes),  # type: ignore[arg-type]
@@ -154,7 +161,7 @@
         few, many, most = firsts(2), firsts(200), firsts(2700)
         self.assertLess(few[-1], 0.1)
         self.assertGreater(many[45] - many[15], 0.1)
-        self.assertLess(most[-1], watches.LONGEST_SPREAD.total_seconds() + 0.1)
+        self.assertLess(most[-1], watches.LONGEST_SPREAD.total_seconds())
         self.assertGreater(most[45] - most[15], 0.3)
 
 
