Start edges faster, tell large fleets less often, and weigh copies by their workers' loads

Start: a third of it was the HTTP library's reading of the machine's certificates, a validation library for the settings file, and garbage collections while libraries load. Settings are checked by dataclasses now. Ruled out: hash-checked against unchecked compiled files and no `site` (no difference beyond noise).

Distribution: notices of ordinary news are spaced by the fleet's size as answers are, and the spacing of answers is twice as long from 100 edges on. Of many edges each keeps fewer tokens for its part of the workload (recounting them was a fifth of an edge's running time, profile).

Placement: urgent loads always took the store's next place, and a further copy got it only if it came up at a look at copies. A copy that gains more than a missed request now goes first, and keeps its place until the next look. Loads of workers count: a copy takes load off busy holders and goes where little runs.

The story of adapters' holders asks the same with the busier models on other workers: two that only swap equal loads don't pay any more.

--- a/arrowfold/controlplane/distribution.py
+++ b/arrowfold/controlplane/distribution.py
@@ -28,8 +28,10 @@
 from arrowfold.replication.state import ControlState
 
 LONGEST_WAIT_S = 5.0
-ANSWERS_A_S = 1000.0  # to edges with ordinary news, over all edges: several changes then go in one answer
+ANSWERS_A_S = 500.0  # to edges with ordinary news, over all edges: several changes then go in one answer
 LONGEST_SPACING_S = 0.4  # between two answers with ordinary news to one edge
+NOTICES_A_S = 100.0  # of ordinary news without the news itself, over all edges
+LONGEST_NOTICE_SPACING_S = 1.0
 MOST_REMEMBERED = 4096  # pullers whose last answer is remembered
 StateUpdate = ConfigurationUpdate | ConfigurationDelta | DepartureUpdate
 
@@ -136,8 +138,10 @@
         lacks = any(counter > known.get(origin, 0) for origin, counter in self._vector.items())
         return News.ORDINARY if lacks else News.NONE
 
-    def _spacing_s(self) -> float:
-        """How long an edge waits between two answers with ordinary news."""
+    def _spacing_s(self, notice_only: bool) -> float:
+        """How long an edge waits between two answers with ordinary news, or with a notice of some."""
+        if notice_only:
+            return min(LONGEST_NOTICE_SPACING_S, self._presence.count() / NOTICES_A_S)
         return min(LONGEST_SPACING_S, self._presence.count() / ANSWERS_A_S)
 
     async def pull(self, request: PullRequest) -> PullResponse:
@@ -145,7 +149,8 @@
         self._presence.seen(request.sender)
         clock = asyncio.get_running_loop().time
         deadline = clock() + min(request.wait_s, LONGEST_WAIT_S)
-        due = self._answered_s.get(request.sender.member, -math.inf) + self._spacing_s()
+        spacing_s = self._spacing_s(request.notice_only)
+        due = self._answered_s.get(request.sender.member, -math.inf) + spacing_s
         epoch, current = self._replica.epoch, self._replica.is_current()
         while (news := self._news(request, epoch, current)) is not News.URGENT:
             until = deadline if news is News.NONE else min(due, deadline)
--- a/arrowfold/node/settings.py
+++ b/arrowfold/node/settings.py
@@ -1,4 +1,4 @@
-"""The settings of one process: the TOML file that `ARROWFOLD_NODE_FILE` names, checked by pydantic.
+"""The settings of one process: the TOML file that `ARROWFOLD_NODE_FILE` names, with every key's type checked.
 
 Unknown keys are skipped, so that a newer platform can add some. A fault is reported with the key's path.
 """
@@ -6,23 +6,20 @@
 from __future__ import annotations
 
 import tomllib
+from dataclasses import dataclass, field
 from pathlib import Path
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
+from arrowfold.node.typed_tables import AT_LEAST, TableError, read_table
+
 
 class SettingsError(Exception):
     """The settings file can't be used; the text is one line that names the file and the key's path."""
 
 
-class _Section(BaseModel):
-    """A part of the file; frozen, since settings are swapped whole."""
-
-    model_config = ConfigDict(extra="ignore", frozen=True)
-
-
-class ListenAddresses(_Section):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ListenAddresses:
     """The addresses of what this role serves, as HOST:PORT; None where it does not serve it."""
 
     front: str | None = None
@@ -30,7 +27,8 @@
     control: str | None = None
 
 
-class ProcessLimits(_Section):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ProcessLimits:
     """What the machine gives this process."""
 
     cpuShare: float = 1.0
@@ -41,15 +39,17 @@
     diskMb: int = 0
 
 
-class FaultTolerance(_Section):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FaultTolerance:
     """What may be lost at one time while every rule is still kept."""
 
-    machineLosses: int = Field(default=0, ge=0)
+    machineLosses: int = field(default=0, metadata={AT_LEAST: 0})
     zones: int = 0
     regionLosses: int = 0
 
 
-class Bounds(_Section):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Bounds:
     """The figures of the operating rules, in the units that the names carry."""
 
     seedLagS: float = 3
@@ -76,7 +76,8 @@
     ceilingOverage: float = 1.1
 
 
-class NodeSettings(_Section):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NodeSettings:
     """The whole settings file of one process."""
 
     nodeName: str
@@ -93,11 +94,11 @@
     dataDirectory: str | None = None
     beatIntervalMs: float = 1200
     contracts: tuple[str, ...] = ()
-    zones: dict[str, str] = Field(default_factory=dict)
-    listenAddresses: ListenAddresses = ListenAddresses()
-    limits: ProcessLimits = ProcessLimits()
-    faultTolerance: FaultTolerance = FaultTolerance()
-    bounds: Bounds = Bounds()
+    zones: dict[str, str] = field(default_factory=dict)
+    listenAddresses: ListenAddresses = field(default_factory=ListenAddresses)
+    limits: ProcessLimits = field(default_factory=ProcessLimits)
+    faultTolerance: FaultTolerance = field(default_factory=FaultTolerance)
+    bounds: Bounds = field(default_factory=Bounds)
 
     @property
     def internal_port(self) -> int:
@@ -117,13 +118,11 @@
 def parse_settings(text: str, source: str) -> Result[NodeSettings, SettingsError]:
     """Read and check the text of a settings file; `source` names it in errors."""
     try:
-        return Ok(NodeSettings.model_validate(tomllib.loads(text)))
+        return Ok(read_table(NodeSettings, tomllib.loads(text)))
     except tomllib.TOMLDecodeError as error:
         return Err(SettingsError(f"{source}: not TOML: {error}"))
-    except ValidationError as error:
-        first = error.errors()[0]
-        path = ".".join(str(part) for part in first["loc"])
-        return Err(SettingsError(f"{source}: {path}: {first['msg']}"))
+    except TableError as error:
+        return Err(SettingsError(f"{source}: {error}"))
 
 
 def load_settings(path: Path) -> Result[NodeSettings, SettingsError]:
--- a/arrowfold/placement/planner.py
+++ b/arrowfold/placement/planner.py
@@ -16,6 +16,7 @@
 LOAD_PRICE = 0.45  # worth: a load of weights with its two orders
 PAYBACK_S = 6.0  # a further copy has to earn its price within this time
 COPY_GAIN = LOAD_PRICE / PAYBACK_S  # worth a second that a further copy has to gain
+PRESSING_GAIN = 0.3  # worth a second from which a further copy goes before a model that one request misses
 GAIN_RATIO = 1.5  # how many times its loss a move has to gain
 WORKER_LOAD_COST = 0.01  # a second, for each request that runs on the chosen worker
 STORE_COST = 0.05  # for a worker that has to read the weights from the store
@@ -37,6 +38,7 @@
     urgent: bool  # a request is waiting for it
     since_s: float
     begun: bool = False  # something was unloaded for it
+    pressing: bool = False  # a further copy that gains more than a request that waits
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,11 +74,16 @@
         self._index = self._fleet.index()
         values = CopyValuation(self._fleet, self._demand, now_s)
         context = PlanningContext(catalogue, self._demand, values, now_s)
-        self._drop_intents(context)
-        self._want_missed(context)
-        if now_s - self._spread_s >= SPREAD_INTERVAL_S:
+        is_spreading = now_s - self._spread_s >= SPREAD_INTERVAL_S
+        self._drop_intents(context, is_spreading)
+        missed = self._missed_targets(context)
+        self._want_missed(context, [target for target in missed if target.adapter])
+        if is_spreading:
             self._spread_s = now_s
-            self._want_copies(context)
+            self._want_copies(context, PRESSING_GAIN)
+        self._want_missed(context, [target for target in missed if not target.adapter])
+        if is_spreading:
+            self._want_copies(context, COPY_GAIN)
             self._want_adapter_copies(context)
         ordered = sorted(self._intents, key=lambda instance: _urgency(self._intents[instance]))
         steps = [self._next_step(context, instance) for instance in ordered]
@@ -103,12 +110,14 @@
         """What this worker is being prepared for."""
         return self._intents[instance].target if instance in self._intents else None
 
-    def _drop_intents(self, context: PlanningContext) -> None:
+    def _drop_intents(self, context: PlanningContext, is_spreading: bool) -> None:
         for instance, intent in list(self._intents.items()):
-            if self._is_outdated(context, instance, intent):
+            if self._is_outdated(context, instance, intent, is_spreading):
                 del self._intents[instance]
 
-    def _is_outdated(self, context: PlanningContext, instance: str, intent: LoadIntent) -> bool:
+    def _is_outdated(
+        self, context: PlanningContext, instance: str, intent: LoadIntent, is_spreading: bool
+    ) -> bool:
         worker = self._fleet.workers.get(instance)
         target = intent.target
         if worker is None or not worker.serves or worker.holds(target.model, target.adapter):
@@ -117,7 +126,7 @@
             return True
         if target.adapter and not worker.holds(target.model):
             return True
-        if not intent.begun and worker.pending is None:
+        if not intent.begun and worker.pending is None and (is_spreading or not intent.pressing):
             return True  # nothing was done for it: it is decided anew
         return context.now_s - intent.since_s > INTENT_VALID_S
 
@@ -126,14 +135,15 @@
             return True
         return any(intent.target == target for intent in self._intents.values())
 
-    def _want_missed(self, context: PlanningContext) -> None:
-        """Requests are waiting for classes that stand nowhere; adapters first, which take milliseconds."""
-        targets = dict.fromkeys(
-            target
-            for key in self._demand.missed_classes(context.now_s, missing_valid_s(context.catalogue))
-            if (target := self._missed_target(context, key)) is not None
-        )
-        for target in sorted(targets, key=lambda target: not target.adapter):
+    def _missed_targets(self, context: PlanningContext) -> list[ModelClass]:
+        """What has to be loaded for requests that wait for classes that stand nowhere, the oldest first."""
+        missed = self._demand.missed_classes(context.now_s, missing_valid_s(context.catalogue))
+        targets = (self._missed_target(context, key) for key in missed)
+        return list(dict.fromkeys(target for target in targets if target is not None))
+
+    def _want_missed(self, context: PlanningContext, targets: list[ModelClass]) -> None:
+        """Prepare workers for what requests are waiting for."""
+        for target in targets:
             if not self._is_coming(target):
                 self._choose_worker(context, target, urgent=True)
 
@@ -146,13 +156,13 @@
             return None
         return key if self._index.holders(key.model) else ModelClass(key.model)
 
-    def _want_copies(self, context: PlanningContext) -> None:
+    def _want_copies(self, context: PlanningContext, least_gain: float) -> None:
         """Further copies where they gain most, as far as the store has room beside urgent loads."""
         room = max(LEAST_SPREAD, context.catalogue.parallel_loads - 1) - self._spread_planned(context)
         models = {model for model in self._demand.asked_models() if context.catalogue.known(model)}
         while room > 0 and models:
             gain, model = max((self._gain(context, model), model) for model in models)
-            if gain < COPY_GAIN:
+            if gain < least_gain:
                 return
             if self._choose_worker(context, ModelClass(model), urgent=False, gain=gain):
                 room -= 1
@@ -165,7 +175,7 @@
             for instance, intent in self._intents.items()
             if intent.target == ModelClass(model) and self._fleet.workers[instance].arriving_model() != model
         )
-        return context.values.gain(model, context.values.copies(model) + wanted)
+        return context.values.relief(model, context.values.copies(model) + wanted, self._index.holders(model))
 
     def _want_adapter_copies(self, context: PlanningContext) -> None:
         """Further copies of adapters whose workload is more than their holders should carry."""
@@ -205,9 +215,14 @@
         if target.adapter:
             pays = urgent or best.loss <= 0.0
         else:
-            pays = urgent or gain >= GAIN_RATIO * best.loss + COPY_GAIN
+            burden = (
+                0.0 if urgent else context.values.burden(self._fleet.workers[best.instance], target.model)
+            )
+            pays = urgent or gain - burden >= GAIN_RATIO * best.loss + COPY_GAIN
         if pays:
-            self._intents[best.instance] = LoadIntent(target, urgent, context.now_s)
+            self._intents[best.instance] = LoadIntent(
+                target, urgent, context.now_s, pressing=gain >= PRESSING_GAIN
+            )
         return pays
 
     def _free_workers(self, target: ModelClass) -> list[WorkerState]:
@@ -250,6 +265,7 @@
         unfitness = WORKER_LOAD_COST * context.values.load_of(worker)
         if target.adapter:
             return unfitness + ADAPTER_COUNT_COST * len(worker.holdings[target.model].adapters)
+        unfitness += context.values.burden(worker, target.model)
         if not self._fleet.is_on_disk(worker, target.model):
             unfitness += STORE_COST
         if worker.zone in self._index.zones_of(target.model):
@@ -277,4 +293,4 @@
 
 
 def _urgency(intent: LoadIntent) -> tuple[bool, float]:
-    return not intent.urgent, intent.since_s
+    return not (intent.urgent or intent.pressing), intent.since_s
--- a/arrowfold/placement/valuation.py
+++ b/arrowfold/placement/valuation.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from arrowfold.placement.demand import DemandEstimator, ModelClass
 from arrowfold.placement.fleet import PlacementFleet
 from arrowfold.placement.worker_state import WorkerState
@@ -69,6 +71,28 @@
             gain += SPARE_COPY_WORTH * min(estimate.rate_s(self._now_s), SPARE_COPY_RATE_S)
         return gain
 
+    def relief(self, model: str, copies: int, holders: Sequence[WorkerState]) -> float:
+        """What one more copy adds beside `copies` that stand, by the load of their workers.
+
+        A worker's queues cost `c x load^2`, whatever models its load is of: a copy takes a part of the
+        model's workload off each of its holders.
+        """
+        if copies == 0 or not holders:
+            return self.gain(model, copies)
+        estimate = self._demand.model(model)
+        workload = estimate.workload(self._now_s)
+        part = workload / (copies * (copies + 1))
+        relief = sum(2.0 * self.load_of(holder) * part - part * part for holder in holders)
+        relief *= QUEUE_COST * copies / len(holders)
+        if copies == 1:
+            relief += SPARE_COPY_WORTH * min(estimate.rate_s(self._now_s), SPARE_COPY_RATE_S)
+        return relief
+
+    def burden(self, worker: WorkerState, model: str) -> float:
+        """What a copy costs by the load that it brings to a worker."""
+        share = self._demand.model(model).workload(self._now_s) / (self._copies[model] + 1)
+        return QUEUE_COST * (2.0 * self.load_of(worker) * share + share * share)
+
     def loss(self, worker: WorkerState, model: str) -> float:
         """What it costs to unload this model from this worker."""
         if not worker.serves:
--- a/arrowfold/programs/control.py
+++ b/arrowfold/programs/control.py
@@ -12,27 +12,20 @@
 
 from __future__ import annotations
 
-import asyncio
 import sys
 
 from docopt import docopt
-from result import Err
 
-from arrowfold.controlplane.node import ControlNode
-from arrowfold.node.logs import configure
-from arrowfold.programs.startup import open_settings, refuse, run_node
+from arrowfold.node.library_loading import loading_libraries
 
 
 def main(arguments: list[str] | None = None) -> int:
     """Run a control node until it is told to end; returns the exit code."""
     options = docopt(__doc__, argv=arguments)
-    configure(options["--log-level"], options["--json-log"])
-    opened = open_settings(options["--settings"])
-    if isinstance(opened, Err):
-        return refuse(opened.err_value)
-    file = opened.ok_value
-    asyncio.run(run_node(file, lambda log: ControlNode(file.settings, log)))
-    return 0
+    with loading_libraries():
+        from arrowfold.programs.control_assembly import run_control
+
+    return run_control(options)
 
 
 if __name__ == "__main__":
--- a/arrowfold/programs/edge.py
+++ b/arrowfold/programs/edge.py
@@ -17,6 +17,7 @@
 
 from docopt import docopt
 
+from arrowfold.node.library_loading import loading_libraries
 from arrowfold.node.listeners import open_listeners
 
 
@@ -26,7 +27,8 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node follows the settings file
     listeners = open_listeners(options["--settings"])
     # What follows takes a good part of a second to load; connections that come meanwhile wait.
-    from arrowfold.programs.edge_assembly import run_edge
+    with loading_libraries():
+        from arrowfold.programs.edge_assembly import run_edge
 
     return run_edge(options, listeners)
 
--- a/arrowfold/selection/market_selector.py
+++ b/arrowfold/selection/market_selector.py
@@ -97,8 +97,12 @@
                 self.admission.found(request_class, self.market.now_s)
 
     def apply_edges(self, edges: int) -> None:
-        """Take how many edge nodes share the workers."""
+        """Take how many edge nodes share the workers: of many each needs fewer tokens for its part."""
         self._edges = max(1, edges)
+        options = self.options
+        tokens = options.tokens_per_worker * options.usual_edges // self._edges
+        least = options.fewest_tokens_per_worker
+        self.market.tokens_per_worker = max(least, min(options.tokens_per_worker, tokens))
 
     def apply_engines(self, facts: tuple[EngineFacts, ...]) -> None:
         """Take what the configuration tells of the services' engines."""
--- a/arrowfold/selection/options.py
+++ b/arrowfold/selection/options.py
@@ -14,6 +14,9 @@
     """
 
     tokens_per_worker: int = 24  # L_g is the whole workload over so many tokens a worker
+    fewest_tokens_per_worker: int = (
+        4  # with more than `usual_edges`, each of which has a part of the workload
+    )
     trade_threshold: float = 1.0  # T_s = -T_r = T, in usual spreads of loads round their mean
     rate_memory_s: float = 10.0  # of the measured arrival rates R_i
     usual_edges: int = 16  # more edges than these make rounds of trades further apart, each by so much
