Weigh loads four times in the choice of a worker, and plan with what a moment's plan has found

Cause: an engine's streams pause long before its 64 places are taken, so C_j(w) moved few choices: with twelve requests more than another a home was still kept.

Averages, models that may give way and gains are now worked out once for all decisions of a moment, and a step is followed by a rest of three times its length (50 ms at most).

--- a/arrowfold/controlplane/placement_executor.py
+++ b/arrowfold/controlplane/placement_executor.py
@@ -39,6 +39,8 @@
 KEEP_CONNECTION_S = 2.0  # an idle connection to a worker is kept for the next order of a chain
 RENEWAL_S = 1.0  # edges drop corrections that are not published again for some seconds
 SHORTEST_PAUSE_S = 0.005
+RESTS = 3.0  # after each step, of the time that it took: planning takes a quarter of the processor at most
+LONGEST_REST_S = 0.05
 _ANSWERS = {
     200: OrderAnswer.ALREADY,
     202: OrderAnswer.ACCEPTED,
@@ -137,7 +139,9 @@
         """Work until the lease is lost or a worker has seen a later owner."""
         try:
             while self._lease.is_tenured() and not (self._placer and self._placer.fenced):
+                begun_s = self._clock()
                 self._step()
+                await asyncio.sleep(min(LONGEST_REST_S, RESTS * (self._clock() - begun_s)))
                 await self._pause()
         finally:
             await self._finish()
--- a/arrowfold/placement/demand.py
+++ b/arrowfold/placement/demand.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from arrowfold.internal.messages import ClassDemand
 
@@ -47,15 +48,34 @@
         return self._value * math.exp(-max(0.0, now_s - self._at_s) / self._constant_s)
 
 
+class _Rates(NamedTuple):
+    """The averages of one class at a moment, in requests a second."""
+
+    at_s: float
+    usual: float
+    longest: float  # counting the average that keeps rare models
+
+
 class ClassEstimate:
     """What is known of the demand for one class."""
 
-    __slots__ = ("_fast", "_slow", "_rare", "duration_s", "measured", "asked_s", "missing_s", "missing")
+    __slots__ = (
+        "_fast",
+        "_slow",
+        "_rare",
+        "_rates",
+        "duration_s",
+        "measured",
+        "asked_s",
+        "missing_s",
+        "missing",
+    )
 
     def __init__(self) -> None:
         self._fast = _Average(FAST_S)
         self._slow = _Average(SLOW_S)
         self._rare = _Average(RARE_S)
+        self._rates = _Rates(math.nan, 0.0, 0.0)  # of the moment that was last asked for
         self.duration_s = DEFAULT_DURATION_S
         self.measured = False
         self.asked_s = -math.inf  # when it was last asked for
@@ -66,6 +86,7 @@
         """Take what one edge saw since its last report."""
         for average in (self._fast, self._slow, self._rare):
             average.add(requests, now_s)
+        self._rates = _Rates(math.nan, 0.0, 0.0)
         if requests > 0 or missing > 0:
             self.asked_s = now_s
         if missing > 0:
@@ -76,13 +97,20 @@
 
     def rate_s(self, now_s: float) -> float:
         """Requests a second, for the number of copies."""
-        return max(self._fast.value(now_s), self._slow.value(now_s))
+        return self._at(now_s).usual
 
     def keep_rate_s(self, now_s: float) -> float:
         """Requests a second, for whether a copy is worth its room at all."""
         idle_s = now_s - self.asked_s
         bound = math.inf if idle_s <= 0 else 1.0 / idle_s
-        return min(max(self._rare.value(now_s), self.rate_s(now_s)), bound)
+        return min(self._at(now_s).longest, bound)
+
+    def _at(self, now_s: float) -> _Rates:
+        """The averages at a moment; all decisions of one moment ask for the same."""
+        if self._rates.at_s != now_s:
+            usual = max(self._fast.value(now_s), self._slow.value(now_s))
+            self._rates = _Rates(now_s, usual, max(usual, self._rare.value(now_s)))
+        return self._rates
 
     def workload(self, now_s: float) -> float:
         """Requests that run at a time: rate x mean duration."""
--- a/arrowfold/placement/eviction.py
+++ b/arrowfold/placement/eviction.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from arrowfold.placement.catalogue import ModelCatalogue
 from arrowfold.placement.demand import DemandEstimator, ModelClass
@@ -31,6 +31,7 @@
     demand: DemandEstimator
     values: CopyValuation
     now_s: float
+    _evictable: dict[str, list[Victim]] = field(default_factory=dict)  # by instance, the least valuable first
 
     def victims(self, worker: WorkerState, target: ModelClass) -> list[Victim] | None:
         """What has to go before the target fits; None if it can't be made to fit now."""
@@ -39,20 +40,27 @@
         if self._fits_without(worker, target, frozenset()):
             return []
         victims: list[Victim] = []
-        for victim in self._evictable_models(worker, target.model):
+        for victim in self._evictable_models(worker):
+            if victim.target.model == target.model:
+                continue
             victims.append(victim)
             if self._fits_without(worker, target, frozenset(gone.target.model for gone in victims)):
                 return victims
         return None
 
-    def _evictable_models(self, worker: WorkerState, keep: str) -> list[Victim]:
+    def _evictable_models(self, worker: WorkerState) -> list[Victim]:
         """Models that may be unloaded from this worker, the least valuable first."""
+        known = self._evictable.get(worker.instance)
+        if known is not None:
+            return known
         candidates = [
             Victim(self._model_loss(worker, model), ModelClass(model))
             for model in worker.holdings
-            if model != keep and self._is_evictable(worker, model)
+            if self._is_evictable(worker, model)
         ]
-        return sorted(candidates, key=lambda victim: (victim.loss, victim.target))
+        ordered = sorted(candidates, key=lambda victim: (victim.loss, victim.target))
+        self._evictable[worker.instance] = ordered
+        return ordered
 
     def _is_evictable(self, worker: WorkerState, model: str) -> bool:
         if not self.catalogue.known(model):
--- a/arrowfold/placement/planner.py
+++ b/arrowfold/placement/planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from dataclasses import dataclass, replace
 
 from arrowfold.placement.catalogue import ModelCatalogue
@@ -74,16 +75,18 @@
         self._index = self._fleet.index()
         values = CopyValuation(self._fleet, self._demand, now_s)
         context = PlanningContext(catalogue, self._demand, values, now_s)
+        gains: dict[str, float] = {}
         is_spreading = now_s - self._spread_s >= SPREAD_INTERVAL_S
         self._drop_intents(context, is_spreading)
         missed = self._missed_targets(context)
         self._want_missed(context, [target for target in missed if target.adapter])
         if is_spreading:
             self._spread_s = now_s
-            self._want_copies(context, PRESSING_GAIN)
+            gains = self._gains(context)
+            self._want_copies(context, gains, PRESSING_GAIN)
         self._want_missed(context, [target for target in missed if not target.adapter])
         if is_spreading:
-            self._want_copies(context, COPY_GAIN)
+            self._want_copies(context, gains, COPY_GAIN)
             self._want_adapter_copies(context)
         ordered = sorted(self._intents, key=lambda instance: _urgency(self._intents[instance]))
         steps = [self._next_step(context, instance) for instance in ordered]
@@ -156,26 +159,44 @@
             return None
         return key if self._index.holders(key.model) else ModelClass(key.model)
 
-    def _want_copies(self, context: PlanningContext, least_gain: float) -> None:
-        """Further copies where they gain most, as far as the store has room beside urgent loads."""
+    def _want_copies(self, context: PlanningContext, gains: dict[str, float], least_gain: float) -> None:
+        """Further copies where they gain most, as far as the store has room beside urgent loads.
+
+        `gains`: what one more copy of each model adds; a model for which no worker was found is taken out.
+        """
         room = max(LEAST_SPREAD, context.catalogue.parallel_loads - 1) - self._spread_planned(context)
-        models = {model for model in self._demand.asked_models() if context.catalogue.known(model)}
-        while room > 0 and models:
-            gain, model = max((self._gain(context, model), model) for model in models)
-            if gain < least_gain:
+        while room > 0 and gains:
+            model = max(gains, key=lambda name: (gains[name], name))
+            if gains[model] < least_gain:
                 return
-            if self._choose_worker(context, ModelClass(model), urgent=False, gain=gain):
+            if self._choose_worker(context, ModelClass(model), urgent=False, gain=gains[model]):
                 room -= 1
+                gains[model] = self._gain(context, model, self._planned_copies()[model])
             else:
-                models.remove(model)
-
-    def _gain(self, context: PlanningContext, model: str) -> float:
-        wanted = sum(
-            1
+                del gains[model]
+
+    def _gains(self, context: PlanningContext) -> dict[str, float]:
+        """What one more copy adds, for every model that was asked for."""
+        planned = self._planned_copies()
+        asked = self._demand.asked_models()
+        return {
+            model: self._gain(context, model, planned[model])
+            for model in asked
+            if context.catalogue.known(model)
+        }
+
+    def _planned_copies(self) -> Counter[str]:
+        """For each model the workers that are being prepared for it and don't load it yet."""
+        return Counter(
+            intent.target.model
             for instance, intent in self._intents.items()
-            if intent.target == ModelClass(model) and self._fleet.workers[instance].arriving_model() != model
+            if not intent.target.adapter
+            and self._fleet.workers[instance].arriving_model() != intent.target.model
         )
-        return context.values.relief(model, context.values.copies(model) + wanted, self._index.holders(model))
+
+    def _gain(self, context: PlanningContext, model: str, planned: int) -> float:
+        copies = context.values.copies(model) + planned
+        return context.values.relief(model, copies, self._index.holders(model))
 
     def _want_adapter_copies(self, context: PlanningContext) -> None:
         """Further copies of adapters whose workload is more than their holders should carry."""
--- a/arrowfold/selection/market_selector.py
+++ b/arrowfold/selection/market_selector.py
@@ -287,10 +287,12 @@
         prefill_tokens = self.first_events.prefill_tokens(worker, request, rank)
         others = self.market.others(worker)
         predicted_s = self.first_events.predict(worker, request, prefill_tokens, others, self.market.now_s)
-        score = self.market.price(worker, table)
+        price = self.market.price(worker, table)
+        if self._edges > 1 and rank is None:
+            price += self.market.spread * self._draw.random()  # edges that heard the same don't herd
+        score = self.options.load_weight * price
         score += self.options.predicted_weight * predicted_s / max(0.001, request.latency_objective_s)
-        blur = self.market.spread * self._draw.random() if self._edges > 1 and rank is None else 0.0
-        return Candidate(worker, prefill_tokens, predicted_s, score + blur)
+        return Candidate(worker, prefill_tokens, predicted_s, score)
 
     def _will_do(self, request: RequestProfile, drawn: Candidate, best: Candidate) -> bool:
         """Whether a home or the drawn holder is kept although another is better."""
--- a/arrowfold/selection/options.py
+++ b/arrowfold/selection/options.py
@@ -25,6 +25,7 @@
     homes: int = 2  # workers that all edges name for a shared prompt part
     home_kept: tuple[float, ...] = (0.75, 0.25)  # part of what is shared that a home keeps, if unknown
     follow_margin: float = 0.15  # the drawn holder is left when another is better by more
+    load_weight: float = 4.0  # of the price C_j(w): an engine is slow long before its places are taken
     predicted_weight: float = 1.0  # of the predicted part of the objective, beside the price
     cross_zone_toll: float = 0.03  # on the price of a worker in another zone
     in_time: float = 0.9  # predicted beyond this part of the objective counts as late
