--- a/arrowfold/controlplane/distribution.py
+++ b/arrowfold/controlplane/distribution.py
@@ -32,6 +32,7 @@
 LONGEST_SPACING_S = 0.4  # between two answers with ordinary news to one edge
 NOTICES_A_S = 100.0  # of ordinary news without the news itself, over all edges
 LONGEST_NOTICE_SPACING_S = 1.0
+CURRENT_VALID_S = 0.005  # many pulls look at once whether this node is current; far below a lease's margin
 MOST_REMEMBERED = 4096  # pullers whose last answer is remembered
 StateUpdate = ConfigurationUpdate | ConfigurationDelta | DepartureUpdate
 
@@ -95,6 +96,7 @@
         self._vector: dict[str, int] | None = None
         self._view: tuple[ClusterView, int] | None = None
         self._answered_s: dict[str, float] = {}  # by member: the last answer with ordinary news
+        self._current = (-math.inf, False)  # when it was last looked at, and whether this node was current
 
     def wake(self) -> None:
         """There is ordinary news: look after the pulls that wait for some."""
@@ -128,7 +130,7 @@
         )
 
     def _news(self, request: PullRequest, known_epoch: int, known_current: bool) -> News:
-        if self._replica.epoch != known_epoch or self._replica.is_current() != known_current:
+        if self._replica.epoch != known_epoch or self._is_current() != known_current:
             return News.URGENT
         if self._replica.committed.sequence > request.vector.get(STATE_ORIGIN, 0):
             return News.URGENT
@@ -138,6 +140,13 @@
         lacks = any(counter > known.get(origin, 0) for origin, counter in self._vector.items())
         return News.ORDINARY if lacks else News.NONE
 
+    def _is_current(self) -> bool:
+        """Whether this node heard from the primary lately, or leads, as of some milliseconds ago."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._current[0] > CURRENT_VALID_S:
+            self._current = (now_s, self._replica.is_current())
+        return self._current[1]
+
     def _spacing_s(self, notice_only: bool) -> float:
         """How long an edge waits between two answers with ordinary news, or with a notice of some."""
         if notice_only:
@@ -151,7 +160,7 @@
         deadline = clock() + min(request.wait_s, LONGEST_WAIT_S)
         spacing_s = self._spacing_s(request.notice_only)
         due = self._answered_s.get(request.sender.member, -math.inf) + spacing_s
-        epoch, current = self._replica.epoch, self._replica.is_current()
+        epoch, current = self._replica.epoch, self._is_current()
         while (news := self._news(request, epoch, current)) is not News.URGENT:
             until = deadline if news is News.NONE else min(due, deadline)
             if clock() >= until:
--- a/tests/system/edge_loopback.py
+++ b/tests/system/edge_loopback.py
@@ -14,12 +14,12 @@
 from arrowfold.configuration.routes import Limits
 from arrowfold.dataplane.forwarding import RequestForwarder
 from arrowfold.dataplane.front import EdgeFront
-from arrowfold.dataplane.least_loaded import LeastLoadedSelector
 from arrowfold.dataplane.retry_budget import RetryBudget
 from arrowfold.dataplane.tables import FleetTables
 from arrowfold.dataplane.worker_connections import WorkerConnections
 from arrowfold.internal.messages import WorkerRecord, WorkerUpdate
 from tests.system.edge_stories import HOST, configuration, configuration_update, response, route
+from tests.system.least_loaded_selector import LeastLoadedSelector
 
 SEAL = b"X-Server-Seal: seal\r\n"
 Serve = Callable[["RawExchange"], Awaitable[None]]
--- a/tests/system/edge_stories.py
+++ b/tests/system/edge_stories.py
@@ -20,7 +20,6 @@
 )
 from arrowfold.dataplane.forwarding import RequestForwarder
 from arrowfold.dataplane.headers import RawHeaders
-from arrowfold.dataplane.least_loaded import LeastLoadedSelector
 from arrowfold.dataplane.retry_budget import RetryBudget
 from arrowfold.dataplane.tables import FleetTables
 from arrowfold.internal.messages import (
@@ -34,6 +33,7 @@
     WorkerUpdate,
 )
 from arrowfold.selection.interface import WorkerSelector
+from tests.system.least_loaded_selector import LeastLoadedSelector
 
 HOST = "shop.example"
 RUNS_FOREVER = -1.0
