--- a/arrowfold/dataplane/forwarding.py
+++ b/arrowfold/dataplane/forwarding.py
@@ -249,12 +249,14 @@
             return Outcome.MISDIRECTED if status == 421 else Outcome.REJECTED_FULL
         try:
             if 200 <= status < 300 and _is_event_stream(worker_answer):
-                await relay_stream(
+                pause_s = await relay_stream(
                     progress,
                     worker_answer,
                     answer,
                     lambda: self._selector.first_event(progress.profile, choice.instance, self._clock()),
+                    self._clock,
                 )
+                self._selector.stream_passed(progress.profile, choice.instance, pause_s)
                 return Outcome.SUCCEEDED
             body = await _read_body(worker_answer)
         except BodyLostError:
--- a/arrowfold/dataplane/streams.py
+++ b/arrowfold/dataplane/streams.py
@@ -15,12 +15,14 @@
     worker_answer: WorkerAnswer,
     answer: ClientAnswer,
     first_event: Callable[[], None],
-) -> None:
-    """Pass on the events of a stream, or of its continuation, until it ends.
+    clock: Callable[[], float],
+) -> float:
+    """Pass on the events of a stream, or of its continuation, until it ends; the longest pause, in seconds.
 
     The client's head is that of the first worker. Raises BodyLostError when the stream breaks off.
     """
     splitter = EventSplitter()
+    longest_pause_s = last_s = 0.0
     versions = find(worker_answer.headers, VERSIONS)
     changed_version = versions if answer.started and versions != progress.stream_versions else None
     first = True
@@ -28,6 +30,10 @@
         events = _whole_events(splitter, chunk)
         if not events:
             continue
+        now_s = clock()
+        if not first:
+            longest_pause_s = max(longest_pause_s, now_s - last_s)
+        last_s = now_s
         if first:
             first = False
             first_event()
@@ -44,6 +50,7 @@
     if not answer.started:
         await _start(worker_answer, answer)
     await answer.finish()
+    return longest_pause_s
 
 
 def _whole_events(splitter: EventSplitter, chunk: bytes) -> list[StreamEvent]:
--- a/arrowfold/selection/engine_worker.py
+++ b/arrowfold/selection/engine_worker.py
@@ -6,7 +6,7 @@
 
 from arrowfold.internal.messages import WorkerRecord
 from arrowfold.market.tokens import Token
-from arrowfold.selection.estimates import MovingMean
+from arrowfold.selection.estimates import MovingMean, PriorMean
 from arrowfold.selection.interface import RequestProfile
 from arrowfold.selection.prompt_parts import KeptParts, name_mark
 
@@ -46,6 +46,7 @@
         self.waiting_others = 0.0  # those of them that waited for their first event
         self.heard_s: float | None = None
         self.slots = max(1, record.capacity_slots)
+        self.pauses = PriorMean()  # longest pauses of streams, as a part of the objective
         self.pace = MovingMean()  # its times to the first event over those expected
         self.delay_s, self.delay_at_s = 0.0, 0.0  # how much later than expected first events came there
         self._strikes, self._strike_s = 0.0, 0.0
--- a/arrowfold/selection/estimates.py
+++ b/arrowfold/selection/estimates.py
@@ -4,6 +4,7 @@
 
 KEEP = 0.98  # weight of the past at each sample of a trend
 STEP = 0.1  # weight of a sample in a moving mean
+PRIOR_SAMPLES = 2  # that what is usual elsewhere counts for
 
 
 class MovingMean:
@@ -23,6 +24,27 @@
         return default if self.value is None else self.value
 
 
+class PriorMean:
+    """A mean that begins at what is usual elsewhere, counted as a few samples, and then forgets slowly."""
+
+    __slots__ = ("_samples", "_value")
+
+    def __init__(self) -> None:
+        self._value = 0.0
+        self._samples = 0
+
+    def add(self, sample: float, usual: float) -> None:
+        """One sample more; `usual` is the mean elsewhere."""
+        if self._samples == 0:
+            self._value = usual
+        self._samples += 1
+        self._value += max(STEP, 1 / (self._samples + PRIOR_SAMPLES)) * (sample - self._value)
+
+    def get(self, usual: float) -> float:
+        """The mean, or what is usual elsewhere while nothing has been measured."""
+        return self._value if self._samples else usual
+
+
 class Trend:
     """A line y = base + slope * x by least squares with fading weights; neither part is ever negative."""
 
--- a/arrowfold/selection/interface.py
+++ b/arrowfold/selection/interface.py
@@ -130,6 +130,9 @@
     def first_event(self, request: RequestProfile, instance: str, now_s: float) -> None:
         """The first bytes of the body came."""
 
+    def stream_passed(self, request: RequestProfile, instance: str, longest_pause_s: float) -> None:
+        """A whole stream, or the rest of one, was passed on; the longest pause between its events."""
+
     def ended(self, request: RequestProfile, instance: str, outcome: Outcome, now_s: float) -> None:
         """The send has ended; called exactly once for each `sent`."""
 
--- a/arrowfold/selection/market_selector.py
+++ b/arrowfold/selection/market_selector.py
@@ -15,6 +15,7 @@
 from arrowfold.selection.admission import Admission, Shortage
 from arrowfold.selection.class_market import ClassMarket, ClassTable, RequestClass
 from arrowfold.selection.engine_worker import SILENT, EngineWorker, InFlight
+from arrowfold.selection.estimates import MovingMean
 from arrowfold.selection.first_events import FirstEventEstimate
 from arrowfold.selection.interface import (
     Choice,
@@ -30,6 +31,7 @@
 COMPARED = 4  # workers drawn by chance that a drawn holder is compared with
 SMALL_POOL = 8  # of up to so many holders all are compared
 MISSING_AGAIN_S = 0.5  # a request that still waits is counted as missing again: its owner may have changed
+MOST_PAUSE = 2.0  # a longer pause counts as so many objectives
 MOST_WAITING = 4096  # requests remembered as counted while they wait
 STRIKES = {Outcome.FAILED: 1.0, Outcome.UNREACHABLE: 1.0, Outcome.LOST: 1.0, Outcome.REJECTED_FULL: 0.5}
 
@@ -60,6 +62,7 @@
         self.market = ClassMarket(self.options, self._draw)
         self.first_events = FirstEventEstimate(self.options)
         self.admission = Admission(self.options, self._draw)
+        self._pauses: dict[str, MovingMean] = {}  # by service: of all its workers
         self._demand: dict[RequestClass, list[float]] = {}
         self._expected_prefill: dict[str, float] = {}  # of requests that were chosen for and not sent yet
         self._counted: dict[str, float] = {}  # requests that wait, and when they were last counted as missing
@@ -148,6 +151,16 @@
             flight.first_event_s = now_s
             self.first_events.first_event(worker, flight, now_s)
 
+    def stream_passed(self, request: RequestProfile, instance: str, longest_pause_s: float) -> None:
+        """A whole stream was passed on: learn how long its worker pauses."""
+        worker = self._workers.get(instance)
+        if worker is None or request.pause_objective_s <= 0:
+            return
+        part = min(MOST_PAUSE, longest_pause_s / request.pause_objective_s)
+        usual = self._pauses.setdefault(request.service, MovingMean())
+        usual.add(part)
+        worker.pauses.add(part, usual.get(part))
+
     def ended(self, request: RequestProfile, instance: str, outcome: Outcome, now_s: float) -> None:
         """The send has ended: the worker's load falls, and what it tells of the worker is learned."""
         self.market.set_time(now_s)
@@ -292,8 +305,14 @@
             price += self.market.spread * self._draw.random()  # edges that heard the same don't herd
         score = self.options.load_weight * price
         score += self.options.predicted_weight * predicted_s / max(0.001, request.latency_objective_s)
+        if request.pause_objective_s > 0:
+            score += self.options.pause_weight * worker.pauses.get(self._usual_pause(request.service))
         return Candidate(worker, prefill_tokens, predicted_s, score)
 
+    def _usual_pause(self, service: str) -> float:
+        pauses = self._pauses.get(service)
+        return pauses.get(0.0) if pauses is not None else 0.0
+
     def _will_do(self, request: RequestProfile, drawn: Candidate, best: Candidate) -> bool:
         """Whether a home or the drawn holder is kept although another is better."""
         left_s = request.arrived_s + request.latency_objective_s - self.market.now_s
--- a/arrowfold/selection/options.py
+++ b/arrowfold/selection/options.py
@@ -26,6 +26,7 @@
     home_kept: tuple[float, ...] = (0.75, 0.25)  # part of what is shared that a home keeps, if unknown
     follow_margin: float = 0.15  # the drawn holder is left when another is better by more
     load_weight: float = 4.0  # of the price C_j(w): an engine is slow long before its places are taken
+    pause_weight: float = 1.0  # of the usual longest pause of a worker's streams, as a part of the objective
     predicted_weight: float = 1.0  # of the predicted part of the objective, beside the price
     cross_zone_toll: float = 0.03  # on the price of a worker in another zone
     in_time: float = 0.9  # predicted beyond this part of the objective counts as late
--- a/tests/system/least_loaded_selector.py
+++ b/tests/system/least_loaded_selector.py
@@ -69,6 +69,9 @@
     def first_event(self, request: RequestProfile, instance: str, now_s: float) -> None:
         """Not used."""
 
+    def stream_passed(self, request: RequestProfile, instance: str, longest_pause_s: float) -> None:
+        """Not used."""
+
     def ended(self, request: RequestProfile, instance: str, outcome: Outcome, now_s: float) -> None:
         """Count it as no longer in flight."""
         self._in_flight[instance] -= 1
--- a/tests/system/test_selection_stories.py
+++ b/tests/system/test_selection_stories.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 from unittest.mock import patch
 
 import pytest
@@ -394,3 +395,27 @@
         return served
 
     assert play() == play()
+
+
+def test_a_worker_whose_streams_pause_long_gets_none_while_another_is_free() -> None:
+    # Given two holders with the same load, one of which is slower: its streams pause for longer
+    stage = Stage(worker("a", "m"), worker("b", "m"))
+    stream = replace(stage.request(), pause_objective_s=0.4)
+    for _ in range(8):
+        stage.selector.stream_passed(stream, "a", 0.5)
+        stage.selector.stream_passed(stream, "b", 0.2)
+    # When streams come, then the faster one gets them
+    streams = [replace(stage.request(), pause_objective_s=0.4) for _ in range(10)]
+    assert {stage.serve(one) for one in streams} == {"b"}
+
+
+def test_what_was_learned_of_pauses_does_not_keep_requests_without_a_pause_objective_away() -> None:
+    stage = Stage(worker("a", "m"), worker("b", "m"))
+    stream = replace(stage.request(), pause_objective_s=0.4)
+    for _ in range(8):
+        stage.selector.stream_passed(stream, "a", 0.5)
+    served = set()
+    for _ in range(30):
+        served.add(stage.serve(stage.request()))
+        stage.selector.market_round(stage.now_s)
+    assert served == {"a", "b"}
