--- a/arrowfold/placement/ceiling.py
+++ b/arrowfold/placement/ceiling.py
@@ -12,6 +12,7 @@
 FREE_LOADS = 3.0  # the rule allows these beyond rate x window x overage
 RESERVED_LOADS = 1.0  # kept back against rounding at the window's ends
 BURST_LOADS = 2.0
+MAKING_ROOM_S = 0.5  # by then a worker has often unloaded what has to give way
 
 
 class LoadCeiling:
@@ -24,10 +25,15 @@
         self._tokens = 0.0
         self._refilled_s = now_s
 
-    def allows(self, now_s: float, reserved: int = 0) -> bool:
-        """True if a load may be sent now and so many others soon."""
+    def allows(self, now_s: float) -> bool:
+        """True if a load may be sent now."""
         self._refill(now_s)
-        return self._tokens >= 1.0 + reserved
+        return self._tokens >= 1.0
+
+    def allows_soon(self, now_s: float, others: int) -> bool:
+        """True if a load may be sent as soon as room has been made for it, beside so many others."""
+        self._refill(now_s)
+        return self._tokens + self._refill_s * MAKING_ROOM_S >= 1.0 + others
 
     def not_taken(self) -> None:
         """A load that was counted has surely not begun."""
--- a/arrowfold/placement/placer.py
+++ b/arrowfold/placement/placer.py
@@ -36,6 +36,8 @@
 FAILURE_PAUSE_S = 0.25
 LONGEST_PAUSE_S = 2.0
 IDLE_WAKEUP_S = 0.25
+LEAST_ROOMS = 2  # workers that may be emptied for loads at a time
+WORKERS_A_ROOM = 5  # of more workers, one in so many
 IDLE_WORKLOAD = 0.2  # an unload is taken to be done at once while less than this runs on the model
 
 
@@ -137,19 +139,25 @@
 
     def _may_send(self, planned: PlannedOrder, now_s: float) -> bool:
         """Loads of weights, and the unloads that make room for them, wait for the ceiling and the store."""
-        target = self._planner.target_of(planned.instance)
-        if target is None or target.adapter:
+        intent = self._planner.intents.get(planned.instance)
+        if intent is None or intent.target.adapter:
             return True
-        reserved = self._planner.loads_begun(beside=planned.instance)
-        if self._planner.is_begun(planned.instance):
-            reserved = 0  # its own place in the ceiling is among those kept
-        if not self._ceiling.allows(now_s, reserved):
+        makes_room = planned.operation is Operation.UNLOAD and not intent.begun
+        if makes_room and not self._may_make_room(planned.instance, now_s):
+            return False
+        if not makes_room and not self._ceiling.allows(now_s):
             return False
         worker = self._fleet.workers[planned.instance]
-        if self._fleet.is_on_disk(worker, target.model):
+        if self._fleet.is_on_disk(worker, intent.target.model):
             return True
         return self._store_loads() < self._catalogue.parallel_loads
 
+    def _may_make_room(self, instance: str, now_s: float) -> bool:
+        """Whether one more worker may be emptied for a load: it takes no other order until its runs end."""
+        begun = self._planner.intents.begun(beside=instance)
+        most = max(LEAST_ROOMS, len(self._fleet.workers) // WORKERS_A_ROOM)
+        return begun < most and self._ceiling.allows_soon(now_s, begun)
+
     def _send(self, planned: PlannedOrder, now_s: float) -> SendOrder:
         worker = self._fleet.workers[planned.instance]
         target = planned.target
@@ -162,7 +170,7 @@
             worker.pending.from_own_disk = self._fleet.is_on_disk(worker, target.model)
             self._ceiling.sent(now_s)
         elif order.operation is Operation.UNLOAD:
-            self._planner.note_unload(worker.instance)
+            self._planner.intents.note_unload(worker.instance)
         return SendOrder(order)
 
     def _accepted(self, worker: WorkerState, pending: PendingOrder, now_s: float) -> None:
@@ -171,7 +179,7 @@
         worker.revision = order.if_revision + 1
         self._note_unload_time(worker, in_time=True)
         if order.operation is Operation.LOAD:
-            self._planner.forget(worker.instance)
+            self._planner.intents.drop(worker.instance)
         pending.phase = OrderPhase.RUNNING
         pending.accepted_s = now_s
         if order.loads_weights:
@@ -202,7 +210,7 @@
         if answer is OrderAnswer.CONFLICT:
             self._note_unload_time(worker, in_time=False)
         elif answer is OrderAnswer.REFUSED:
-            self._planner.forget(worker.instance)
+            self._planner.intents.drop(worker.instance)
         if answer is OrderAnswer.MISDIRECTED:
             worker.unusable = True
         elif answer is OrderAnswer.UNSENT:
--- a/arrowfold/placement/planner.py
+++ b/arrowfold/placement/planner.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from arrowfold.placement.catalogue import ModelCatalogue
 from arrowfold.placement.demand import MISSING_VALID_S, DemandEstimator, ModelClass
 from arrowfold.placement.eviction import PlanningContext
 from arrowfold.placement.fleet import PlacementFleet
+from arrowfold.placement.intents import LoadIntent, LoadIntents
 from arrowfold.placement.orders import Operation
 from arrowfold.placement.valuation import CopyValuation
 from arrowfold.placement.worker_state import WorkerState
@@ -31,17 +31,6 @@
 SPREAD_INTERVAL_S = 0.1  # between two looks at whether further copies pay
 
 
-@dataclass(frozen=True, slots=True)
-class LoadIntent:
-    """What a worker is being prepared for; unloads come first where there is no room."""
-
-    target: ModelClass
-    urgent: bool  # a request is waiting for it
-    since_s: float
-    begun: bool = False  # something was unloaded for it
-    pressing: bool = False  # a further copy that gains more than a request that waits
-
-
 @dataclass(frozen=True, slots=True)
 class PlannedOrder:
     """The next order for one worker."""
@@ -67,7 +56,7 @@
         self._fleet = fleet
         self._demand = demand
         self._index = fleet.index()  # of the moment that is being planned for
-        self._intents: dict[str, LoadIntent] = {}
+        self.intents = LoadIntents()
         self._spread_s = -math.inf  # when further copies were last considered
 
     def plan(self, catalogue: ModelCatalogue, now_s: float) -> list[PlannedOrder]:
@@ -88,35 +77,13 @@
         if is_spreading:
             self._want_copies(context, gains, COPY_GAIN)
             self._want_adapter_copies(context)
-        ordered = sorted(self._intents, key=lambda instance: _urgency(self._intents[instance]))
-        steps = [self._next_step(context, instance) for instance in ordered]
+        steps = [self._next_step(context, instance) for instance in self.intents.in_order()]
         return [step for step in steps if step is not None]
 
-    def forget(self, instance: str) -> None:
-        """The intent for this worker was carried out, or can't be."""
-        self._intents.pop(instance, None)
-
-    def note_unload(self, instance: str) -> None:
-        """Something is being unloaded for the intent of this worker."""
-        if instance in self._intents:
-            self._intents[instance] = replace(self._intents[instance], begun=True)
-
-    def loads_begun(self, beside: str) -> int:
-        """Workers, apart from this one, on which something was unloaded for a load that has not been sent."""
-        return sum(1 for instance, intent in self._intents.items() if intent.begun and instance != beside)
-
-    def is_begun(self, instance: str) -> bool:
-        """True if something was unloaded for the load that this worker is being prepared for."""
-        return instance in self._intents and self._intents[instance].begun
-
-    def target_of(self, instance: str) -> ModelClass | None:
-        """What this worker is being prepared for."""
-        return self._intents[instance].target if instance in self._intents else None
-
     def _drop_intents(self, context: PlanningContext, is_spreading: bool) -> None:
-        for instance, intent in list(self._intents.items()):
+        for instance, intent in self.intents:
             if self._is_outdated(context, instance, intent, is_spreading):
-                del self._intents[instance]
+                self.intents.drop(instance)
 
     def _is_outdated(
         self, context: PlanningContext, instance: str, intent: LoadIntent, is_spreading: bool
@@ -134,9 +101,7 @@
         return context.now_s - intent.since_s > INTENT_VALID_S
 
     def _is_coming(self, target: ModelClass) -> bool:
-        if self._index.is_arriving(target):
-            return True
-        return any(intent.target == target for intent in self._intents.values())
+        return self._index.is_arriving(target) or self.intents.includes(target)
 
     def _missed_targets(self, context: PlanningContext) -> list[ModelClass]:
         """What has to be loaded for requests that wait for classes that stand nowhere, the oldest first."""
@@ -171,13 +136,15 @@
                 return
             if self._choose_worker(context, ModelClass(model), urgent=False, gain=gains[model]):
                 room -= 1
-                gains[model] = self._gain(context, model, self._planned_copies()[model])
+                gains[model] = self._gain(
+                    context, model, self.intents.planned_copies(self._fleet.workers)[model]
+                )
             else:
                 del gains[model]
 
     def _gains(self, context: PlanningContext) -> dict[str, float]:
         """What one more copy adds, for every model that was asked for."""
-        planned = self._planned_copies()
+        planned = self.intents.planned_copies(self._fleet.workers)
         asked = self._demand.asked_models()
         return {
             model: self._gain(context, model, planned[model])
@@ -185,15 +152,6 @@
             if context.catalogue.known(model)
         }
 
-    def _planned_copies(self) -> Counter[str]:
-        """For each model the workers that are being prepared for it and don't load it yet."""
-        return Counter(
-            intent.target.model
-            for instance, intent in self._intents.items()
-            if not intent.target.adapter
-            and self._fleet.workers[instance].arriving_model() != intent.target.model
-        )
-
     def _gain(self, context: PlanningContext, model: str, planned: int) -> float:
         copies = context.values.copies(model) + planned
         return context.values.relief(model, copies, self._index.holders(model))
@@ -216,10 +174,9 @@
 
     def _spread_planned(self, context: PlanningContext) -> int:
         """Workers that are being prepared for further copies, or load one."""
-        spreading = [intent for intent in self._intents.values() if not intent.target.adapter]
         loading = [worker.arriving_model() for worker in self._fleet.workers.values()]
         under_way = sum(1 for model in loading if model is not None and context.values.copies(model) > 1)
-        return sum(1 for intent in spreading if not intent.urgent) + under_way
+        return self.intents.spreading() + under_way
 
     def _choose_worker(
         self, context: PlanningContext, target: ModelClass, urgent: bool, gain: float = 0.0
@@ -241,15 +198,14 @@
             )
             pays = urgent or gain - burden >= GAIN_RATIO * best.loss + COPY_GAIN
         if pays:
-            self._intents[best.instance] = LoadIntent(
-                target, urgent, context.now_s, pressing=gain >= PRESSING_GAIN
-            )
+            pressing = gain >= PRESSING_GAIN
+            self.intents.add(best.instance, LoadIntent(target, urgent, context.now_s, pressing=pressing))
         return pays
 
     def _free_workers(self, target: ModelClass) -> list[WorkerState]:
         """The workers that could be given an order for a load: an adapter goes where its model stands."""
         workers = self._index.holders(target.model) if target.adapter else self._fleet.workers.values()
-        return [worker for worker in workers if worker.takes_orders and worker.instance not in self._intents]
+        return [worker for worker in workers if worker.takes_orders and worker.instance not in self.intents]
 
     def _candidate(
         self, context: PlanningContext, worker: WorkerState, target: ModelClass
@@ -278,7 +234,7 @@
 
     def _has_other_free_holder(self, model: str, worker: WorkerState) -> bool:
         return any(
-            holder is not worker and holder.takes_orders and holder.instance not in self._intents
+            holder is not worker and holder.takes_orders and holder.instance not in self.intents
             for holder in self._index.holders(model)
         )
 
@@ -298,10 +254,12 @@
         worker = self._fleet.workers[instance]
         if not worker.takes_orders:
             return None
-        target = self._intents[instance].target
+        intent = self.intents.get(instance)
+        assert intent is not None
+        target = intent.target
         victims = context.victims(worker, target)
         if victims is None:
-            self.forget(instance)
+            self.intents.drop(instance)
             return None
         if victims:
             return PlannedOrder(instance, Operation.UNLOAD, victims[0].target)
@@ -311,7 +269,3 @@
 def missing_valid_s(catalogue: ModelCatalogue) -> float:
     """How long a request that missed its model may still wait, or come back when a load has ended."""
     return MISSING_VALID_S + max((spec.load_time_s for spec in catalogue.models.values()), default=0.0)
-
-
-def _urgency(intent: LoadIntent) -> tuple[bool, float]:
-    return not (intent.urgent or intent.pressing), intent.since_s
--- a/arrowfold/placement/valuation.py
+++ b/arrowfold/placement/valuation.py
@@ -18,7 +18,7 @@
 SPARE_COPY_WORTH = 0.05  # a second copy, for each request a second: the holder may fail
 SPARE_COPY_RATE_S = 2.0  # requests a second beyond which the second copy gains no more by this
 ADAPTER_MISS_COST = 0.1  # worth lost by a request that has to wait for an adapter
-RUNNING_COST = 0.05  # for each request that runs on what is unloaded: the unload waits for it
+RUNNING_COST = 0.2  # for each request that runs on what is unloaded: the unload waits for it
 
 
 class CopyValuation:
--- a/tests/system/test_placement_stories.py
+++ b/tests/system/test_placement_stories.py
@@ -517,3 +517,42 @@
         if (order.model, order.operation) == ("m0", Operation.LOAD)
     ]
     assert loads[0] == "w2"
+
+
+@pytest.mark.parametrize(("workers", "emptied"), [(6, 2), (20, 4)])
+def test_one_worker_in_five_may_be_emptied_at_a_time(workers: int, emptied: int) -> None:
+    # Given full workers, each of whose models runs requests for some seconds more
+    world = PlacementWorld(catalogue(models=100, load_rate_s=17.0), workers=workers)
+    for index, worker in enumerate(world.workers.values()):
+        world.hold(worker.instance, *(f"m{3 * index + place}" for place in range(3)))
+        worker.running_until_s = {model: world.now_s + 10.0 for model in worker.models}
+    world.run(4.0)
+    # When many rare models are asked for at once
+    for index in range(70, 90):
+        world.ask(f"m{index}", missing=True)
+    world.run(1.5)
+    # Then room is being made on a part of the workers; the others go on taking orders for adapters
+    assert sum(1 for worker in world.workers.values() if worker.leaving is not None) == emptied
+
+
+def test_loads_go_on_while_unloads_wait_for_their_runs() -> None:
+    # Given a large fleet in which two workers' models run long and those of the others nothing
+    world = PlacementWorld(catalogue(models=100, load_rate_s=17.0), workers=20)
+    for index, worker in enumerate(world.workers.values()):
+        world.hold(worker.instance, *(f"m{3 * index + place}" for place in range(3)))
+    for name in ("w0", "w1"):
+        worker = world.workers[name]
+        worker.running_until_s = {model: world.now_s + 30.0 for model in worker.models}
+    world.run(4.0)
+    # When rare models are asked for, one after the other
+    rare = iter(range(70, 100))
+
+    def ask() -> None:
+        world.ask(f"m{next(rare)}", missing=True)
+
+    for _ in range(10):
+        ask()
+        world.run(0.3)
+    world.run(1.0)
+    # Then nearly all of them were loaded, whatever waits on those two
+    assert len(world.store_loads) >= 8
