Load first what has been missed most, and count only models that stand among pressing copies

Change: pressing copies are of models that stand somewhere; missed classes go by how often they were missed.

--- a/arrowfold/placement/demand.py
+++ b/arrowfold/placement/demand.py
@@ -152,9 +152,15 @@
         return self._classes.get(key, _NOTHING)
 
     def missed_classes(self, now_s: float, valid_s: float = MISSING_VALID_S) -> list[ModelClass]:
-        """Classes that a request did not find in the last `valid_s`, the one asked for longest ago first."""
+        """Classes that a request did not find in the last `valid_s`, those missed most first.
+
+        Requests that wait are counted again and again, so this is also the order of waiting: of many rare
+        classes that are asked for at once none is passed over for good by newer ones.
+        """
         missed = [key for key, estimate in self._classes.items() if estimate.is_missed(now_s, valid_s)]
-        return sorted(missed, key=lambda key: (self._classes[key].missing_s, key))
+        return sorted(
+            missed, key=lambda key: (-self._classes[key].missing, self._classes[key].missing_s, key)
+        )
 
     def asked_models(self) -> list[str]:
         """Every model that was ever asked for."""
--- a/arrowfold/placement/planner.py
+++ b/arrowfold/placement/planner.py
@@ -64,7 +64,8 @@
         self._index = self._fleet.index()
         values = CopyValuation(self._fleet, self._demand, now_s)
         context = PlanningContext(catalogue, self._demand, values, now_s)
-        gains: dict[str, float] = {}
+        further: dict[str, float] = {}  # what further copies gain, and first ones
+        first: dict[str, float] = {}
         is_spreading = now_s - self._spread_s >= SPREAD_INTERVAL_S
         self._drop_intents(context, is_spreading)
         missed = self._missed_targets(context)
@@ -72,10 +73,12 @@
         if is_spreading:
             self._spread_s = now_s
             gains = self._gains(context)
-            self._want_copies(context, gains, PRESSING_GAIN)
+            further = {model: gains[model] for model in gains if context.values.copies(model) > 0}
+            first = {model: gains[model] for model in gains if model not in further}
+            self._want_copies(context, further, PRESSING_GAIN)
         self._want_missed(context, [target for target in missed if not target.adapter])
         if is_spreading:
-            self._want_copies(context, gains, COPY_GAIN)
+            self._want_copies(context, {**first, **further}, COPY_GAIN)
             self._want_adapter_copies(context)
         steps = [self._next_step(context, instance) for instance in self.intents.in_order()]
         return [step for step in steps if step is not None]
--- a/tests/system/placement_world.py
+++ b/tests/system/placement_world.py
@@ -204,8 +204,15 @@
         self, model: str, adapter: str = "", requests: float = 1.0, took_s: float = 0.5, missing: bool = False
     ) -> None:
         """An edge reports requests; missing ones found no holder."""
+        missed = requests if missing else 0.0
+        self._report(ClassDemand(SERVICE, model, adapter, requests, requests * took_s, missed))
+
+    def wait_on(self, model: str) -> None:
+        """An edge reports again that a request which it has reported before waits for this model."""
+        self._report(ClassDemand(SERVICE, model, "", 0.0, 0.0, 1.0))
+
+    def _report(self, seen: ClassDemand) -> None:
         assert self.placer is not None
-        seen = ClassDemand(SERVICE, model, adapter, requests, requests * took_s, requests if missing else 0.0)
         edge = NodeIdentity("edge", "e", "z0", "e:1")
         self.placer.apply_demand(DemandReport(edge, 0.5, (seen,)), self.now_s)
 
--- a/tests/system/test_placement_stories.py
+++ b/tests/system/test_placement_stories.py
@@ -556,3 +556,18 @@
     world.run(1.0)
     # Then nearly all of them were loaded, whatever waits on those two
     assert len(world.store_loads) >= 8
+
+
+def test_what_has_been_missed_for_longest_is_loaded_before_what_is_missed_newly() -> None:
+    # Given a store that allows one load in two seconds, and a request that waits for a rare model
+    world = PlacementWorld(catalogue(models=40, load_rate_s=0.5), workers=3)
+    world.ask("m39", missing=True)
+    # When the waiting one is counted again and again, and another rare model is missed newly each time
+    for index in range(30, 38):
+        world.run(0.25)
+        world.wait_on("m39")
+        world.ask(f"m{index}", missing=True)
+    world.run(2.0)
+    # Then the one that waits longest was loaded first
+    loads = [order.model for order, _ in world.answers if order.operation is Operation.LOAD]
+    assert loads[0] == "m39"
