--- a/tests/system/test_edge_streams.py
+++ b/tests/system/test_edge_streams.py
@@ -175,3 +175,29 @@
         assert answer.complete and answer.body == b"\x00\x01"
 
     run_virtual(story())
+
+
+def test_the_longest_pause_of_a_whole_stream_is_told_to_the_selection() -> None:
+    async def story() -> None:
+        edge = models("m")
+        told: list[tuple[str, float]] = []
+        edge.selector.stream_passed = lambda request, instance, pause_s: told.append((instance, pause_s))
+        paused = stream(((0.9, event(1)), (0.1, event(2)), (0.35, event(3)), (0.1, event(4))))
+        edge.workers.scripts["m"] = answers(paused)
+        assert (await edge.ask("/draft/1")).complete
+        # The wait for the first event is no pause
+        assert told == [("m", pytest.approx(0.35, abs=0.001))]
+
+    run_virtual(story())
+
+
+def test_nothing_is_learned_of_pauses_from_a_stream_that_broke_off() -> None:
+    async def story() -> None:
+        edge = models("m")
+        told: list[float] = []
+        edge.selector.stream_passed = lambda request, instance, pause_s: told.append(pause_s)
+        edge.workers.scripts["m"] = answers(stream(((0.1, event(1)), (0.9, event(2))), breaks=True))
+        assert not (await edge.ask("/draft/1")).complete
+        assert told == []
+
+    run_virtual(story())
--- a/tests/system/test_placement_executor.py
+++ b/tests/system/test_placement_executor.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
+from unittest.mock import patch
 
 import pytest
 from aiohttp import web
@@ -375,3 +377,38 @@
     _tables_of(first, tables)
     assert tables.snapshot.placements[SERVICE].token == 4
     assert _corrections_at(tables) == {}
+
+
+@pytest.mark.parametrize(("step_s", "rest_s"), [(0.01, 0.03), (1.0, 0.05)])
+def test_steps_that_take_long_leave_time_to_others(step_s: float, rest_s: float) -> None:
+    async def story() -> None:
+        # Given steps on a clock that only they move, and demand that always wakes them
+        passed_s, steps = 0.0, 0
+        rests: list[float] = []
+        session = order_session()
+        ports = Ports(record(), catalogue())
+        executor = PlacementExecutor(SERVICE, Lease(), ports, Bounds(), session, lambda: passed_s)
+
+        def step() -> None:
+            nonlocal passed_s, steps
+            passed_s += step_s
+            steps += 1
+            executor.wake()
+
+        async def rest(pause_s: float) -> None:
+            rests.append(pause_s)
+            if steps >= 20:
+                raise asyncio.CancelledError
+
+        # When it runs
+        with (
+            patch.object(executor, "_step", step),
+            patch.object(asyncio, "sleep", rest),
+            contextlib.suppress(asyncio.CancelledError),
+        ):
+            await executor.run()
+        # Then each step is followed by a rest of three times its length, within a bound
+        assert rests == [pytest.approx(rest_s)] * 20
+        await session.close()
+
+    play(story)
--- a/tests/system/test_selection_tokens.py
+++ b/tests/system/test_selection_tokens.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from hypothesis import settings, strategies
+from hypothesis import given, settings, strategies
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, invariant, rule
 
 from arrowfold.market.tokens import Token
 from arrowfold.selection.engine_worker import EngineWorker
+from arrowfold.selection.estimates import PriorMean
 from arrowfold.selection.interface import ChosenWorker, Outcome, RequestProfile
 from tests.system.selection_stage import Stage, worker
 
@@ -83,3 +84,29 @@
 
 TokenMachine.TestCase.settings = settings(max_examples=40, stateful_step_count=40, deadline=None)
 TestTokens = TokenMachine.TestCase
+
+
+@given(strategies.integers(1, 1_000))
+def test_of_many_edges_each_keeps_fewer_tokens_and_never_too_few(edges: int) -> None:
+    stage = Stage(edges=edges)
+    options = stage.selector.options
+    tokens = stage.selector.market.tokens_per_worker
+    assert options.fewest_tokens_per_worker <= tokens <= options.tokens_per_worker
+    if edges <= options.usual_edges:
+        assert tokens == options.tokens_per_worker
+
+
+@given(strategies.lists(strategies.floats(0.0, 2.0), min_size=1, max_size=40), strategies.floats(0.0, 2.0))
+def test_a_mean_with_a_prior_stays_within_its_samples(samples: list[float], usual: float) -> None:
+    mean = PriorMean()
+    assert mean.get(usual) == usual
+    for sample in samples:
+        mean.add(sample, usual)
+    assert min([*samples, usual]) - 1e-9 <= mean.get(0.0) <= max([*samples, usual]) + 1e-9
+
+
+def test_a_mean_with_a_prior_follows_its_samples() -> None:
+    mean = PriorMean()
+    for _ in range(10):
+        mean.add(1.0, 0.0)
+    assert mean.get(0.0) > 0.7
