--- a/tests/system/test_control_http.py
+++ b/tests/system/test_control_http.py
@@ -212,6 +212,18 @@
     play(story)
 
 
+def test_the_time_left_of_a_worker_that_is_taken_away_is_read() -> None:
+    async def story(stage: Stage) -> None:
+        caller = await stage.call()
+        leaving = BEAT.replace(b'"available"', b'"draining", "remainingMs": 1500')
+        await caller.write(request("PUT", "/instances/i-1", leaving))
+        assert (await caller.answer())[0] == 200
+        (record,) = stage.registrations.records
+        assert (record.state, record.remaining_ms) == ("draining", 1500)
+
+    play(story)
+
+
 @pytest.mark.parametrize("body", [b"", b"{", b"[]", BEAT.replace(b'"callSeq": 4', b'"callSeq": "x"')])
 def test_a_bad_heartbeat_is_refused_and_the_connection_goes_on(body: bytes) -> None:
     async def story(stage: Stage) -> None:
--- a/tests/system/test_edge_http.py
+++ b/tests/system/test_edge_http.py
@@ -103,6 +103,22 @@
     play(story)
 
 
+def test_a_connection_that_its_worker_soon_closes_is_not_used_again() -> None:
+    async def soon(exchange: RawExchange) -> None:
+        await exchange.answer(headers=SEAL + b"Keep-Alive: timeout=1\r\n")
+
+    async def story() -> None:
+        edge, worker = await edge_with(soon)
+        client = await edge.client()
+        for number in range(3):
+            await client.send(request_bytes("/pay/1", f"a{number}"))
+            await client.read()
+        assert worker.connections == 3
+        await edge.stop()
+
+    play(story)
+
+
 def test_a_late_second_answer_reaches_nobody() -> None:
     async def twice(exchange: RawExchange) -> None:
         await exchange.answer(b"first")
