Let a member that is told to end leave by agreement

Cause: a fourth member makes four voters, three of which are needed. One that got SIGTERM told the others and ended at once, and left the voters only 1.3 s after it fell silent; each heartbeat that it still answered began that time anew. A loss of one disk meanwhile left two of four, for good.

Ruled out: shorter time-outs (the gap stays); a newcomer that copies but does not vote until it replaces one (cores with more machines than 2 x losses + 1 are proper deployments, and their further machines would hold no roles and confirm nothing).

Change: a stopping member asks all witnesses to be removed (LeaveRequest) and goes on voting until the primary releases it: the record without it is chosen and known to be chosen on as many synced disks as an acknowledgement needs (HeartbeatAnswer.confirmed_epoch). Of 2 x losses + 1 voters none is removed: one of these leaves only the group, one after the other as long as enough copies remain. A primary hands over first and then leaves as a backup. Candidates ask members that leave as well, since a record not known to be chosen may need their votes. Without a release it ends after three quarters of graceS; at once where everyone else leaves too.

--- a/arrowfold/controlplane/node.py
+++ b/arrowfold/controlplane/node.py
@@ -47,6 +47,7 @@
 
 SWEEP_INTERVAL_S = 0.5
 OPEN_RETRY_S = 0.3  # after a disk refused the first writes of a start
+LEAVE_SHARE = 0.75  # of the grace time, for a stopping member to be released by the others
 
 
 class ControlNode:
@@ -83,6 +84,7 @@
             settings.faultTolerance.machineLosses,
             self._log,
             random.Random(identity.member),
+            LEAVE_SHARE * settings.bounds.graceS,
         )
         replica.set_addresses(settings.seed_internal_addresses())
         origin = f"{identity.member}.{secrets.token_hex(3)}"
--- a/arrowfold/replication/durable.py
+++ b/arrowfold/replication/durable.py
@@ -35,7 +35,7 @@
 
     `change` holds the lock while the disk works, also beyond the caller's time-out: a late change is as a
     late message. After a failed write the log is started anew from the image in memory before anything else
-    is written.
+    is written. `confirmed_epoch` is the highest epoch whose record is known on the disk to be chosen.
     """
 
     def __init__(self, log: SegmentedLog, worker: DiskWorker, clock: Clock, image: MemberImage) -> None:
@@ -46,9 +46,10 @@
         self._broken = False
         self._busy_since: float | None = None
         self._next_repair = 0.0
-        self._unwritten: list[LogRecord] = []
+        self._unwritten: list[RecordConfirmed] = []
         self._tasks: set[asyncio.Task[Result[MemberImage, StorageFault]]] = set()
         self.image = image
+        self.confirmed_epoch = image.record.epoch if image.confirmed and image.record is not None else 0
 
     def is_healthy(self, patience_s: float) -> bool:
         """Whether the disk took the last write and no write has been waiting for `patience_s`."""
@@ -121,6 +122,7 @@
             self._broken = True
             self._unwritten = [*notes, *self._unwritten]
             return Err(StorageFault(f"the disk refused a write: {error}"))
+        self.confirmed_epoch = max((self.confirmed_epoch, *(note.epoch for note in notes)))
         return Ok(None)
 
     async def _compact(self) -> None:
--- a/arrowfold/replication/epochs.py
+++ b/arrowfold/replication/epochs.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from arrowfold.internal.messages import MemberInfo
+from arrowfold.replication.leaving import Leavers
 from arrowfold.replication.member import GroupMember
 from arrowfold.replication.messages import (
     AcceptEpoch,
@@ -104,10 +105,11 @@
 class EpochChange:
     """One attempt to bring about an epoch with this member as its primary."""
 
-    def __init__(self, member: GroupMember, caller: Caller, seeds: tuple[str, ...]) -> None:
+    def __init__(self, member: GroupMember, caller: Caller, seeds: tuple[str, ...], leavers: Leavers) -> None:
         self._member = member
         self._caller = caller
         self._seeds = seeds
+        self._leavers = leavers
         self._timings = member.timings
         self._late_calls: set[asyncio.Task[Verdict | None]] = set()
 
@@ -164,6 +166,7 @@
         request = PrepareEpoch(epoch, self._member.info, trial)
         self._ask(inquiry, request, [self._member.info.address, *self._known_addresses()])
         self._ask(inquiry, request, [newcomer.address for newcomer in newcomers])
+        self._ask(inquiry, request, self._leavers.addresses())
         enough_at: float | None = None
         while True:
             self._collect(inquiry)
@@ -202,7 +205,7 @@
             return [witness.address for witness in record.witnesses]
         return list(self._seeds)
 
-    def _ask(self, inquiry: _Inquiry, request: PrepareEpoch, addresses: list[str]) -> None:
+    def _ask(self, inquiry: _Inquiry, request: PrepareEpoch, addresses: Iterable[str]) -> None:
         for address in addresses:
             if address not in inquiry.asked:
                 inquiry.asked[address] = asyncio.create_task(self._ask_one(address, request))
@@ -310,6 +313,8 @@
         known = self._member.image.record
         for witness in known.witnesses if known is not None else ():
             addresses.setdefault(witness.member, witness.address)
+        for member, answer in found.granted.items():
+            addresses.setdefault(member, answer.member.address)
         tasks = {
             asyncio.create_task(self._durable_call(address, AcceptEpoch(record), self._member.accept)): member
             for member, address in addresses.items()
--- a/arrowfold/replication/member.py
+++ b/arrowfold/replication/member.py
@@ -240,6 +240,7 @@
             sequence=image.state.sequence,
             disk_healthy=self.durable.is_healthy(self.timings.disk_s),
             clock=now,
+            confirmed_epoch=self.durable.confirmed_epoch,
         )
 
     def _learn_committed(self, epoch: int, committed: int) -> None:
@@ -270,7 +271,7 @@
         )
 
     def departing(self, request: Departing) -> None:
-        """The primary hands its lease over: another member may stand at once."""
+        """The primary hands its lease over: another member may stand at once, with this one's promise."""
         record = self.image.record
         if record is not None and request.was_primary and request.epoch == record.epoch:
             if self._lease_holder == request.member:
--- a/arrowfold/replication/membership.py
+++ b/arrowfold/replication/membership.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from arrowfold.internal.messages import MemberInfo
@@ -15,12 +14,13 @@
     """What the primary sees of one witness.
 
     `silence_s`: since its last answer; `healthy`: its disk takes writes; `rested`: it was not left out
-    lately.
+    lately; `leaving`: it was told to end and asked to be removed.
     """
 
     silence_s: float
     healthy: bool
     rested: bool = True
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,10 +36,15 @@
     return min(machine_losses + 1, max(1, witnesses))
 
 
+def witnesses_required(machine_losses: int) -> int:
+    """How many voters there must be so that a majority is left after the losses to be borne."""
+    return 2 * machine_losses + 1
+
+
 def _next_witnesses(
     record: EpochRecord,
     primary: str,
-    silence_s: Callable[[str], float],
+    peers: dict[str, PeerView],
     newcomers: tuple[MemberInfo, ...],
     machine_losses: int,
     timings: Timings,
@@ -48,18 +53,27 @@
     addresses = {newcomer.address for newcomer in new}
     # A new identity at an old address: that machine lost its disk, and the old identity will not come back.
     witnesses = [*(witness for witness in record.witnesses if witness.address not in addresses), *new]
-    silent = [
-        witness
-        for witness in witnesses
-        if witness.member != primary and witness not in new and silence_s(witness.member) > timings.replaced_s
-    ]
-    silent.sort(key=lambda witness: silence_s(witness.member), reverse=True)
-    for witness in silent:
-        if len(witnesses) > 2 * machine_losses + 1:
+    old = [witness for witness in witnesses if witness.member in peers and witness.member != primary]
+    silent = [witness for witness in old if peers[witness.member].silence_s > timings.replaced_s]
+    silent.sort(key=lambda witness: peers[witness.member].silence_s, reverse=True)
+    leaving = [witness for witness in old if peers[witness.member].leaving and witness not in silent]
+    for witness in (*silent, *leaving):
+        if len(witnesses) > witnesses_required(machine_losses):
             witnesses.remove(witness)
     return tuple(witnesses)
 
 
+def _without_leaving(
+    group: tuple[str, ...], peers: dict[str, PeerView], least_copies: int
+) -> tuple[str, ...]:
+    """The group less those that leave, one after the other as long as enough copies remain."""
+    remaining = list(group)
+    for member in group:
+        if member in peers and peers[member].leaving and len(remaining) > least_copies:
+            remaining.remove(member)
+    return tuple(remaining)
+
+
 def next_membership(
     record: EpochRecord,
     primary: str,
@@ -69,11 +83,7 @@
     timings: Timings,
 ) -> Membership:
     """The witnesses and the group that the primary wants; equal to the record's if all is well."""
-
-    def silence_s(member: str) -> float:
-        return peers[member].silence_s if member in peers else 0.0
-
-    witnesses = _next_witnesses(record, primary, silence_s, newcomers, machine_losses, timings)
+    witnesses = _next_witnesses(record, primary, peers, newcomers, machine_losses, timings)
     arriving = {newcomer.member for newcomer in newcomers}
 
     def belongs(member: str) -> bool:
@@ -85,4 +95,5 @@
         return member in record.group or peer.rested
 
     group = tuple(witness.member for witness in witnesses if belongs(witness.member))
-    return Membership(group, witnesses)
+    least_copies = copies_required(machine_losses, len(witnesses))
+    return Membership(_without_leaving(group, peers, least_copies), witnesses)
--- a/arrowfold/replication/messages.py
+++ b/arrowfold/replication/messages.py
@@ -123,6 +123,7 @@
     sequence: int
     disk_healthy: bool
     clock: float
+    confirmed_epoch: int = 0  # the epoch whose record is known, on the receiver's disk, to be chosen
 
 
 @message(70)
@@ -149,10 +150,27 @@
     record: EpochRecord
 
 
+@message(74)
+@dataclass(frozen=True, slots=True)
+class LeaveRequest:
+    """A member that was told to end asks to be removed; it goes on voting until it is released."""
+
+    member: MemberInfo
+
+
+@message(75)
+@dataclass(frozen=True, slots=True)
+class LeaveAnswer:
+    """Whether the member may end, as the primary decides; and the newest record that the receiver knows."""
+
+    released: bool
+    record: EpochRecord | None
+
+
 @message(72)
 @dataclass(frozen=True, slots=True)
 class Departing:
-    """The sender stops: the primary hands over its lease; a backup leaves the group."""
+    """The sender's term ended by itself: it hands over its lease."""
 
     epoch: int
     member: str
--- a/arrowfold/replication/peers.py
+++ b/arrowfold/replication/peers.py
@@ -24,6 +24,8 @@
     healthy: bool = True
     left_out_at: float = -math.inf  # when it last left the group
     echoed_at: float = -math.inf  # when its authority was last extended
+    leaving_at: float = -math.inf  # when it last asked to be removed
+    confirmed_epoch: int = 0  # the highest epoch whose record is known, on its disk, to be chosen
     calling: bool = False  # a heartbeat to it is under way
 
     def answered(self, now: float, answer: HeartbeatAnswer) -> None:
@@ -31,6 +33,7 @@
         self.answered_at = now
         self.healthy = answer.disk_healthy
         self.clock = answer.clock
+        self.confirmed_epoch = answer.confirmed_epoch
 
     def takes_writes(self, in_group: bool) -> bool:
         """Whether its disk takes writes; of one outside the group only its own answer tells that."""
@@ -61,18 +64,29 @@
                 return start + self._timings.lease_s * self._timings.lease_margin
         return -math.inf
 
-    def leave(self, member: str) -> None:
-        """A member stops: it counts as silent from now on."""
-        peer = self.get(member)
-        peer.answered_at = self._clock() - self._timings.silent_s - self._timings.heartbeat_s
-        peer.granted_at = -math.inf
+    def asks_to_leave(self, member: str) -> None:
+        """A member was told to end: it still votes and answers, but holds no roles from now on."""
+        self.get(member).leaving_at = self._clock()
+
+    def is_leaving(self, member: str) -> bool:
+        """Whether a member asked lately to be removed; one that starts again does not ask."""
+        peer = self._peers.get(member)
+        return peer is not None and self._clock() - peer.leaving_at <= self._timings.leaving_s
+
+    def confirmed_on(self, record: EpochRecord) -> int:
+        """On how many disks of other witnesses that stay the record is known to be chosen."""
+        return sum(
+            self.get(member).confirmed_epoch >= record.epoch and not self.is_leaving(member)
+            for member in record.witness_ids()
+            if member != self._own
+        )
 
     def is_fit(self, record: EpochRecord, member: str) -> bool:
         """Whether a member may hold roles: in the group, heard lately, and its disk takes writes."""
         if member == self._own:
             return True
         peer = self._peers.get(member)
-        if peer is None or member not in record.group or not peer.healthy:
+        if peer is None or member not in record.group or not peer.healthy or self.is_leaving(member):
             return False
         return self._clock() - peer.answered_at <= self._timings.lease_s
 
@@ -95,5 +109,6 @@
                 silence_s=now - peer.answered_at,
                 healthy=peer.takes_writes(witness in record.group),
                 rested=now - peer.left_out_at > self._timings.rejoin_s,
+                leaving=self.is_leaving(witness),
             )
         return views
--- a/arrowfold/replication/primary.py
+++ b/arrowfold/replication/primary.py
@@ -13,7 +13,12 @@
 from arrowfold.replication.batches import ProposalQueue
 from arrowfold.replication.epochs import Composition, EpochChange, EpochFault, Found
 from arrowfold.replication.member import GroupMember
-from arrowfold.replication.membership import Membership, copies_required, next_membership
+from arrowfold.replication.membership import (
+    Membership,
+    copies_required,
+    next_membership,
+    witnesses_required,
+)
 from arrowfold.replication.messages import AcceptEpoch, AppendEntries, Heartbeat, HeartbeatAnswer, Verdict
 from arrowfold.replication.peers import Peer, PeerTable
 from arrowfold.replication.ports import Caller, EventLog
@@ -50,6 +55,7 @@
         self._queue = ProposalQueue()
         self._work = asyncio.Event()
         self._wanted: Membership | None = None
+        self._changing = False  # a new epoch is being brought about
         self._outbid = 0  # a higher epoch that some witness promised to somebody
         self._heartbeats: set[asyncio.Task[None]] = set()
         self._committed = member.image.state.sequence
@@ -79,9 +85,9 @@
         """Whether the group has the members that the losses to be borne ask for, as far as they exist."""
         if len(self.record.group) < copies_required(self._losses, len(self.record.witnesses)):
             return False
-        wanted = 2 * self._losses + 1
         waited_s = self._clock() - self._started_at
-        return len(self.record.witnesses) >= wanted or waited_s >= self._timings.complete_group_s
+        enough = len(self.record.witnesses) >= witnesses_required(self._losses)
+        return enough or waited_s >= self._timings.complete_group_s
 
     def is_active(self) -> bool:
         """Whether this term may commit, acknowledge and answer reads."""
@@ -181,9 +187,27 @@
         if self.record.find(newcomer.member) is None:
             self._newcomers[newcomer.member] = (newcomer, self._clock())
 
-    def leave(self, member: str) -> None:
-        """A backup stops: writes need not wait for it."""
-        self._peers.leave(member)
+    def leave(self, member: str) -> bool:
+        """A member was told to end and asks to be removed; whether it may end now.
+
+        It may once the record without it is chosen, and known to be chosen on the disks that remain. Of the
+        voters that the losses to be borne ask for none is removed: one of these only leaves the group.
+        """
+        self._newcomers.pop(member, None)
+        self._peers.asks_to_leave(member)
+        self._consider_members()
+        if self._changing or self._wanted is not None or member in self.record.group:
+            return False
+        votes = self.record.find(member) is not None
+        if votes and len(self.record.witnesses) > witnesses_required(self._losses):
+            return False
+        return self._is_record_secured()
+
+    def _is_record_secured(self) -> bool:
+        """Whether enough disks that stay know the record to be chosen, also after the losses to be borne."""
+        own = self._member.durable.confirmed_epoch >= self.record.epoch
+        needed = copies_required(self._losses, len(self.record.witnesses))
+        return own + self._peers.confirmed_on(self.record) >= needed
 
     def fit_members(self) -> tuple[str, ...]:
         """The members that may hold roles."""
@@ -207,6 +231,10 @@
         if not self._member.durable.is_healthy(self._timings.disk_s):
             self._end("the own disk is in trouble", hand_over=True)
             return
+        self._consider_members()
+
+    def _consider_members(self) -> None:
+        """Have the members changed if others are wanted than the record has."""
         wanted = self._wanted_membership()
         if self.has_lease() and wanted != Membership(self.record.group, self.record.witnesses):
             self._wanted = wanted
@@ -318,6 +346,13 @@
 
     async def _new_epoch(self, wanted: Membership, trial: bool = False) -> bool:
         """Bring a new membership about; the state with all that was appended is committed by it."""
+        self._changing = True
+        try:
+            return await self._try_epochs(wanted, trial)
+        finally:
+            self._changing = False
+
+    async def _try_epochs(self, wanted: Membership, trial: bool) -> bool:
         copies = copies_required(self._losses, len(wanted.witnesses))
 
         def compose(found: Found) -> Result[Composition, EpochFault]:
--- a/arrowfold/replication/replica.py
+++ b/arrowfold/replication/replica.py
@@ -13,6 +13,7 @@
 from arrowfold.node.result_codes import ResultCode
 from arrowfold.replication.epochs import Composition, EpochChange, EpochFault, Found
 from arrowfold.replication.joining import GroupFinder
+from arrowfold.replication.leaving import Leavers
 from arrowfold.replication.member import GroupMember
 from arrowfold.replication.membership import copies_required
 from arrowfold.replication.messages import (
@@ -25,6 +26,8 @@
     Introduction,
     JoinAnswer,
     JoinRequest,
+    LeaveAnswer,
+    LeaveRequest,
     PrepareEpoch,
 )
 from arrowfold.replication.ports import Caller, EventLog
@@ -35,6 +38,7 @@
 from arrowfold.replication.state import ControlState
 
 FOUNDING_STEP_S = 0.6  # between the moments at which the seeds offer to found the first group
+LEAVE_PATIENCE_S = 6.0  # for its release, before a stopping member ends without it
 
 
 class Replica:
@@ -48,7 +52,9 @@
         machine_losses: int,
         log: EventLog,
         draw: random.Random,
+        leave_patience_s: float = LEAVE_PATIENCE_S,
     ) -> None:
+        """`leave_patience_s`: how long a stopping member waits to be released."""
         self._member = member
         self._caller = caller
         self._seeds = founding_seeds
@@ -57,7 +63,9 @@
         self._draw = draw
         self._timings = member.timings
         self._clock = member.clock
-        self._change = EpochChange(member, caller, founding_seeds)
+        self._leave_patience_s = leave_patience_s
+        self._leavers = Leavers(member.clock, member.timings)
+        self._change = EpochChange(member, caller, founding_seeds, self._leavers)
         self._term: PrimaryTerm | None = None
         self._started_at = member.clock()
         self._next_attempt = 0.0
@@ -65,6 +73,7 @@
         self._finder = GroupFinder(member.info, caller, member.clock, member.timings)
         self._finder.seeds = founding_seeds
         self._stopping = False
+        self._stopped = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._passing: asyncio.Task[None] | None = None  # a role that is being passed on
         self._listeners: list[Callable[[], None]] = []
@@ -169,12 +178,13 @@
             AppendEntries: self._member.append,
             Heartbeat: self._member.heartbeat,
             JoinRequest: self._on_join,
+            LeaveRequest: self._on_leave,
             Departing: self._on_departing,
             Introduction: self._on_introduction,
         }
 
     async def _on_join(self, request: JoinRequest) -> JoinAnswer:
-        if self._term is not None:
+        if self._term is not None and not self._leavers.is_leaving(request.member.member):
             self._term.join(request.member)
         return JoinAnswer(self._member.image.record)
 
@@ -183,16 +193,19 @@
         return Acknowledgement()
 
     async def _on_departing(self, request: Departing) -> Acknowledgement:
-        if self._term is not None:
-            self._term.leave(request.member)
         self._member.departing(request)
         return Acknowledgement()
 
+    async def _on_leave(self, request: LeaveRequest) -> LeaveAnswer:
+        self._leavers.note(request.member)
+        released = self._term is not None and self._term.leave(request.member.member)
+        return LeaveAnswer(released, self._finder.newest(self._member.image.record))
+
     # The life of the member
 
     async def run(self) -> None:
-        """Do the regular work until `stop`."""
-        while not self._stopping:
+        """Do the regular work until `stop` has returned."""
+        while not self._stopped:
             await self._step()
             leading = self._term is not None
             await asyncio.sleep(self._timings.heartbeat_s if leading else self._timings.watch_s)
@@ -209,6 +222,8 @@
                 self._passing = self._spawn(self._pass_roles_on(self._term))
             return
         record = self._finder.newest(self._member.image.record)
+        if self._stopping:
+            return
         if record is None and self._may_found():
             await self._found_group()
         elif record is not None and record.find(self.member) is not None:
@@ -225,7 +240,7 @@
     def _end_term(self) -> None:
         term, self._term = self._term, None
         if term is not None and term.hands_over:
-            self._spawn(self._announce_departure(was_primary=True))
+            self._spawn(self._hand_over())
         self._next_attempt = self._clock() + self._timings.suspicion_s
         self._notify()
 
@@ -313,22 +328,47 @@
     # The end
 
     async def stop(self) -> None:
-        """Hand over what this member leads, leave the group, and stop."""
+        """Hand over what this member leads, and end once the others agree that it is not needed."""
         self._stopping = True
         term, self._term = self._term, None
         if term is not None:
             term.resign()
-        await self._announce_departure(was_primary=term is not None)
+            await self._hand_over()
+        await self._leave()
+        self._stopped = True
 
-    async def _announce_departure(self, was_primary: bool) -> None:
-        """Tell the others that they need not wait for this member, nor for its lease."""
+    async def _hand_over(self) -> None:
+        """Tell the others, and this member itself, that nobody needs to wait for its lease to run out."""
         record = self._member.image.record
         if record is None:
             return
-        notice = Departing(record.epoch, self.member, was_primary)
+        notice = Departing(record.epoch, self.member, was_primary=True)
+        self._member.departing(notice)
+        await self._call_others(record, notice)
+
+    async def _leave(self) -> None:
+        """Go on voting until the primary releases this member, nobody is left to do so, or time is up."""
+        deadline = self._clock() + self._leave_patience_s
+        while self._clock() < deadline:
+            record = self._finder.newest(self._member.image.record)
+            if record is None or self._leavers.all_leaving(record, self.member):
+                return
+            answers = await self._call_others(record, LeaveRequest(self._member.info))
+            for answer in answers:
+                self._finder.note(answer.record)
+            if any(answer.released for answer in answers):
+                self._log.info("member.released", epoch=record.epoch)
+                return
+            await asyncio.sleep(self._timings.leave_retry_s)
+        self._log.warning("member.left_without_release", patience_s=self._leave_patience_s)
+
+    async def _call_others(self, record: EpochRecord, request: object) -> list[LeaveAnswer]:
+        """Call every other witness of a record; the answers to a request to leave."""
         calls = [
-            self._caller.call(witness.address, notice, self._timings.call_s)
+            self._caller.call(witness.address, request, self._timings.call_s)
             for witness in record.witnesses
             if witness.member != self.member
         ]
-        await asyncio.gather(*calls)
+        results = await asyncio.gather(*calls)
+        answers = [result.ok() for result in results]
+        return [answer for answer in answers if isinstance(answer, LeaveAnswer)]
--- a/arrowfold/replication/timings.py
+++ b/arrowfold/replication/timings.py
@@ -32,4 +32,6 @@
     silent_s: float = 0.9  # without an answer to heartbeats, before a member leaves the group
     replaced_s: float = 1.3  # silent for this long, a witness beyond those needed is removed
     rejoin_s: float = 1.0  # after a member was left out, before it is taken into the group again
+    leave_retry_s: float = 0.15  # between a stopping member's requests to be removed
+    leaving_s: float = 1.0  # after its last request to be removed, a member counts as leaving
     complete_group_s: float = 6.0  # how long a new group waits for as many members as the losses ask for
--- a/tests/system/control_simulation/machines.py
+++ b/tests/system/control_simulation/machines.py
@@ -219,6 +219,26 @@
     def on_started(self, replica: Replica) -> None:
         """Called with the replica of each life; the world watches it from here."""
 
+    def terminate(self, lingers_s: float = 0.0) -> asyncio.Task[None]:
+        """SIGTERM: it leaves in order, and its processes end `lingers_s` after that; done once they ended."""
+        assert self.life is not None
+        replica = self.replica
+
+        async def leave() -> None:
+            if replica is not None:
+                await replica.stop()
+
+        async def end(life: Life) -> None:
+            task = self.loop.create_task(leave(), context=life.context)
+            while not task.done() and not life.dead:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(lingers_s)
+            if self.life is life:
+                self.kill()
+
+        self._trace.add(self.name, "terminated")
+        return asyncio.create_task(end(self.life))
+
     def kill(self) -> None:
         """SIGKILL: the files stay as they were."""
         if self.life is not None:
