Count a control node as current only by a word of the primary that is fresh for sure

Cause: a backup counted as current for 0.8 s after any heartbeat that reached it. A heartbeat that lay in its buffer while it stood still for 20 s, or one of a later epoch whose record it had not accepted (for ever, where its disk was full), made its old state current, and a new edge could take an old configuration from it.

Ruled out: a shorter time (the heartbeat itself is old); asking the primary at each pull (a round trip more for each).

Change: the time runs from the own clock reading that the primary sends back, and only a heartbeat that is granted counts; accepting a record forgets how far the epoch before was committed; the primary's own currency is its lease and its position.

--- a/arrowfold/replication/member.py
+++ b/arrowfold/replication/member.py
@@ -78,6 +78,7 @@
         self.committed_known = -1  # how far the primary's last message said that the log is committed
         self._handed_over = 0  # the epoch whose primary handed its lease over: late heartbeats grant nothing
         self._authority_until = 0.0
+        self._current_until = 0.0
         # Readings of the own clock told in this life: an echo of an earlier life's clock extends nothing.
         self._told_clocks: deque[float] = deque(maxlen=TOLD_CLOCKS)
         self.published = ControlState()
@@ -196,6 +197,8 @@
             verdict = Verdict(True, self.highest_epoch)
         else:
             verdict = await self._durably(decide)
+        if known is None or known.epoch != record.epoch:
+            self.committed_known = -1  # the new primary has not told yet how far its log is committed
         if verdict.done and self.highest_epoch == record.epoch:
             self.grant_lease(record.primary)
             self.heard_at = self.clock()
@@ -227,8 +230,9 @@
             self.heard_in_this_life = True
         if granted:
             self.grant_lease(request.primary.member)
-            if request.echo in self._told_clocks:
-                self._authority_until = (request.echo or 0.0) + self.timings.lease_s
+            if request.echo is not None and request.echo in self._told_clocks:
+                self._authority_until = request.echo + self.timings.lease_s
+                self._current_until = request.echo + self.timings.current_s
             self._learn_committed(request.epoch, request.committed)
         self._told_clocks.append(now)
         return HeartbeatAnswer(
@@ -261,11 +265,15 @@
             self.on_change()
 
     def is_current(self) -> bool:
-        """Whether the published state was confirmed by the primary within the length of a lease."""
+        """Whether the primary said lately that the published state is all that is committed.
+
+        The time runs from this member's own clock reading that the primary sent back: a heartbeat that was
+        long on its way, or lay in a buffer while this process stood still, makes nothing current.
+        """
         record = self.image.record
         return (
             record is not None
-            and self.clock() - self.heard_at <= self.timings.lease_s
+            and self.clock() < self._current_until
             and self.image.state_epoch == record.epoch
             and self.published.sequence == self.committed_known
         )
--- a/arrowfold/replication/primary.py
+++ b/arrowfold/replication/primary.py
@@ -93,6 +93,10 @@
         """Whether this term may commit, acknowledge and answer reads."""
         return self.has_lease() and self.is_complete()
 
+    def is_current(self) -> bool:
+        """Whether all that is committed is published here, and no other primary can commit more."""
+        return self.is_active() and self._member.published.sequence == self._committed
+
     # Heartbeats
 
     def send_heartbeats(self) -> None:
@@ -172,7 +176,6 @@
         if not self._member.image.confirmed:
             self._member.durable.note(RecordConfirmed(self.record.epoch))
         if state.sequence == self._committed:
-            self._member.committed_known = self._committed
             self._member.heard_at = self._clock()
             self._member.publish(state)
 
--- a/arrowfold/replication/replica.py
+++ b/arrowfold/replication/replica.py
@@ -124,9 +124,7 @@
 
     def is_current(self) -> bool:
         """Whether `committed` was confirmed by the primary lately."""
-        if self._term is not None and not self._term.is_active():
-            return False
-        return self._member.is_current()
+        return self._member.is_current() if self._term is None else self._term.is_current()
 
     async def propose(self, decide: Decide[AnswerT]) -> Result[AnswerT, ReplicationFault]:
         """As the primary: decide on the newest state, commit, and answer under a lease that holds."""
--- a/arrowfold/replication/timings.py
+++ b/arrowfold/replication/timings.py
@@ -18,6 +18,7 @@
     watch_s: float = 0.1  # between a backup's looks at the primary's silence
     lease_s: float = 0.8
     lease_margin: float = 0.9
+    current_s: float = 1.2  # how old at most the primary's word may be by which a backup's state is current
     suspicion_s: float = 0.85  # without a heartbeat, before a backup stands for election
     suspicion_step_s: float = 0.2  # more for each further member, so that they do not stand at once
     leaderless_s: float = 1.0  # without its lease, before a primary gives up its term
--- /dev/null
+++ b/tests/system/test_control_currency.py
@@ -0,0 +1,129 @@
+"""A control node counts as current only by a fresh word of the primary, and then has all that is committed."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from arrowfold.internal.messages import SubmitResult
+from arrowfold.replication.messages import AcceptEpoch
+from tests.system.control_simulation.history import describe
+from tests.system.control_simulation.machines import Machine
+from tests.system.control_simulation.outside import OperatorRead
+from tests.system.control_simulation.world import World, run_world
+
+LONG_CUT_S = 20.0
+FIRST_LOOKS_S = 3.0  # after the trouble, in which an old word could count
+LOOK_S = 0.0005
+
+
+async def _core_and_backup(seed: int) -> tuple[World, Machine]:
+    world = World(seed)
+    world.start_all()
+    assert await world.change(0, 1, 9.0) == 1
+    await world.until(world.is_whole, 6.0, "a whole group")
+    primary = await world.until_primary()
+    return world, next(machine for machine in world.machines.values() if machine is not primary)
+
+
+def _cut_off(world: World, machine: Machine) -> None:
+    for other in world.machines.values():
+        if other is not machine:
+            world.network.cut(machine.address, other.address)
+            world.network.cut(other.address, machine.address)
+
+
+def _claims_an_old_state(machine: Machine, version: int) -> bool:
+    replica = machine.replica
+    if replica is None or not replica.is_current():
+        return False
+    return replica.committed.configuration_version < version
+
+
+async def _watch(machine: Machine, version: int) -> None:
+    loop = asyncio.get_running_loop()
+    end = loop.time() + FIRST_LOOKS_S
+    while loop.time() < end:
+        assert not _claims_an_old_state(machine, version)
+        await asyncio.sleep(LOOK_S)
+
+
+async def _trouble_and_changes(kind: str) -> None:
+    # Given a backup that has version 1
+    world, backup = await _core_and_backup(41)
+    # When it is out of touch for long, while changes are acknowledged
+    if kind == "frozen":
+        backup.freeze()
+    else:
+        _cut_off(world, backup)
+    if kind == "cut off, and its disk is full":
+        backup.folder.full = True
+    for version in range(2, 6):
+        assert await world.change(version - 1, version, 9.0, avoiding=backup) == version
+    await asyncio.sleep(LONG_CUT_S)
+    # Then it says meanwhile that it is not current, and answers no read
+    if kind != "frozen":
+        assert backup.replica is not None and not backup.replica.is_current()
+        read = await world.call(backup, OperatorRead())
+        assert isinstance(read, SubmitResult) and read.status == 503
+    # And once it is back, it never claims that its old state is current
+    backup.thaw()
+    world.network.heal()
+    await _watch(backup, 5)
+    read = await world.call(backup, OperatorRead())
+    if isinstance(read, SubmitResult) and read.status == 200:
+        assert describe(read.body)[0] == 5
+    await world.settle()
+    await world.until(world.is_whole, 8.0, "the backup in the group again")
+    await asyncio.sleep(1.0)
+    assert backup.replica is not None and backup.replica.is_current()
+    world.require_sound()
+
+
+@pytest.mark.parametrize("kind", ["cut off", "frozen", "cut off, and its disk is full"])
+def test_given_a_backup_out_of_touch_for_long_then_it_never_claims_that_its_old_state_is_current(
+    kind: str,
+) -> None:
+    run_world(_trouble_and_changes(kind))
+
+
+async def _new_primary_silent() -> None:
+    # Given changes that a backup stored, while it has not been told that they are committed
+    world, backup = await _core_and_backup(42)
+    primary = await world.until_primary()
+    third = next(m for m in world.machines.values() if m not in (primary, backup))
+    assert await world.change(1, 2, 9.0) == 2
+    primary.kill()
+    # When another leads, but nothing of it except its record reaches the backup
+    await world.until(lambda: world.primary() is not None, 5.0, "a primary")
+    leader = await world.until_primary()
+    follower = backup if leader is third else third
+    _cut_off(world, leader)
+    # Then the follower does not claim to be current for longer than the word that it had
+    await asyncio.sleep(1.3)
+    assert follower.replica is not None and not follower.replica.is_current()
+
+
+def test_given_a_new_primary_that_falls_silent_then_its_follower_is_not_current() -> None:
+    run_world(_new_primary_silent())
+
+
+async def _accepted_but_not_told() -> None:
+    world, backup = await _core_and_backup(43)
+    assert backup.replica is not None
+    member = backup.replica.group_member
+    assert member.is_current()
+    # When it accepts the record of another epoch
+    record = member.image.record
+    assert record is not None
+    following = replace(record, epoch=record.epoch + 1, primary=member.image.promised_to)
+    await member.accept(AcceptEpoch(following))
+    # Then it is not current until that epoch's primary told how far the log is committed
+    assert not member.is_current()
+    world.require_sound()
+
+
+def test_given_an_accepted_record_and_no_heartbeat_of_its_primary_then_a_backup_is_not_current() -> None:
+    run_world(_accepted_but_not_told())
