Bound configurations so that the whole state fits in a frame; never refuse what was forgotten

Cause, found by reading: a body of up to 8 MiB was taken, and more once letters are escaped, but members exchange frames of 8 MiB at most. One such change would have been stored by the primary and by nobody else, and no later epoch could have copied the state: an outage for good. And a change older than the 2,048 whose digests are kept was refused when it came again, though it may have been taken.

Change: bodies of 6 MiB (413 beyond), stored documents of 4 MiB (413, code 106); a change on a version older than all that is remembered gets 503, an unclear answer.

--- a/arrowfold/configuration/changes.py
+++ b/arrowfold/configuration/changes.py
@@ -43,7 +43,7 @@
 def change_digest(kind: str, if_match: str | None, body: bytes) -> bytes:
     """A digest (32 bytes), equal for the same change sent again, whatever its spaces and order of keys."""
     text = read_object(body).map_or(body, write_canonical)
-    head = f"{kind.upper()}\n{_normal_precondition(if_match)}\n".encode()
+    head = f"{kind.upper()}\n{normal_precondition(if_match)}\n".encode()
     return hashlib.sha256(head + text).digest()
 
 
@@ -69,14 +69,15 @@
     return Err(ConfigurationFault(ResultCode.CONFIGURATION_VERSION_NOT_ABOVE, "version", text))
 
 
-def _normal_precondition(if_match: str | None) -> str | None:
+def normal_precondition(if_match: str | None) -> str | None:
+    """The version that an If-Match header names, without quotes and weakness."""
     return None if if_match is None else if_match.strip().removeprefix("W/").strip('"').strip()
 
 
 def _precondition_fault(
     current: ConfigurationDocument | None, if_match: str | None
 ) -> ConfigurationFault | None:
-    text = _normal_precondition(if_match)
+    text = normal_precondition(if_match)
     if text is None:
         return ConfigurationFault(ResultCode.CONFIGURATION_PRECONDITION_MISSING, "", "If-Match is missing")
     if text == str(_current_version(current)):
--- a/arrowfold/controlplane/changes.py
+++ b/arrowfold/controlplane/changes.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok
 
-from arrowfold.configuration.changes import change_digest, prepare_patch, prepare_put
+from arrowfold.configuration.changes import change_digest, normal_precondition, prepare_patch, prepare_put
 from arrowfold.configuration.diffs import delta
 from arrowfold.configuration.documents import ConfigurationDocument
 from arrowfold.configuration.faults import ConfigurationFault, fault_status
@@ -17,10 +17,16 @@
 from arrowfold.node.result_codes import ResultCode
 from arrowfold.replication.ports import Caller, EventLog
 from arrowfold.replication.proposals import Proposal, ReplicaPort, ReplicationFault
-from arrowfold.replication.state import ConfigurationStep, ControlState, patched_document
+from arrowfold.replication.state import (
+    REMEMBERED_CHANGES,
+    ConfigurationStep,
+    ControlState,
+    patched_document,
+)
 
 UNAVAILABLE = 503
 PUT = "PUT"
+LARGEST_DOCUMENT = 4 * 1024 * 1024  # canonical bytes: the whole state has to fit in one internal frame
 
 
 def fault_body(code: ResultCode, text: str, path: str = "") -> bytes:
@@ -81,8 +87,11 @@
         prepared = prepare(current, change.if_match, change.body)
         if isinstance(prepared, Err):
             self._log.info("configuration.refused", kind=change.kind, reason=str(prepared.err_value))
-            return Proposal(_refused(prepared.err_value))
+            forgotten = may_be_forgotten(state, change.if_match)
+            return Proposal(_forgotten() if forgotten else _refused(prepared.err_value))
         document = prepared.ok_value
+        if len(document.to_json()) > LARGEST_DOCUMENT:
+            return Proposal(_refused(_too_large(document)))
         self._parsed = (document.to_json(), document)
         self._log.info("configuration.accepted", kind=change.kind, version=document.version)
         return Proposal(_accepted(document.version), _step(state.configuration, current, document, digest))
@@ -110,6 +119,26 @@
     return ConfigurationStep(document.version, digest, None, patch)
 
 
+def may_be_forgotten(state: ControlState, if_match: str | None) -> bool:
+    """Whether a change on this version may have been taken, and its digest dropped for those after it."""
+    base = normal_precondition(if_match) or ""
+    if len(state.accepted) < REMEMBERED_CHANGES or not base.isdigit():
+        return False
+    return int(base) < min(state.accepted.values())
+
+
+def _too_large(document: ConfigurationDocument) -> ConfigurationFault:
+    text = f"{len(document.to_json())} bytes without spaces, {LARGEST_DOCUMENT} are the most"
+    return ConfigurationFault(ResultCode.CONFIGURATION_TOO_LARGE, "", text)
+
+
+def _forgotten() -> SubmitResult:
+    return unavailable(
+        ResultCode.CONFIGURATION_VERSION_CONFLICT,
+        "too old to tell whether it was taken: read, and build on that",
+    )
+
+
 def _is_settled(answer: object) -> bool:
     return isinstance(answer, SubmitResult) and answer.status != UNAVAILABLE
 
--- a/arrowfold/controlplane/http_interface.py
+++ b/arrowfold/controlplane/http_interface.py
@@ -15,7 +15,7 @@
 from arrowfold.node.result_codes import ResultCode
 from arrowfold.registry.workers import GONE
 
-LARGEST_BODY = 8 * 1024 * 1024  # bytes of a configuration
+LARGEST_BODY = 6 * 1024 * 1024  # bytes of a configuration as it is sent; below the largest internal frame
 JSON = "application/json"
 
 
--- a/tests/system/test_control_changes.py
+++ b/tests/system/test_control_changes.py
@@ -3,17 +3,36 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from arrowfold.configuration.changes import change_digest
 from arrowfold.configuration.documents import ConfigurationDocument
 from arrowfold.configuration.validity import parse_configuration
-from arrowfold.controlplane.changes import _step
+from arrowfold.controlplane.changes import (
+    LARGEST_DOCUMENT,
+    UNAVAILABLE,
+    ConfigurationService,
+    _step,
+)
 from arrowfold.controlplane.distribution import configuration_updates
+from arrowfold.controlplane.http_interface import LARGEST_BODY
+from arrowfold.internal.channel import LARGEST_FRAME
 from arrowfold.internal.codec import decode, encode
-from arrowfold.internal.messages import ConfigurationDelta, ConfigurationUpdate
-from arrowfold.replication.state import ControlState, apply_entry, patched_document
+from arrowfold.internal.messages import ConfigurationDelta, ConfigurationUpdate, SubmitChange, SubmitResult
+from arrowfold.node.result_codes import ResultCode
+from arrowfold.replication.messages import StateImage
+from arrowfold.replication.proposals import Proposal
+from arrowfold.replication.state import (
+    REMEMBERED_CHANGES,
+    REMEMBERED_DEPARTURES,
+    ControlState,
+    Departure,
+    apply_entry,
+    patched_document,
+)
 from tests.system.control_simulation.history import document
 
 
@@ -67,3 +86,71 @@
             text = patched_document(text, step.patch)
         assert text == state.configuration
     assert configuration_updates(state, 4) == ()
+
+
+class _NoLog:
+    def info(self, event: str, **fields: object) -> None:
+        """Nothing is logged."""
+
+    warning = info
+
+
+def _decide(state: ControlState, change: SubmitChange) -> Proposal[SubmitResult]:
+    """What a primary decides on this state."""
+    service = ConfigurationService(None, None, _NoLog())  # type: ignore[arg-type]
+    digest = change_digest(change.kind, change.if_match, change.body)
+    return service._decide(state, change, digest)
+
+
+def _long_document(version: int, size: int) -> bytes:
+    value = json.loads(document(version, "long"))
+    value["note"] = "x" * size
+    return json.dumps(value).encode()
+
+
+def test_given_a_document_beyond_the_limit_then_it_is_refused_for_good_and_nothing_is_stored() -> None:
+    change = SubmitChange("PUT", "0", _long_document(1, LARGEST_DOCUMENT))
+    proposal = _decide(ControlState(), change)
+    assert proposal.answer.status == 413
+    assert json.loads(proposal.answer.body)["code"] == ResultCode.CONFIGURATION_TOO_LARGE
+    assert proposal.entry is None
+    # And one of letters that take more room in the stored text than on the wire
+    wide = _long_document(1, 0).replace(b'"note": ""', '"note": "{}"'.format("é" * 800_000).encode())
+    assert len(wide) < LARGEST_BODY
+    assert _decide(ControlState(), SubmitChange("PUT", "0", wide)).answer.status == 413
+
+
+def test_given_the_largest_state_then_it_and_the_largest_call_fit_in_one_frame() -> None:
+    largest = ControlState(
+        sequence=10**9,
+        configuration=b"x" * LARGEST_DOCUMENT,
+        accepted={number.to_bytes(32, "big"): number for number in range(REMEMBERED_CHANGES)},
+        departures={
+            f"instance-{number:040d}": Departure(10**9, "draining", 1e6)
+            for number in range(REMEMBERED_DEPARTURES)
+        },
+    )
+    assert len(encode(StateImage(1, 1, 1, largest))) < LARGEST_FRAME * 3 // 4
+    assert len(encode(SubmitChange("PATCH", "7", b"x" * LARGEST_BODY))) < LARGEST_FRAME * 9 // 10
+
+
+def _after_many_changes(number: int) -> ControlState:
+    state = ControlState()
+    digests = {
+        version.to_bytes(32, "big"): version for version in range(number - REMEMBERED_CHANGES + 1, number + 1)
+    }
+    current = _many(number, [])
+    state = replace(state, configuration=current.to_json(), configuration_version=number, accepted=digests)
+    return state
+
+
+def test_given_more_changes_than_are_remembered_then_an_older_one_sent_again_is_never_refused() -> None:
+    state = _after_many_changes(5000)
+    # When a change comes again whose digest may have been dropped
+    old = _decide(state, SubmitChange("PUT", "100", document(101, "old")))
+    # Then the answer is unclear, for it may have been taken
+    assert old.answer.status == UNAVAILABLE
+    assert old.entry is None
+    # But a change that lost against a remembered one is refused
+    lost = _decide(state, SubmitChange("PUT", "4990", document(4991, "lost")))
+    assert lost.answer.status == 412
