--- a/tests/system/test_control_changes.py
+++ b/tests/system/test_control_changes.py
@@ -135,13 +135,13 @@
 
 
 def _after_many_changes(number: int) -> ControlState:
-    state = ControlState()
-    digests = {
-        version.to_bytes(32, "big"): version for version in range(number - REMEMBERED_CHANGES + 1, number + 1)
-    }
-    current = _many(number, [])
-    state = replace(state, configuration=current.to_json(), configuration_version=number, accepted=digests)
-    return state
+    remembered = range(number - REMEMBERED_CHANGES + 1, number + 1)
+    return replace(
+        ControlState(),
+        configuration=_many(number, []).to_json(),
+        configuration_version=number,
+        accepted={version.to_bytes(32, "big"): version for version in remembered},
+    )
 
 
 def test_given_more_changes_than_are_remembered_then_an_older_one_sent_again_is_never_refused() -> None:
--- a/tests/system/test_control_currency.py
+++ b/tests/system/test_control_currency.py
@@ -1,4 +1,4 @@
-"""A control node counts as current only by a fresh word of the primary, and then has all that is committed."""
+"""A control node is current only by a fresh word of the primary, and then has all that is committed."""
 
 from __future__ import annotations
 
--- a/tests/system/test_deploy_packages.py
+++ b/tests/system/test_deploy_packages.py
@@ -1,4 +1,4 @@
-"""The deploy file names what a machine without anything needs, and nothing else; the build needs no compiler."""
+"""The deploy file names what an empty machine needs, and nothing else; the build needs no compiler."""
 
 from __future__ import annotations
 
