--- a/tests/system/control_simulation/edges.py
+++ b/tests/system/control_simulation/edges.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Any
 
+from arrowfold.configuration.json_text import write_canonical
 from arrowfold.dataplane.puller import ControlPuller
 from arrowfold.dataplane.tables import FleetTables
 from arrowfold.internal.messages import NodeIdentity
@@ -63,8 +64,15 @@
         before, self._shown = self._shown, (configuration.sequence, configuration.version)
         self._world.check(lambda: self._check(before))
 
+    def _text(self) -> bytes | None:
+        configuration = self._tables.snapshot.configuration
+        return None if configuration is None else write_canonical(configuration.document)
+
     def _check(self, before: tuple[int, int]) -> None:
         if self._shown[0] < before[0] or self._shown[1] < before[1]:
             raise Violation(f"{self.name} went back from {before} to {self._shown}")
+        published = self._world.history.published.get(self._shown[0])
+        if published is not None and published != self._text():
+            raise Violation(f"{self.name} has other contents at position {self._shown[0]} than the group")
         if before == (0, 0):
             self._world.history.show(asyncio.get_running_loop().time(), self._shown[1], self.name)
--- a/tests/system/control_simulation/history.py
+++ b/tests/system/control_simulation/history.py
@@ -8,6 +8,7 @@
 from arrowfold.replication.state import ControlState
 
 APPLY_S = 2.0  # after its acknowledgement, nothing older than a change is shown
+FILLER_ROUTES = 4
 PLATFORM_LEASE_S = 3.0  # two holders of a role never act within it
 
 
@@ -125,11 +126,14 @@
 def describe(body: bytes) -> tuple[int, bytes]:
     """The version of a configuration of the simulation, and the marker of the change that made it."""
     value = json.loads(body)
-    return value["version"], value["routes"][0]["name"].encode()
+    return value["version"], value["routes"][-1]["name"].encode()
 
 
 def document(version: int, marker: str) -> bytes:
-    """A small configuration that carries a marker as the name of its route."""
+    """A configuration that carries a marker as the name of its last route.
+
+    The others make it long enough for its changes to be stored and handed on as patches.
+    """
     route = {
         "name": marker,
         "hostname": "h.example",
@@ -143,5 +147,6 @@
     }
     service = {"name": "s", "healthPath": "/healthz", "maxConnections": 10, "protocol": "h1", "tls": False}
     limits = {"maxHeaderBytes": 1, "maxBodyBytes": 1, "headerTimeoutMs": 1, "idleTimeoutMs": 1}
-    value = {"version": version, "routes": [route], "services": [service], "limits": limits}
+    fillers = [{**route, "name": f"filler-{n}", "pathPrefix": f"/f{n}/"} for n in range(FILLER_ROUTES)]
+    value = {"version": version, "routes": [*fillers, route], "services": [service], "limits": limits}
     return json.dumps(value).encode()
--- a/tests/system/control_simulation/planted.py
+++ b/tests/system/control_simulation/planted.py
@@ -11,13 +11,19 @@
 
 from result import Ok
 
+from arrowfold.configuration import changes
+from arrowfold.controlplane import distribution
+from arrowfold.dataplane import tables
+from arrowfold.internal.messages import ConfigurationDelta, ConfigurationUpdate
 from arrowfold.replication import epochs, roles, state
+from arrowfold.replication.batches import Batch
 from arrowfold.replication.durable import DurableImage
 from arrowfold.replication.epochs import Found
 from arrowfold.replication.member import GroupMember
-from arrowfold.replication.messages import PrepareAnswer, PrepareEpoch, Verdict
+from arrowfold.replication.messages import LeaveRequest, PrepareAnswer, PrepareEpoch, Verdict
 from arrowfold.replication.primary import PrimaryTerm
 from arrowfold.replication.records import EntriesAppended
+from arrowfold.replication.replica import Replica
 from tests.system.control_simulation.disks import SimulatedFolder
 from tests.system.control_simulation.machines import Machine
 
@@ -163,6 +169,102 @@
     return patch.object(GroupMember, "append", append)
 
 
+def _current_for_ever() -> AbstractContextManager[Any]:
+    """A control node counts as current however long ago it heard the primary."""
+
+    def is_current(self: GroupMember) -> bool:
+        record = self.image.record
+        return (
+            record is not None
+            and self.image.state_epoch == record.epoch
+            and self.published.sequence == self.committed_known
+        )
+
+    return patch.object(GroupMember, "is_current", is_current)
+
+
+def _no_lease_after_restart() -> AbstractContextManager[Any]:
+    """A witness that restarts grants leases and promises at once."""
+    original = GroupMember.__init__
+
+    def initialise(self: GroupMember, *arguments: Any, **named: Any) -> None:
+        original(self, *arguments, **named)
+        self._lease_until = 0.0
+
+    return patch.object(GroupMember, "__init__", initialise)
+
+
+def _current_by_any_heartbeat() -> AbstractContextManager[Any]:
+    """Point 1: a heartbeat makes a backup current by the time at which it is read."""
+    original = GroupMember.heartbeat
+
+    async def heartbeat(self: GroupMember, request: Any) -> Any:
+        answer = await original(self, request)
+        if request.epoch >= self.highest_epoch:
+            self._current_until = self.clock() + self.timings.current_s
+        return answer
+
+    return patch.object(GroupMember, "heartbeat", heartbeat)
+
+
+def _any_precondition() -> AbstractContextManager[Any]:
+    """Point 2: changes on one version are all taken."""
+    return patch.object(changes, "_precondition_fault", lambda current, if_match: None)
+
+
+def _ends_at_once() -> AbstractContextManager[Any]:
+    """Point 3: a member that is told to end does not wait for its release."""
+
+    async def leave(self: Replica) -> bool:
+        record = self._finder.newest(self._member.image.record)
+        if record is not None:
+            await self._call_others(record, LeaveRequest(self._member.info))
+        return True
+
+    return patch.object(Replica, "_leave", leave)
+
+
+@contextlib.contextmanager
+def _diff_on_any_base() -> Iterator[None]:
+    """Point 4: steps of the configuration are sent and taken whatever the puller holds."""
+
+    def updates(held: Any, since: int) -> Any:
+        if held.configuration is None or held.configuration_sequence <= since:
+            return ()
+        whole = ConfigurationUpdate(
+            held.configuration_sequence, held.configuration_version, held.configuration
+        )
+        steps = [step for step in held.patches[-1:] if step.sequence > since]
+        if not steps or since == 0:
+            return (whole,)
+        return tuple(
+            ConfigurationDelta(step.sequence, step.base_version, step.version, step.patch) for step in steps
+        )
+
+    original = tables._after_delta
+
+    def after(known: Any, update: Any) -> Any:
+        version = update.base_version if known is None else known.version
+        return original(known, replace(update, base_version=version))
+
+    with (
+        patch.object(distribution, "configuration_updates", updates),
+        patch.object(tables, "_after_delta", after),
+    ):
+        yield
+
+
+def _answers_exchanged() -> AbstractContextManager[Any]:
+    """Point 5: an answer of a batch goes to the next caller of it."""
+
+    def settle(self: Batch) -> None:
+        answers = [answer for _, answer in self.answers]
+        for (waiting, _), answer in zip(self.answers, answers[1:] + answers[:1], strict=True):
+            waiting.settle(Ok(answer))
+
+    return patch.object(Batch, "settle", settle)
+
+
 PLANTED: dict[str, Planted] = {
     "acknowledge before sync": _acknowledge_before_sync,
     "no folder sync": _no_folder_sync,
@@ -180,6 +282,13 @@
     "token kept": _token_kept,
     "uncommitted published": _publish_uncommitted,
     "entries of old epochs": _old_epoch_appends,
+    "current for ever": _current_for_ever,
+    "no lease after a restart": _no_lease_after_restart,
+    "current by any heartbeat": _current_by_any_heartbeat,
+    "any precondition": _any_precondition,
+    "ends at once": _ends_at_once,
+    "diff on any base": _diff_on_any_base,
+    "answers exchanged": _answers_exchanged,
 }
 
 
