Model epochs and membership state by state, with planted faults as counterexamples

Invariants: one active primary, one chosen record an epoch, nothing acknowledged lost, and at every moment a majority can be formed from the disks that are left.

Schedules: a cut between the primary and one other while the rest are restarted, and messages that are late by more than a fail-over.

--- a/tests/system/control_simulation/faults.py
+++ b/tests/system/control_simulation/faults.py
@@ -65,6 +65,7 @@
             "cut": lambda: self._cut(both_ways=True),
             "cut one way": lambda: self._cut(both_ways=False),
             "long cut": lambda: self._cut(both_ways=self.draw.random() < 0.7, durations=LONG_S),
+            "cut between two": self._cut_between_two,
             "split": self._split,
             "behind": self._behind,
             "late messages": self._late,
@@ -211,8 +212,28 @@
         self.world.network.mend(cuts)
         return True
 
+    async def _cut_between_two(self) -> bool:
+        """The primary and another lose each other; the rest reach both, and are restarted meanwhile."""
+        leader = self.world.primary()
+        others = [machine for machine in self._machines() if machine is not leader]
+        if leader is None or len(others) < 2:
+            return False
+        other, *rest = self.draw.sample(others, len(others))
+        cuts = self._cut_between([leader], [other], both_ways=True)
+        end = asyncio.get_running_loop().time() + self.draw.choice((2.5, 4.0))
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(self.draw.uniform(0.1, 0.9))
+            for machine in rest:
+                if machine.running():
+                    machine.kill()
+                    machine.start()
+        self.world.network.mend(cuts)
+        return True
+
     async def _late(self) -> bool:
+        """Messages are late, some by more than a fail-over takes."""
         self.world.network.slow_share = 0.2
+        self.world.network.slow_s = self.draw.choice((0.4, 2.5))
         await self._last((1.0, 2.5, 4.0))
         self.world.network.slow_share = 0.0
         return True
--- /dev/null
+++ b/tests/system/test_control_model.py
@@ -0,0 +1,35 @@
+"""The model of epochs and membership: clean within small bounds, and each planted fault has its trace."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks.control_model.actions import Bounds
+from benchmarks.control_model.checker import Scenario, check
+from benchmarks.control_model.scenarios import PLANTED
+
+ENOUGH_STATES = 600_000
+
+
+@pytest.mark.parametrize(
+    "scenario",
+    [
+        Scenario(wipes=0, newcomers=0, crashes=1),
+        Scenario(crashes=0, wipes=1),
+    ],
+    ids=["a crash", "a lost disk"],
+)
+def test_given_three_members_and_little_trouble_then_every_state_keeps_every_promise(
+    scenario: Scenario,
+) -> None:
+    result = check(scenario, Bounds(most_epochs=2))
+    assert result.complete and result.violation is None, "\n".join(result.trace)
+    assert result.states > 1_000
+
+
+@pytest.mark.parametrize("fault", PLANTED)
+def test_given_a_planted_fault_then_the_model_shows_the_way_to_a_broken_promise(fault: str) -> None:
+    scenario, epochs = PLANTED[fault]
+    result = check(scenario, Bounds(most_epochs=epochs, planted=fault), most_states=ENOUGH_STATES)
+    assert result.violation is not None
+    assert result.trace
