--- /dev/null
+++ b/benchmarks/control_kills/__init__.py
@@ -0,0 +1,1 @@
+"""Real control processes on loopback under kills, planned ends and stops, with two stand-in operators."""
--- /dev/null
+++ b/tests/system/test_connection_machine.py
@@ -0,0 +1,197 @@
+"""Any sequence of bad answers: no answer at another caller, nothing that may not be repeated run twice."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from arrowfold.dataplane.worker_connections import WorkerConnections
+from arrowfold.internal.channel import ChannelClient, _frame, _read_frame
+from arrowfold.internal.messages import SubmitChange, SubmitResult
+from arrowfold.standins.servers import free_port
+from tests.system.edge_stories import ROUTES, EdgeStory, RecordedAnswer, worker
+from tests.system.misbehaving_workers import BEHAVIOURS, MemoryLoop, MisbehavingWorker, WorkerScript
+from tests.system.virtual_time import VirtualTimeLoop
+
+PATHS = {"once": "/pay/1", "repeatable": "/look/1"}
+PROMISES = (408, 421, 429, 503)
+BOUND_S = 30.0  # against hanging, no measure
+behaviours = st.lists(st.sampled_from(BEHAVIOURS), max_size=6)
+bodies = st.sampled_from([b"", b"x" * 10, b"y" * 200_000])
+
+
+class ConnectionMachine(RuleBasedStateMachine):
+    """An edge's forwarder on its real connections, and workers in memory that misbehave."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = VirtualTimeLoop()
+        self.script = WorkerScript(random.Random(1))
+        self.edge: Any = None
+        self.loop.run_until_complete(self._set_up())
+
+    async def _set_up(self) -> None:
+        records = tuple(worker(name, "cards") for name in ("w1", "w2", "w3"))
+        self.edge = EdgeStory(ROUTES, records)
+        self.connections = WorkerConnections()
+        self.connections._loop = MemoryLoop(asyncio.get_running_loop(), self.script)  # type: ignore[assignment]
+        self.connections.set_shares({record.instance: 4 for record in records})
+        self.edge.forwarder._transport = self.connections
+
+    @rule(scripted=behaviours, number=st.integers(1, 4), kind=st.sampled_from(list(PATHS)), body=bodies)
+    def ask(self, scripted: list[str], number: int, kind: str, body: bytes) -> None:
+        """Several clients ask at the same time."""
+        self.script.behaviours = list(scripted)
+        self.loop.run_until_complete(self._ask(number, kind, body))
+
+    @rule(rest_s=st.sampled_from([0.001, 0.02, 0.5, 3.0]))
+    def rest(self, rest_s: float) -> None:
+        """Time passes: surplus answers come, connections expire."""
+        self.loop.run_until_complete(asyncio.sleep(rest_s))
+        self.loop.run_until_complete(self._expire())
+
+    async def _expire(self) -> None:
+        self.connections.close_expired()
+
+    async def _ask(self, number: int, kind: str, body: bytes) -> None:
+        requests = [self.edge.request(PATHS[kind], body=body) for _ in range(number)]
+        answers = [RecordedAnswer() for _ in requests]
+        await asyncio.gather(
+            *(self.edge.forwarder.forward(*pair) for pair in zip(requests, answers, strict=True))
+        )
+        for request, answer in zip(requests, answers, strict=True):
+            attempt = dict(request.headers)[b"X-Attempt-Id"].decode()
+            self._check(attempt, kind, answer)
+
+    def _check(self, attempt: str, kind: str, answer: RecordedAnswer) -> None:
+        assert answer.complete or answer.aborted
+        if answer.sealed:
+            assert answer.body == attempt.encode(), "an answer of somebody else"
+            assert self.script.runs[attempt] >= 1
+        if kind == "once":
+            assert self.script.runs[attempt] <= 1, "run twice"
+            if answer.status in PROMISES:
+                assert self.script.runs[attempt] == 0, "promised not to have run"
+        assert self.script.arrivals[attempt] <= 4
+
+    def teardown(self) -> None:
+        self.loop.close()
+
+
+ConnectionMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=12, deadline=None)
+TestConnections = ConnectionMachine.TestCase
+
+
+@settings(max_examples=12, deadline=None)
+@given(st.lists(behaviours, min_size=1, max_size=4))
+def test_given_bad_workers_over_sockets_then_every_answer_is_its_callers(rounds: list[list[str]]) -> None:
+    async def story() -> None:
+        script = WorkerScript(random.Random(1))
+        port = free_port()
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: MisbehavingWorker(script), "127.0.0.1", port)
+        record = worker("w1", "cards")
+        edge = EdgeStory(ROUTES, (record,))
+        connections = WorkerConnections()
+        connections.set_shares({"w1": 4})
+        edge.forwarder._transport = _ToOnePort(connections, f"127.0.0.1:{port}")  # type: ignore[assignment]
+        for scripted in rounds:
+            script.behaviours = list(scripted)
+            requests = [edge.request("/pay/1", body=b"z" * 100_000) for _ in range(3)]
+            answers = [RecordedAnswer() for _ in requests]
+            async with asyncio.timeout(BOUND_S):
+                await asyncio.gather(
+                    *(edge.forwarder.forward(*pair) for pair in zip(requests, answers, strict=True))
+                )
+            for request, answer in zip(requests, answers, strict=True):
+                attempt = dict(request.headers)[b"X-Attempt-Id"].decode()
+                assert not answer.sealed or answer.body == attempt.encode()
+                assert script.runs[attempt] <= 1
+        server.close()
+
+    asyncio.run(story())
+
+
+class _ToOnePort:
+    """Sends to one address, whatever the worker's record says."""
+
+    def __init__(self, connections: WorkerConnections, address: str) -> None:
+        self._connections = connections
+        self._address = address
+
+    async def send(self, instance: str, _: str, request: Any) -> Any:
+        return await self._connections.send(instance, self._address, request)
+
+
+# The internal channel
+
+PEER_ACTS = ("answer", "twice", "other number", "late", "half", "reset", "rubbish")
+
+
+async def _misbehave(
+    acts: list[str], reader: asyncio.StreamReader, writer: asyncio.StreamWriter, seen: list[bytes]
+) -> None:
+    """A peer of the channel that treats each call by the next act."""
+    try:
+        while True:
+            number, body = await _read_frame(reader)
+            seen.append(body.body)
+            frame = _frame(number, SubmitResult(200, body.body))
+            act = acts.pop(0) if acts else "answer"
+            if act == "twice":
+                writer.write(frame + frame)
+            elif act == "other number":
+                writer.write(_frame(number + 1_000, SubmitResult(200, b"not yours")) + frame)
+            elif act == "late":
+                asyncio.get_running_loop().call_later(0.08, writer.write, frame)
+            elif act == "half":
+                writer.write(frame[:-2])
+                writer.transport.abort()
+            elif act == "reset":
+                writer.transport.abort()
+            elif act == "rubbish":
+                writer.write(b"\xff" * 64)
+            else:
+                writer.write(frame)
+    except (OSError, asyncio.IncompleteReadError):
+        writer.transport.abort()
+
+
+@settings(max_examples=25, deadline=None)
+@given(st.lists(st.sampled_from(PEER_ACTS), max_size=12), st.integers(1, 6))
+def test_given_a_bad_peer_of_the_channel_then_no_call_gets_another_ones_answer(
+    acts: list[str], together: int
+) -> None:
+    async def story() -> None:
+        seen: list[bytes] = []
+        remaining = list(acts)
+        server = await asyncio.start_server(
+            lambda reader, writer: _misbehave(remaining, reader, writer, seen), "127.0.0.1", 0
+        )
+        host, port = server.sockets[0].getsockname()[:2]
+        client = ChannelClient()
+        sent = 0
+        for _ in range(4):
+            calls = []
+            for _ in range(together):
+                sent += 1
+                body = b"call-%d" % sent
+                calls.append(_one_call(client, f"{host}:{port}", body))
+            async with asyncio.timeout(BOUND_S):
+                await asyncio.gather(*calls)
+        assert len(seen) == len(set(seen)), "a call was sent twice"
+        client.close()
+        server.close()
+
+    asyncio.run(story())
+
+
+async def _one_call(client: ChannelClient, address: str, body: bytes) -> None:
+    answer = await client.call(address, SubmitChange("PUT", "1", body), 0.05)
+    if answer.is_ok():
+        assert answer.unwrap() == SubmitResult(200, body)
