--- /dev/null
+++ b/benchmarks/control_figures.py
@@ -0,0 +1,123 @@
+"""Writes the figures of the control side's runs into docs/control-guarantees.md, from their result files.
+
+Usage:
+  control_figures write
+  control_figures show
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+from docopt import docopt
+
+ROOT = Path(__file__).parent.parent
+PAGE = ROOT / "docs" / "control-guarantees.md"
+MARK = "<!-- figures -->"
+STATE_RESULTS = ROOT / "benchmarks" / "control_state" / "results"
+KILL_RESULTS = ROOT / "benchmarks" / "control_kills" / "results"
+MODEL_RESULTS = ROOT / "benchmarks" / "control_model" / "results"
+
+
+def _read(path: Path) -> Any:
+    return json.loads(path.read_text()) if path.exists() else None
+
+
+def _table(head: list[str], rows: list[list[object]]) -> str:
+    lines = [head, ["---"] * len(head), *rows]
+    return "\n".join("| " + " | ".join(str(cell) for cell in line) + " |" for line in lines)
+
+
+def _model(name: str, command: str) -> str:
+    rows = _read(MODEL_RESULTS / name)
+    if rows is None:
+        return f"`{command}`: not run.\n"
+    cells = [
+        [
+            row["name"],
+            f"{row['states']:,}",
+            row["depth"],
+            row["seconds"],
+            "all" if row["complete"] else "part",
+            row["violation"] or "none",
+            len(row["trace"]) or "",
+        ]
+        for row in rows
+    ]
+    head = ["run", "states", "depth", "s", "visited", "broken promise", "steps to it"]
+    return f"`{command}`\n\n{_table(head, cells)}\n"
+
+
+def _long_runs() -> str:
+    command = "python -m benchmarks.control_state run --seconds 1800 --result FILE"
+    runs = [_read(STATE_RESULTS / name) for name in ("long-3-1.json", "long-5-2.json")]
+    names = ("schedules", "seconds", "acknowledged", "departures", "reads", "acts", "lost", "back_steps")
+    names += ("two_holders", "stuck", "other", "longest_recovery_s")
+    rows: list[list[object]] = [
+        [f"{run['machines']} / {run['losses']}", *(f"{run[name]:,}" for name in names)]
+        for run in runs
+        if run is not None
+    ]
+    return f"`{command}`\n\n{_table(['size', *names], rows)}\n"
+
+
+def _planted() -> str:
+    command = "python -m benchmarks.control_state planted --schedules 120 --result FILE"
+    rows = _read(STATE_RESULTS / "planted.json") or []
+    cells: list[list[object]] = [
+        [row["fault"], row["schedules"], (row["found"] or "not found").split(";")[0]] for row in rows
+    ]
+    return f"`{command}` (3 / 1 and 5 / 2 by turns)\n\n{_table(['fault', 'schedules', 'found as'], cells)}\n"
+
+
+def _kills() -> str:
+    command = "python -m benchmarks.control_kills --faults 250 --result FILE"
+    runs = [run for name in ("three.json", "five.json") if (run := _read(KILL_RESULTS / name)) is not None]
+    names = ["seconds", "acknowledged", "sent again", "reads", "acknowledged and not found"]
+    names += ["refused when sent again", "two under one number", "stuck"]
+    names += ["ended by SIGKILL after the grace time"]
+    rows: list[list[object]] = [
+        [f"{run['members']} / {run['losses']}", sum(run["faults"].values()), *(run[name] for name in names)]
+        for run in runs
+    ]
+    kinds = "; ".join(f"{run['members']} / {run['losses']}: {run['faults']}" for run in runs)
+    return f"`{command}`\n\n{_table(['size', 'faults', *names], rows)}\n\n{kinds}\n"
+
+
+def figures() -> str:
+    """The section of the page."""
+    parts = [
+        "### The model, no fault planted\n",
+        _model("clean.json", "python -m benchmarks.control_model run --seconds 240 --result FILE"),
+        "### The model, planted faults\n",
+        _model("planted.json", "python -m benchmarks.control_model planted --seconds 60 --result FILE"),
+        "### Schedules, planted faults\n",
+        _planted(),
+        "### Schedules, long runs\n",
+        _long_runs(),
+        "### Real processes on loopback\n",
+        _kills(),
+    ]
+    return "\n".join(parts)
+
+
+def page_with_figures() -> str:
+    """The whole page, with the figures as the result files have them."""
+    before, mark, _ = PAGE.read_text().partition(MARK)
+    return f"{before}{mark}\n\n{figures()}"
+
+
+def main() -> int:
+    """Run the command line."""
+    if docopt(__doc__)["write"]:
+        PAGE.write_text(page_with_figures())
+    else:
+        print(figures())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/system/test_control_currency.py
+++ b/tests/system/test_control_currency.py
@@ -8,7 +8,8 @@
 import pytest
 
 from arrowfold.internal.messages import SubmitResult
-from arrowfold.replication.messages import AcceptEpoch
+from arrowfold.replication.member import GroupMember
+from arrowfold.replication.messages import AcceptEpoch, InstallState, PrepareEpoch
 from tests.system.control_simulation.history import describe
 from tests.system.control_simulation.machines import Machine
 from tests.system.control_simulation.outside import OperatorRead
@@ -110,16 +111,28 @@
     run_world(_new_primary_silent())
 
 
+def _promises(member: GroupMember) -> bool:
+    return member.clock() >= member._lease_until
+
+
 async def _accepted_but_not_told() -> None:
     world, backup = await _core_and_backup(43)
     assert backup.replica is not None
     member = backup.replica.group_member
     assert member.is_current()
-    # When it accepts the record of another epoch
+    for machine in world.machines.values():
+        if machine is not backup:
+            machine.kill()
+    # When another member brings an epoch about, and it stores the starting state and accepts the record
     record = member.image.record
     assert record is not None
-    following = replace(record, epoch=record.epoch + 1, primary=member.image.promised_to)
-    await member.accept(AcceptEpoch(following))
+    third = next(info for info in record.witnesses if info.member not in (record.primary, member.info.member))
+    await world.until(lambda: _promises(member), 2.0, "the lease of the primary to run out")
+    epoch = record.epoch + 1
+    assert (await member.prepare(PrepareEpoch(epoch, third))).granted
+    assert (await member.install(InstallState(epoch, third.member, member.image.position, None))).done
+    member._current_until = member.clock() + 1.0  # as if a heartbeat had come just before
+    assert (await member.accept(AcceptEpoch(replace(record, epoch=epoch, primary=third.member)))).done
     # Then it is not current until that epoch's primary told how far the log is committed
     assert not member.is_current()
     world.require_sound()
