--- a/benchmarks/control_model/scenarios.py
+++ b/benchmarks/control_model/scenarios.py
@@ -35,5 +35,6 @@
     "witness without lease": (_NO_DISK_LOST, 2),
     "primary without lease": (_NO_DISK_LOST, 2),
     "no lease after a restart": (_NO_DISK_LOST, 2),
+    "promise in memory": (_NO_DISK_LOST, 3),
     "no amnesia guard": (Scenario(newcomers=0), 3),
 }
