--- a/tests/system/control_simulation/planted.py
+++ b/tests/system/control_simulation/planted.py
@@ -20,7 +20,7 @@
 from arrowfold.replication.durable import DurableImage
 from arrowfold.replication.epochs import Found
 from arrowfold.replication.member import GroupMember
-from arrowfold.replication.messages import LeaveRequest, PrepareAnswer, PrepareEpoch, Verdict
+from arrowfold.replication.messages import PrepareAnswer, PrepareEpoch, Verdict
 from arrowfold.replication.primary import PrimaryTerm
 from arrowfold.replication.records import EntriesAppended
 from arrowfold.replication.replica import Replica
@@ -216,9 +216,6 @@
     """Point 3: a member that is told to end does not wait for its release."""
 
     async def leave(self: Replica) -> bool:
-        record = self._finder.newest(self._member.image.record)
-        if record is not None:
-            await self._call_others(record, LeaveRequest(self._member.info))
         return True
 
     return patch.object(Replica, "_leave", leave)
--- a/tests/system/test_control_planted.py
+++ b/tests/system/test_control_planted.py
@@ -10,7 +10,7 @@
 
 from arrowfold.internal.messages import SubmitResult
 from tests.system.control_simulation.history import document
-from tests.system.control_simulation.outside import OperatorChange, OperatorRead
+from tests.system.control_simulation.outside import OperatorChange, OperatorRead, WorkerDeparts
 from tests.system.control_simulation.planted import planted
 from tests.system.control_simulation.world import World, run_world
 
@@ -142,6 +142,88 @@
     world.require_sound()
 
 
+async def _third_restarts_between_two() -> None:
+    """The primary and another lose each other, while the third, which reaches both, is restarted."""
+    world = await _started(8)
+    watching = asyncio.create_task(world.watch_primaries())
+    for _ in range(4):
+        leader = await world.until_primary()
+        other, third = (machine for machine in world.machines.values() if machine is not leader)
+        world.network.cut(leader.address, other.address)
+        world.network.cut(other.address, leader.address)
+        for _ in range(10):
+            await asyncio.sleep(0.31)
+            third.kill()
+            third.start()
+        world.network.heal()
+        await asyncio.sleep(3.0)
+    watching.cancel()
+    world.require_sound()
+
+
+async def _frozen_for_long() -> None:
+    """A backup stands still while changes are acknowledged, and is looked at as it wakes."""
+    world = await _started(9)
+    watching = asyncio.create_task(world.watch_claims())
+    primary = await world.until_primary()
+    backup = next(machine for machine in world.machines.values() if machine is not primary)
+    backup.freeze()
+    base = 1
+    for version in (2, 3, 4):
+        assert await world.change(base, version, 9.0, avoiding=backup) == version
+        base = version
+    await asyncio.sleep(5.0)
+    backup.thaw()
+    for _ in range(400):
+        await asyncio.sleep(0.001)
+        world.check(lambda: world._check_claim(backup))
+    watching.cancel()
+    world.require_sound()
+
+
+async def _told_to_end_beside_a_loss() -> None:
+    """Three members and a newcomer: one is told to end, and another loses its disk."""
+    world = await _started(10)
+    await world.until(world.is_whole, 6.0, "a whole group")
+    world.add_machine("core4").start()
+    await world.until(world.is_whole, 6.0, "the newcomer in the group")
+    primary = await world.until_primary()
+    leaver, victim = [machine for machine in world.machines.values() if machine is not primary][:2]
+    ended = leaver.terminate()
+    await asyncio.sleep(0.2)
+    victim.wipe()
+    victim.start()
+    await ended
+    leaver.take_away()
+    assert await world.change(1, 2, 9.0) == 2
+
+
+async def _two_operators() -> None:
+    """Two operators build on the same version."""
+    world = await _started(11)
+    assert await world.change(1, 2, 9.0) == 2
+    await world.change(1, 3, 9.0)
+    world.require_sound()
+
+
+async def _many_changes_in_one_batch() -> None:
+    """Six changes of one version wait together; the one that gets 200 is the one that is in force."""
+    world = await _started(12)
+    primary = await world.until_primary()
+    first = asyncio.create_task(world.call(primary, WorkerDeparts("i-1")))
+    await asyncio.sleep(0.003)
+    changes = {version: document(version, f"m{version}") for version in range(2, 8)}
+    answers = await asyncio.gather(
+        *(world.call(primary, OperatorChange("PUT", "1", body)) for body in changes.values())
+    )
+    assert await first
+    taken = [
+        version for version, answer in zip(changes, answers, strict=True) if answer and answer.status == 200
+    ]
+    assert len(taken) == 1
+    assert await world.read(primary) == taken[0]
+
+
 GUARDED: list[tuple[str, Story]] = [
     ("no amnesia guard", _behind_wiped_and_dark),
     ("a wiped machine founds", _most_disks_lost),
@@ -153,6 +235,12 @@
     ("digests forgotten", _answer_lost),
     ("no wait at hand-over", _role_moves),
     ("token kept", _role_moves),
+    ("no lease after a restart", _third_restarts_between_two),
+    ("current for ever", _frozen_for_long),
+    ("current by any heartbeat", _frozen_for_long),
+    ("ends at once", _told_to_end_beside_a_loss),
+    ("any precondition", _two_operators),
+    ("answers exchanged", _many_changes_in_one_batch),
 ]
 
 
