--- a/tests/system/test_control_member.py
+++ b/tests/system/test_control_member.py
@@ -31,11 +31,12 @@
     """A backup whose lease has run out, and the two others, which are dark and whose part the test plays."""
 
     def __init__(
-        self, member: GroupMember, record: EpochRecord, others: tuple[MemberInfo, MemberInfo]
+        self, member: GroupMember, record: EpochRecord, primary: MemberInfo, third: MemberInfo
     ) -> None:
         self.member = member
         self.record = record
-        self.primary, self.third = others
+        self.primary = primary
+        self.third = third
 
     @property
     def position(self) -> Position:
