--- a/tests/system/test_control_leaving.py
+++ b/tests/system/test_control_leaving.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from unittest.mock import patch
 
 import pytest
 
+from arrowfold.replication.durable import DurableImage
 from tests.system.control_simulation.machines import Machine
 from tests.system.control_simulation.world import World, run_world
 
@@ -201,3 +203,32 @@
 @pytest.mark.parametrize("kind", ["killed", "frozen", "cut off"])
 def test_given_a_leaver_in_trouble_then_it_counts_as_lost_and_another_loss_is_borne(kind: str) -> None:
     run_world(_leaver_in_trouble(kind))
+
+
+async def _never_flushed() -> None:
+    # Given disks on which nobody writes yet that the newest record is chosen
+    world = await _core_with_a_newcomer(3, 1)
+    await asyncio.sleep(2.0)
+    primary = await world.until_primary()
+    assert primary.replica is not None
+    holders = {tenure.member for tenure in primary.replica.committed.roles.values()}
+    leaver = next(
+        machine
+        for machine in world.machines.values()
+        if machine is not primary and machine.replica is not None and machine.replica.member not in holders
+    )
+    # When a member is told to end
+    ended = leaver.terminate()
+    await asyncio.sleep(2.0)
+    # Then it is not let go, although the record without it is chosen
+    assert len(primary.replica.members()) == 3
+    assert not leaver.released
+    await ended
+
+
+def test_given_disks_that_do_not_know_the_record_then_the_member_is_not_let_go() -> None:
+    async def nothing(_: DurableImage) -> None:
+        return None
+
+    with patch.object(DurableImage, "flush", nothing):
+        run_world(_never_flushed())
