--- a/arrowfold/program/signals.py
+++ b/arrowfold/program/signals.py
@@ -1,28 +1,48 @@
-"""Signals as bytes in a pipe, from the process's first moment: none is lost and none is fatal."""
+"""Signals from the process's first moment: none is lost and none is fatal, however many come at once."""
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
+from types import FrameType
 
 CAUGHT = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
+READ_BYTES = 4096
 
 
 class Signals:
-    """Catches signals; who reads, reads them in the order they came in."""
+    """Catches signals and keeps, until they are taken, which ones came; a pipe only wakes the loop.
+
+    The pipe's bytes are no record: a storm of signals fills it, and the byte of the last one is dropped then.
+    """
 
     def __init__(self) -> None:
+        self._pending: dict[int, None] = {}  # the numbers that came, in the order of their first arrival
         self._read, self._write = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
         signal.set_wakeup_fd(self._write, warn_on_full_buffer=False)
         for number in CAUGHT:
-            signal.signal(number, lambda *_: None)
+            signal.signal(number, self._note)
+
+    def _note(self, number: int, frame: FrameType | None) -> None:
+        """Keep a signal, and wake the loop: the byte of the signal may have been read before this runs."""
+        del frame
+        self._pending[number] = None
+        with contextlib.suppress(BlockingIOError):  # full: what is in the pipe wakes the loop
+            os.write(self._write, b"\0")
 
     def fileno(self) -> int:
         return self._read
 
-    def take(self) -> bytes:
-        """The numbers that have come in."""
-        try:
-            return os.read(self._read, 4096)
-        except BlockingIOError:
-            return b""
+    def take(self) -> tuple[int, ...]:
+        """The signals that have come since the last call, each once.
+
+        The pipe is emptied first: the loop is told of what is written only when that is new (edge-triggered).
+        """
+        while True:
+            try:
+                os.read(self._read, READ_BYTES)
+            except BlockingIOError:
+                break
+        pending, self._pending = self._pending, {}
+        return tuple(pending)
--- a/arrowfold/replication/primary.py
+++ b/arrowfold/replication/primary.py
@@ -207,7 +207,12 @@
         return self.is_secured()
 
     def is_secured(self) -> bool:
-        """Whether enough disks that stay know the record to be chosen, also after the losses to be borne."""
+        """Whether enough disks that stay know the record to be chosen, also after the losses to be borne.
+
+        A record with one set of voters is superseded by that set's majority, known as chosen or not.
+        """
+        if len(self.record.quorums) == 1:
+            return True
         own = self._member.durable.confirmed_epoch >= self.record.epoch
         needed = copies_required(self._losses, len(self.record.witnesses))
         return own + self._peers.confirmed_on(self.record) >= needed
--- a/arrowfold/replication/replica.py
+++ b/arrowfold/replication/replica.py
@@ -353,14 +353,17 @@
         deadline = self._clock() + self._leave_patience_s
         while self._clock() < deadline:
             record = self._finder.newest(self._member.image.record)
-            if record is None or self._leavers.all_leaving(record, self.member):
+            if record is None:
                 return False
+            # Asked before looking whether the others leave too: once this member ends, it can't tell them.
             answers = await self._call_others(record, LeaveRequest(self._member.info))
             for answer in answers:
                 self._finder.note(answer.record)
             if any(answer.released for answer in answers):
                 self._log.info("member.released", epoch=record.epoch)
                 return True
+            if self._leavers.all_leaving(record, self.member):
+                return False
             await asyncio.sleep(self._timings.leave_retry_s)
         self._log.warning("member.left_without_release", patience_s=self._leave_patience_s)
         return False
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -169,13 +169,26 @@
         self.assertEqual(answers[0][:2], (200, b"s1:open"))
         self.assertEqual(node.process.wait(LONG), 0)
 
-    def test_from_the_process_first_moment_none_is_fatal(self) -> None:
+    def started_as_on_the_platform(self) -> Any:
         """`run` as the platform starts it: its shell ignores HUP until the program catches it."""
         line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         shell = line.replace(".venv/bin/python", sys.executable)
         node = self.node(self.worker("s1"), wait=False, shell=shell)
         command = Path(f"/proc/{node.process.pid}/cmdline")
         eventually(lambda: command.read_bytes().startswith(sys.executable.encode()))
+        return node
+
+    def test_a_storm_of_signals_at_the_start_hides_no_termination(self) -> None:
+        """More signals than one reading of them takes, before the loop turns for the first time."""
+        node = self.started_as_on_the_platform()
+        while node.answers_ready() is None:
+            for _ in range(20_000):
+                node.process.send_signal(signal.SIGHUP)
+        self.assertEqual(node.post("t")[0], 200)
+        self.assertEqual(node.terminate(), 0)
+
+    def test_from_the_process_first_moment_none_is_fatal(self) -> None:
+        node = self.started_as_on_the_platform()
         while node.answers_ready() is None:
             self.assertIsNone(node.process.poll())
             node.process.send_signal(signal.SIGHUP)
