Hold each request against the process's own end: refuse late ones, answer what is left

One that came on a kept connection, or whose body ended late, was sent on milliseconds before the end and cut; one whose worker had not answered lost its connection. Ruled out: closing a connection right after such an answer (it leaves the late body and the queue as they were); a longer grace time (the platform's). Change: ProcessEnd, planned by EdgeFront.stop and asked by RequestForwarder. 0.5 s after listening has ended a request is sent on only if its deadline comes before the end, else refused (503, 310, Retry-After 0.05 s); requests under way are bounded by the end: 503 unrun, 502 where it may have run. Whether an answer tells its client to close is asked when its head goes out.

--- a/arrowfold/dataplane/forwarding.py
+++ b/arrowfold/dataplane/forwarding.py
@@ -29,11 +29,13 @@
 )
 from arrowfold.dataplane.own_answers import (
     CONFIGURATION_RETRY_S,
+    ELSEWHERE_RETRY_S,
     OVERLOAD_RETRY_S,
     OwnAnswer,
     may_have_run,
     not_executed,
 )
+from arrowfold.dataplane.process_end import ProcessEnd
 from arrowfold.dataplane.retry_budget import RetryBudget
 from arrowfold.dataplane.streams import relay_stream
 from arrowfold.dataplane.tables import ConfigurationSnapshot, FleetSnapshot
@@ -66,13 +68,16 @@
         snapshot: Callable[[], FleetSnapshot],
         clock: Callable[[], float],
         draw: random.Random | None = None,
+        process_end: ProcessEnd | None = None,
     ) -> None:
+        """`process_end`: what bounds all requests once the process is to end; never, where it is left out."""
         self._transport = transport
         self._selector = selector
         self._budget = budget
         self._snapshot = snapshot
         self._clock = clock
         self._draw = draw or random.Random()
+        self._process_end = process_end or ProcessEnd()
         self._changed = asyncio.Event()
         self.on_missing: Callable[[], None] = lambda: None  # called when a request finds no holder
 
@@ -97,11 +102,21 @@
             await _send_own(answer, OwnAnswer(400, ResultCode.REQUEST_MALFORMED), None)
             return
         progress = begin(request, route, route.pick_service(self._draw.random()))
+        if not self._process_end.lets_in(progress.deadline_s):
+            await _send_own(answer, not_executed(ResultCode.SHUTTING_DOWN, ELSEWHERE_RETRY_S), attempt_id)
+            return
         self._budget.count_request(progress.service, self._clock())
         try:
-            async with asyncio.timeout(max(0.0, progress.deadline_s - self._clock())):
+            async with self._process_end.bounding(progress.deadline_s):
                 await self._run(progress, answer)
         except TimeoutError:
+            await self._end_in_time(progress, answer)
+
+    async def _end_in_time(self, progress: RequestProgress, answer: ClientAnswer) -> None:
+        """The deadline has passed, or the process is about to end."""
+        if self._process_end.comes_before(progress.deadline_s):
+            await self._end_without_worker(progress, answer, ResultCode.SHUTTING_DOWN, ELSEWHERE_RETRY_S)
+        else:
             await self._end_without_worker(progress, answer, ResultCode.DEADLINE_PASSED, None)
 
     async def _configuration(self, request: ClientRequest) -> ConfigurationSnapshot | None:
@@ -288,12 +303,18 @@
             answer.abort()
             return
         if progress.may_have_run:
-            late = self._clock() >= progress.deadline_s
-            own = may_have_run(ResultCode.DEADLINE_PASSED if late else ResultCode.WORKER_FAILED)
+            own = may_have_run(self._unclear_code(progress, code))
         else:
             own = not_executed(code, retry_after_s)
         await _send_own(answer, own, progress.attempt_id)
 
+    def _unclear_code(self, progress: RequestProgress, code: ResultCode) -> ResultCode:
+        """Why nothing is known of a request that may have run."""
+        if code is ResultCode.SHUTTING_DOWN:
+            return code
+        late = self._clock() >= progress.deadline_s
+        return ResultCode.DEADLINE_PASSED if late else ResultCode.WORKER_FAILED
+
 
 def _is_event_stream(worker_answer: WorkerAnswer) -> bool:
     content_type = find(worker_answer.headers, names.CONTENT_TYPE) or ""
--- a/arrowfold/dataplane/front.py
+++ b/arrowfold/dataplane/front.py
@@ -15,6 +15,7 @@
 from arrowfold.configuration.routes import Limits
 from arrowfold.dataplane.exchange import ClientAnswer, ClientRequest
 from arrowfold.dataplane.own_answers import OwnAnswer
+from arrowfold.dataplane.process_end import ProcessEnd
 from arrowfold.node.listeners import BACKLOG
 from arrowfold.node.result_codes import ResultCode
 
@@ -32,9 +33,10 @@
 class AiohttpAnswer:
     """Writes a `ClientAnswer` as a response of aiohttp."""
 
-    def __init__(self, request: BaseRequest, close: bool) -> None:
+    def __init__(self, request: BaseRequest, closes: Callable[[], bool]) -> None:
+        """`closes`: asked when the head goes out, whether the connection ends after this answer."""
         self._request = request
-        self._close = close
+        self._closes = closes
         self.response: web.StreamResponse | None = None
 
     @property
@@ -75,7 +77,7 @@
         for name, value in headers:
             fields.add(name.decode("latin-1"), value.decode("latin-1"))
         response = web.StreamResponse(status=status, reason=_reason(status), headers=fields)
-        if self._close:
+        if self._closes():
             response.force_close()
         self.response = response
         return response
@@ -128,10 +130,12 @@
 class EdgeFront:
     """Serves clients at one address."""
 
-    def __init__(self, forward: Forward, limits: Callable[[], Limits]) -> None:
+    def __init__(self, forward: Forward, limits: Callable[[], Limits], process_end: ProcessEnd) -> None:
+        """`process_end`: planned by `stop`; what forwards the requests is bounded by it."""
         self._loop = asyncio.get_running_loop()
         self._forward = forward
         self._limits = limits
+        self._process_end = process_end
         self._draining = False
         self._longest_idle_s = 0.0  # of all configurations that were in force
         self._busy: set[object] = set()  # connections whose request is not answered yet
@@ -161,10 +165,11 @@
         self._draining = True
 
     async def stop(self, grace_s: float) -> None:
-        """Take no new connections, answer every request that was read, then end."""
+        """Take no new connections, answer every request that was read within `grace_s`, then end."""
         if self._listener is not None:
             self._listener.close()
         deadline_s = self._loop.time() + grace_s
+        self._process_end.plan(deadline_s)
         while self._web.connections and self._loop.time() < deadline_s:
             self._close_idle()
             await asyncio.sleep(CLOSING_LOOK_S)
@@ -205,14 +210,14 @@
 
     async def _serve(self, request: BaseRequest) -> web.StreamResponse:
         arrived_s = asyncio.get_running_loop().time()
-        answer = AiohttpAnswer(request, close=self._draining)
+        answer = AiohttpAnswer(request, lambda: self._draining)
         refusal = self._too_large(request)
         body = b"" if refusal else await self._read_body(request)
         if refusal is None and body is None:
             refusal = OwnAnswer(413, ResultCode.BODY_TOO_LARGE)
         if refusal is not None or body is None:
             assert refusal is not None
-            answer = AiohttpAnswer(request, close=True)
+            answer = AiohttpAnswer(request, lambda: True)
             await answer.send_whole(refusal.status, refusal.headers(None), refusal.body())
         else:
             await self._forward(_client_request(request, body, arrived_s), answer)
--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -10,6 +10,7 @@
 from arrowfold.dataplane.forwarding import RequestForwarder
 from arrowfold.dataplane.front import EdgeFront, ReadinessFront
 from arrowfold.dataplane.placement_overlay import PlacementOverlay
+from arrowfold.dataplane.process_end import ProcessEnd
 from arrowfold.dataplane.puller import ControlPuller
 from arrowfold.dataplane.reports import DemandReporter
 from arrowfold.dataplane.retry_budget import RetryBudget
@@ -65,7 +66,6 @@
         loop = asyncio.get_running_loop()
         self._listeners = listeners or {}
         self._settings = settings
-        self._listeners = listeners or {}
         self._selector = selector
         self._log = log
         self._clock = loop.time
@@ -77,10 +77,16 @@
         )
         self._tables = FleetTables()
         self._connections = WorkerConnections()
+        process_end = ProcessEnd()
         self._forwarder = RequestForwarder(
-            self._connections, selector, self._budget, lambda: self._tables.snapshot, loop.time
+            self._connections,
+            selector,
+            self._budget,
+            lambda: self._tables.snapshot,
+            loop.time,
+            process_end=process_end,
         )
-        self._front = EdgeFront(self._forwarder.forward, self._limits)
+        self._front = EdgeFront(self._forwarder.forward, self._limits, process_end)
         self._readiness = ReadinessFront(self.is_ready)
         self._client = ChannelClient()
         identity = NodeIdentity(
--- a/arrowfold/dataplane/own_answers.py
+++ b/arrowfold/dataplane/own_answers.py
@@ -7,6 +7,7 @@
 from arrowfold.node.result_codes import ResultCode
 
 OVERLOAD_RETRY_S = 0.25  # where nothing better is known
+ELSEWHERE_RETRY_S = 0.05  # another node can take it at once
 CONFIGURATION_RETRY_S = 1.2  # a process that has just started gets its configuration in about so long
 
 
--- a/tests/system/edge_loopback.py
+++ b/tests/system/edge_loopback.py
@@ -14,6 +14,7 @@
 from arrowfold.configuration.routes import Limits
 from arrowfold.dataplane.forwarding import RequestForwarder
 from arrowfold.dataplane.front import EdgeFront
+from arrowfold.dataplane.process_end import ProcessEnd
 from arrowfold.dataplane.retry_budget import RetryBudget
 from arrowfold.dataplane.tables import FleetTables
 from arrowfold.dataplane.worker_connections import WorkerConnections
@@ -210,15 +211,22 @@
         budget.apply_edges(1, loop.time())
         self.connections = WorkerConnections()
         self.connections.set_shares({instance: 4 for instance in workers})
+        process_end = ProcessEnd()
         forwarder = RequestForwarder(
-            self.connections, selector, budget, lambda: tables.snapshot, loop.time, random.Random(1)
+            self.connections,
+            selector,
+            budget,
+            lambda: tables.snapshot,
+            loop.time,
+            random.Random(1),
+            process_end,
         )
 
         def limits() -> Limits:
             assert tables.snapshot.configuration is not None
             return tables.snapshot.configuration.routes.limits
 
-        self.front = EdgeFront(forwarder.forward, limits)
+        self.front = EdgeFront(forwarder.forward, limits, process_end)
         self.address = await self.front.start("127.0.0.1:0", opened)
         return self
 
--- a/tests/system/edge_stories.py
+++ b/tests/system/edge_stories.py
@@ -20,6 +20,7 @@
 )
 from arrowfold.dataplane.forwarding import RequestForwarder
 from arrowfold.dataplane.headers import RawHeaders
+from arrowfold.dataplane.process_end import ProcessEnd
 from arrowfold.dataplane.retry_budget import RetryBudget
 from arrowfold.dataplane.tables import FleetTables
 from arrowfold.internal.messages import (
@@ -260,6 +261,7 @@
         self.workers = ScriptedWorkers()
         self.selector = selector or LeastLoadedSelector(random.Random(1))
         self.budget = RetryBudget(0.2, 50, 10, loop.time() - 100)
+        self.process_end = ProcessEnd()
         self.forwarder = RequestForwarder(
             self.workers,
             self.selector,
@@ -267,6 +269,7 @@
             lambda: self.tables.snapshot,
             loop.time,
             random.Random(1),
+            self.process_end,
         )
         self._requests = 0
         if routes is not None:
