End a control node's HTTP interface in order: answer what is under way, then close

Cause: what serve returned was not kept, so a call of an operator or a worker that was under way when the process ended lost its connection, and the listener stayed open beside a member that had left. Change: ControlHttpServer.end after the member has left: no new connections, the calls under way answered (0.15 of the grace time at most), then closed. Two tests in test_control_http.

--- a/arrowfold/controlplane/http_interface.py
+++ b/arrowfold/controlplane/http_interface.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from result import Err
@@ -17,6 +18,7 @@
 
 LARGEST_BODY = 6 * 1024 * 1024  # bytes of a configuration as it is sent; below the largest internal frame
 JSON = "application/json"
+CLOSING_LOOK_S = 0.02  # between looks at what is under way while the server ends
 
 
 def _json(status: int, body: bytes) -> HTTPResponse:
@@ -67,7 +69,29 @@
     return application
 
 
-async def serve(application: Sanic[Any, Any], address: str) -> AsyncioServer:
+class ControlHttpServer:
+    """The listening interface; ended in order, so that no call that was read goes without its answer."""
+
+    def __init__(self, server: AsyncioServer) -> None:
+        self._server = server
+
+    async def end(self, patience_s: float) -> None:
+        """Take no new connections, answer what is under way for at most `patience_s`, then close."""
+        self._server.close()  # type: ignore[no-untyped-call]
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + patience_s
+        while self._close_idle() and loop.time() < deadline_s:
+            await asyncio.sleep(CLOSING_LOOK_S)
+        for connection in list(self._server.connections):
+            connection.close()
+
+    def _close_idle(self) -> bool:
+        """Close the connections that wait for a call; whether others are left."""
+        connections = list(self._server.connections)
+        return not all([connection.close_if_idle() for connection in connections])
+
+
+async def serve(application: Sanic[Any, Any], address: str) -> ControlHttpServer:
     """Listen at HOST:PORT in the running event loop."""
     host, port = address.rsplit(":", 1)
     server = await application.create_server(
@@ -76,4 +100,4 @@
     assert server is not None
     await server.startup()  # type: ignore[no-untyped-call]
     await server.start_serving()  # type: ignore[no-untyped-call]
-    return server
+    return ControlHttpServer(server)
--- a/arrowfold/controlplane/node.py
+++ b/arrowfold/controlplane/node.py
@@ -11,7 +11,7 @@
 
 from arrowfold.controlplane.changes import ConfigurationService
 from arrowfold.controlplane.distribution import Distributor
-from arrowfold.controlplane.http_interface import build_application, serve
+from arrowfold.controlplane.http_interface import ControlHttpServer, build_application, serve
 from arrowfold.controlplane.messages import EdgeSightings
 from arrowfold.controlplane.peers import PeerPulls
 from arrowfold.controlplane.placement_notices import PlacementNotices
@@ -47,6 +47,7 @@
 
 SWEEP_INTERVAL_S = 0.5
 OPEN_RETRY_S = 0.3  # after a disk refused the first writes of a start
+LAST_CALLS_SHARE = 0.15  # of the grace time, for calls that are under way once the member has left
 LEAVE_SHARE = 0.75  # of the grace time, for a stopping member to be released by the others
 
 
@@ -61,6 +62,7 @@
         self._passed_on = ChannelClient()  # calls passed on to the primary, and long pulls
         self._tasks: list[asyncio.Task[None]] = []
         self._server: ChannelServer | None = None
+        self._http: ControlHttpServer | None = None
         self._replica: Replica | None = None
         self._pulls: PeerPulls | None = None
 
@@ -124,7 +126,7 @@
         await self._server.start(settings.internal_address)
         if settings.listenAddresses.control is not None:
             application = build_application(configurations, registrations)
-            await serve(application, settings.listenAddresses.control)
+            self._http = await serve(application, settings.listenAddresses.control)
         self._tasks.append(asyncio.create_task(replica.run()))
         self._tasks.append(asyncio.create_task(placement.run()))
         self._tasks.append(asyncio.create_task(_sweep(registry, pulls, distributor)))
@@ -153,9 +155,11 @@
             self._replica.set_addresses(settings.seed_internal_addresses())
 
     async def stop(self) -> None:
-        """Hand over what this node leads, and stop."""
+        """Hand over what this node leads, answer the calls that are under way, and stop."""
         if self._replica is not None:
             await self._replica.stop()
+        if self._http is not None:
+            await self._http.end(LAST_CALLS_SHARE * self._settings.bounds.graceS)
         for task in self._tasks:
             task.cancel()
         if self._pulls is not None:
--- a/tests/system/test_control_http.py
+++ b/tests/system/test_control_http.py
@@ -14,7 +14,7 @@
 from sanic import Sanic
 
 from arrowfold.controlplane.changes import ConfigurationService
-from arrowfold.controlplane.http_interface import LARGEST_BODY, build_application, serve
+from arrowfold.controlplane.http_interface import LARGEST_BODY, ControlHttpServer, build_application, serve
 from arrowfold.controlplane.registration import RegistrationFault, RegistrationService
 from arrowfold.internal.messages import SubmitChange, SubmitDeparture, SubmitResult, WorkerRecord
 from arrowfold.node.result_codes import ResultCode
@@ -41,9 +41,11 @@
 
     def __init__(self) -> None:
         self.changes: list[SubmitChange] = []
+        self.takes_s = 0.0
 
     async def submit(self, change: SubmitChange) -> SubmitResult:
         self.changes.append(change)
+        await asyncio.sleep(self.takes_s)
         return SubmitResult(200, b'{"taken":true}')
 
     async def read(self) -> SubmitResult:
@@ -95,8 +97,15 @@
 class Stage:
     """A control node's HTTP interface at a free port of loopback."""
 
-    def __init__(self, address: str, configurations: Configurations, registrations: Registrations) -> None:
+    def __init__(
+        self,
+        address: str,
+        configurations: Configurations,
+        registrations: Registrations,
+        server: ControlHttpServer,
+    ) -> None:
         self.address, self.configurations, self.registrations = address, configurations, registrations
+        self.server = server
 
     async def call(self) -> Caller:
         host, port = self.address.rsplit(":", 1)
@@ -116,9 +125,9 @@
     application.config.TOUCHUP = False  # Sanic's rewriting of its own methods works once in a process
     server = await serve(application, address)
     try:
-        yield Stage(address, configurations, registrations)
+        yield Stage(address, configurations, registrations, server)
     finally:
-        await server.close()
+        await server.end(0.0)
 
 
 def play(story: Callable[[Stage], Awaitable[None]]) -> None:
@@ -290,3 +299,37 @@
         assert stage.configurations.changes == []
 
     play(story)
+
+
+def test_given_a_call_under_way_when_the_server_ends_then_it_is_answered_and_idle_ones_are_closed() -> None:
+    async def story(stage: Stage) -> None:
+        # Given a call that takes a while, and a connection that rests after its own
+        stage.configurations.takes_s = 0.3
+        rests, calls = await stage.call(), await stage.call()
+        await rests.write(request("GET", "/configuration"))
+        assert (await rests.answer())[0] == 200
+        await calls.write(request("PUT", "/configuration", b"{}", "If-Match: 1"))
+        await asyncio.sleep(0.05)
+        # When the server ends
+        ending = asyncio.create_task(stage.server.end(2.0))
+        # Then the call is answered, both connections are closed, and nobody can connect
+        assert await rests.reader.read() == b""
+        assert (await calls.answer())[0] == 200
+        assert await calls.reader.read() == b""
+        await ending
+        with pytest.raises(OSError):
+            await stage.call()
+
+    play(story)
+
+
+def test_given_a_call_that_takes_too_long_then_the_server_ends_all_the_same() -> None:
+    async def story(stage: Stage) -> None:
+        stage.configurations.takes_s = 5.0
+        calls = await stage.call()
+        await calls.write(request("PUT", "/configuration", b"{}", "If-Match: 1"))
+        await asyncio.sleep(0.05)
+        await asyncio.wait_for(stage.server.end(0.2), 1.0)
+        assert await calls.reader.read() == b""
+
+    play(story)
