--- a/arrowfold/program/signals.py
+++ b/arrowfold/program/signals.py
@@ -14,7 +14,9 @@
 class Signals:
     """Catches signals and keeps, until they are taken, which ones came; a pipe only wakes the loop.
 
-    The pipe's bytes are no record: a storm of signals fills it, and the byte of the last one is dropped then.
+    The pipe's bytes are no record: a storm of signals would fill it, and the last one's byte would be dropped.
+    Once one has come, all are blocked until they are taken: the kernel keeps each kind, and handlers don't run
+    within one another without bound, which a storm would drive into a RecursionError.
     """
 
     def __init__(self) -> None:
@@ -27,6 +29,7 @@
     def _note(self, number: int, frame: FrameType | None) -> None:
         """Keep a signal, and wake the loop: the byte of the signal may have been read before this runs."""
         del frame
+        signal.pthread_sigmask(signal.SIG_BLOCK, CAUGHT)
         self._pending[number] = None
         with contextlib.suppress(BlockingIOError):  # full: what is in the pipe wakes the loop
             os.write(self._write, b"\0")
@@ -35,7 +38,7 @@
         return self._read
 
     def take(self) -> tuple[int, ...]:
-        """The signals that have come since the last call, each once.
+        """The signals that have come since the last call, each once; more come with the next.
 
         The pipe is emptied first: the loop is told of what is written only when that is new (edge-triggered).
         """
@@ -45,4 +48,5 @@
             except BlockingIOError:
                 break
         pending, self._pending = self._pending, {}
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, CAUGHT)
         return tuple(pending)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -182,6 +182,7 @@
         """More signals than one reading of them takes, before the loop turns for the first time."""
         node = self.started_as_on_the_platform()
         while node.answers_ready() is None:
+            self.assertIsNone(node.process.poll())
             for _ in range(20_000):
                 node.process.send_signal(signal.SIGHUP)
         self.assertEqual(node.post("t")[0], 200)
