--- a/arrowfold/program/signals.py
+++ b/arrowfold/program/signals.py
@@ -14,9 +14,9 @@
 class Signals:
     """Catches signals and keeps, until they are taken, which ones came; a pipe only wakes the loop.
 
-    The pipe's bytes are no record: a storm of signals would fill it, and the last one's byte would be dropped.
-    Once one has come, all are blocked until they are taken: the kernel keeps each kind, and handlers don't run
-    within one another without bound, which a storm would drive into a RecursionError.
+    The pipe's bytes are no record: a storm of signals would fill it, and the last one's byte would be lost.
+    Once one has come, all are blocked until they are taken: the kernel keeps each kind, and handlers don't
+    run within one another without bound, which a storm would drive into a RecursionError.
     """
 
     def __init__(self) -> None:
