Soak the whole system as real processes; SIGHUP while a control node loads is not fatal

benchmarks/soak: clients that reuse their connection at once, series of SIGTERM (also more than one), SIGHUP, kills, stops, changes and leaving workers side by side, by a seed; each request held against what workers ran.

--- a/arrowfold/programs/control.py
+++ b/arrowfold/programs/control.py
@@ -17,11 +17,13 @@
 from docopt import docopt
 
 from arrowfold.node.library_loading import loading_libraries
+from arrowfold.node.start_signals import guard_start
 
 
 def main(arguments: list[str] | None = None) -> int:
     """Run a control node until it is told to end; returns the exit code."""
     options = docopt(__doc__, argv=arguments)
+    guard_start()
     with loading_libraries():
         from arrowfold.programs.control_assembly import run_control
 
--- a/arrowfold/programs/edge.py
+++ b/arrowfold/programs/edge.py
@@ -12,19 +12,19 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 
 from docopt import docopt
 
 from arrowfold.node.library_loading import loading_libraries
 from arrowfold.node.listeners import open_listeners
+from arrowfold.node.start_signals import guard_start
 
 
 def main(arguments: list[str] | None = None) -> int:
     """Run an edge node until it is told to end; returns the exit code."""
     options = docopt(__doc__, argv=arguments)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node follows the settings file
+    guard_start()
     listeners = open_listeners(options["--settings"])
     # What follows takes a good part of a second to load; connections that come meanwhile wait.
     with loading_libraries():
--- a/arrowfold/standins/system_trial.py
+++ b/arrowfold/standins/system_trial.py
@@ -15,6 +15,16 @@
 from arrowfold.standins.local_system import LocalNode, LocalSystem
 from arrowfold.standins.model_workers import StandInWorker, WorkerProfile
 from arrowfold.standins.trial_client import Outcome, RequestKind, Tally, TrialClient
+from arrowfold.standins.trial_configuration import (
+    ADDED,
+    CHAT,
+    HOST,
+    LOOKUP,
+    MODEL,
+    RECORD,
+    trial_configuration,
+    trial_route,
+)
 
 TRIAL_TIMEOUT_S = 300.0
 WAIT_TIMEOUT_S = 90.0  # for one step; the programs take seconds to start on a machine that is overloaded
@@ -22,14 +32,8 @@
 CALL_TIMEOUT_S = 3.0
 BEAT_INTERVAL_S = 0.5
 DRAIN_S = 1.0  # as the settings of local_system say
-HOST = "trial.example"
 EVENTS_SHOWN = 40  # of each node's log, where the trial failed
 LINES_SHOWN = 15
-MODEL = "small-model"
-CHAT = RequestKind("chat stream", "/chat/", streams=True, repeatable=True, model=MODEL)
-LOOKUP = RequestKind("lookup", "/lookup/", repeatable=True)
-RECORD = RequestKind("record", "/record/")
-ADDED = RequestKind("added route", "/added/", repeatable=True)
 Say = Callable[[str], None]
 
 
@@ -125,7 +129,7 @@
             system.start(node)
         self._say(f"{len(system.controls)} control nodes, {len(system.edges)} edge nodes on loopback")
         await self._start_workers()
-        await self._change(operator, "PUT", _configuration())
+        await self._change(operator, "PUT", trial_configuration())
         self._say(f"configuration {self._version} acknowledged")
         for edge in system.edges:
             await self._until(partial(self._is_ready, operator, edge), f"{edge.name} is not ready")
@@ -154,7 +158,8 @@
         return [self._system.front_address(edge) for edge in self._system.edges]
 
     async def _add_route(self, client: TrialClient, operator: aiohttp.ClientSession) -> None:
-        await self._change(operator, "PATCH", {"upsert": {"routes": [_route("added", ADDED, "idempotent")]}})
+        added = trial_route("added", ADDED, "idempotent")
+        await self._change(operator, "PATCH", {"upsert": {"routes": [added]}})
         for edge in self._edge_addresses():
             await self._until(partial(_serves, client, ADDED, edge), f"{edge} lacks the added route")
         self._say(f"configuration {self._version} acknowledged: a route added, served by every edge node")
@@ -234,50 +239,6 @@
             self.report.faults.append(f"{repeated} requests that may run once ran again")
 
 
-def _configuration() -> dict[str, Any]:
-    engine = {
-        "capacitySlots": 8,
-        "kvCacheTokens": 100_000,
-        "kvTokenBytes": 1000,
-        "linkMbps": 1000,
-        "stride": 1,
-        "models": [{"name": MODEL, "weightsMb": 100, "loadTimeS": 0.1, "adapters": 0, "adapterSizeMb": 1}],
-        "weightsMb": 200,
-        "adapterCapacity": 4,
-        "loadRateS": 1,
-    }
-    service = {"healthPath": "/healthz", "maxConnections": 64, "protocol": "h1", "tls": False}
-    return {
-        "routes": [
-            _route("chat", CHAT, "streaming", resumable=True, sessionAffinity=True, gap_aim_ms=500),
-            _route("lookup", LOOKUP, "idempotent"),
-            _route("record", RECORD, "non_idempotent"),
-        ],
-        "services": [{"name": "chat", **service, "engine": engine}, {"name": "lookup", **service}],
-        "limits": {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 4194304,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
-    }
-
-
-def _route(name: str, kind: RequestKind, route_kind: str, **members: Any) -> dict[str, Any]:
-    return {
-        "name": name,
-        "hostname": HOST,
-        "pathPrefix": kind.path,
-        "routeKind": route_kind,
-        "timeoutMs": 10_000,
-        "targetLatencyMs": 5000,
-        "priority": 1,
-        "targetService": "chat" if kind.streams else "lookup",
-        "maxAttempts": 2,
-        **members,
-    }
-
-
 async def _call(
     session: aiohttp.ClientSession,
     method: str,
--- /dev/null
+++ b/benchmarks/soak/__main__.py
@@ -0,0 +1,57 @@
+"""Soaks of the whole system as real processes on loopback, one seed after the other.
+
+Usage:
+  soak [--first SEED] [--count N] [--edges N] [--clients N] [--workers N] [--series N] [--length N]
+       [--keep FOLDER] [--result FILE]
+
+Options:
+  --first SEED   The first seed [default: 1].
+  --count N      How many seeds [default: 1].
+  --edges N      Edge processes, 90 at most; there are always three control processes [default: 3].
+  --clients N    Clients with a connection each [default: 16].
+  --workers N    Stand-in workers [default: 6].
+  --series N     Series of faults side by side [default: 3].
+  --length N     Faults of each series [default: 5].
+  --keep FOLDER  Keep the logs of runs with faults there.
+  --result FILE  Write the figures of all seeds as JSON.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import shutil
+import sys
+import tempfile
+from dataclasses import asdict
+from pathlib import Path
+
+from docopt import docopt
+
+from benchmarks.soak.judge import MOST_SHOWN
+from benchmarks.soak.run import SoakPlan, play
+
+
+def main() -> int:
+    """Run the command line; 1 where a run found a fault."""
+    options = docopt(__doc__)
+    logging.getLogger("aiohttp").setLevel(logging.CRITICAL)  # stand-in workers whose callers left
+    sizes = {name: int(options[f"--{name}"]) for name in ("edges", "clients", "workers", "series", "length")}
+    first = int(options["--first"])
+    reports = []
+    for seed in range(first, first + int(options["--count"])):
+        with tempfile.TemporaryDirectory() as folder:
+            report = play(Path(folder), SoakPlan(seed, **sizes))
+            if report.faults and options["--keep"]:
+                shutil.copytree(folder, Path(options["--keep"]) / f"seed-{seed}", dirs_exist_ok=True)
+        reports.append(asdict(report))
+        print(f"seed {seed}: {len(report.faults)} faults; {json.dumps(report.figures)}", flush=True)
+        for fault in report.faults[:MOST_SHOWN]:
+            print(f"  {fault}", flush=True)
+    if options["--result"]:
+        Path(options["--result"]).write_text(json.dumps(reports, indent=1) + "\n")
+    return int(any(report["faults"] for report in reports))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/system/test_startup.py
+++ b/tests/system/test_startup.py
@@ -15,8 +15,8 @@
 from arrowfold.node.settings import NodeSettings
 from arrowfold.node.settings_path import SETTINGS_VARIABLE
 from arrowfold.programs.startup import SETTINGS_CHECK_INTERVAL_S, follow_settings, open_settings, run_node
-
-from .virtual_time import run_virtual
+from arrowfold.standins.servers import LONG, eventually
+from tests.system.virtual_time import run_virtual
 
 SETTINGS = """
 nodeName = "n"
@@ -134,3 +134,28 @@
     done = subprocess.run(command, capture_output=True, text=True, check=False)
     assert done.returncode == 2
     assert words in done.stderr and done.stderr.count("\n") == 1
+
+
+def _ignores_hangup(process: subprocess.Popen[bytes]) -> bool:
+    status = Path(f"/proc/{process.pid}/status").read_text(encoding="ascii")
+    ignored = next(line for line in status.splitlines() if line.startswith("SigIgn:"))
+    return bool(int(ignored.split()[1], 16) & 1 << signal.SIGHUP - 1)
+
+
+@pytest.mark.parametrize("program", ["edge", "control"])
+def test_signals_while_a_program_loads_do_not_break_it(program: str, tmp_path: Path) -> None:
+    # Given a program that loads, and then waits for its settings file
+    waits = tmp_path / "settings.toml"
+    os.mkfifo(waits)
+    command = [sys.executable, "-m", f"arrowfold.programs.{program}", f"--settings={waits}"]
+    with subprocess.Popen(command) as process:
+        try:
+            eventually(lambda: process.poll() is not None or _ignores_hangup(process))
+            # When it gets SIGHUP, then it goes on
+            process.send_signal(signal.SIGHUP)
+            assert process.poll() is None
+            # And SIGTERM ends it with success
+            process.terminate()
+            assert process.wait(LONG) == 0
+        finally:
+            process.kill()
