--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -104,7 +104,7 @@
         node.process.terminate()
         for _ in range(self.draw.choice((0, 0, 1, 3))):
             await asyncio.sleep(self.draw.random() * 1.5)
-            if node.running:
+            if node.running and not strike.loading:
                 node.process.send_signal(self.draw.choice((signal.SIGTERM, signal.SIGHUP)))
         await self._until_ended(node, strike)
         await asyncio.sleep(self.draw.choice((0.0, 0.5)))
@@ -169,7 +169,8 @@
         """SIGHUP for several nodes, whatever else happens to them."""
         for _ in range(self.draw.choice((1, 3, 10))):
             node = self.draw.choice([*self.system.edges, *self.system.controls])
-            if node.running and node.process is not None:
+            # While the interpreter itself starts, some 50 ms, SIGHUP ends it: no program can help that.
+            if node.running and node.process is not None and handles_termination(node.process.pid):
                 node.process.send_signal(signal.SIGHUP)
 
     async def _change(self) -> None:
