Empty one worker in three for loads, half of the rooms kept for models that nobody holds

Ruled out: the store (1 to 9 of 10 loads at once), the ceiling, the demand seen late (5 ms), too few free workers (20 of 30), the change of the owner alone (seconds 12.3 to 14.5; it was short before and stayed so for 15 s after). Change: one worker in three may be emptied (one in five before); while a model that nobody holds has a worker, copies get half of the rooms; missed models of which nothing was heard for 2 s come last.

--- a/arrowfold/placement/demand.py
+++ b/arrowfold/placement/demand.py
@@ -20,6 +20,7 @@
 DEFAULT_DURATION_S = 1.0  # of a request, until one was measured
 DURATION_WEIGHT = 0.2  # of a new measurement of the mean duration
 MISSING_VALID_S = 4.0  # a request that missed its model is taken to wait or to come back this long
+HEARD_AGAIN_S = 2.0  # who waits for a class says so each half second, and who is told to come back soon does
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -155,12 +156,21 @@
         """Classes that a request did not find in the last `valid_s`, those missed most first.
 
         Requests that wait are counted again and again, so this is also the order of waiting: of many rare
-        classes that are asked for at once none is passed over for good by newer ones.
+        classes that are asked for at once none is passed over for good by newer ones. Those of which nothing
+        was heard for `HEARD_AGAIN_S` come last: whoever missed them has given up, or will come back.
         """
         missed = [key for key, estimate in self._classes.items() if estimate.is_missed(now_s, valid_s)]
-        return sorted(
-            missed, key=lambda key: (-self._classes[key].missing, self._classes[key].missing_s, key)
-        )
+
+        def order(key: ModelClass) -> tuple[bool, float, float, ModelClass]:
+            estimate = self._classes[key]
+            return (
+                now_s - estimate.missing_s > HEARD_AGAIN_S,
+                -estimate.missing,
+                estimate.missing_s,
+                key,
+            )
+
+        return sorted(missed, key=order)
 
     def asked_models(self) -> list[str]:
         """Every model that was ever asked for."""
--- a/arrowfold/placement/intents.py
+++ b/arrowfold/placement/intents.py
@@ -56,6 +56,21 @@
         """Workers, apart from this one, on which something was unloaded for a load that has not been sent."""
         return sum(1 for instance, intent in self._by_instance.items() if intent.begun and instance != beside)
 
+    def begun_copies(self, beside: str) -> int:
+        """The same, for further copies only."""
+        return sum(
+            1
+            for instance, intent in self._by_instance.items()
+            if intent.begun and not intent.urgent and instance != beside
+        )
+
+    def has_waiting_urgent(self) -> bool:
+        """Whether a model for which requests wait has a worker, and nothing was unloaded there yet."""
+        return any(
+            intent.urgent and not intent.begun and not intent.target.adapter
+            for intent in self._by_instance.values()
+        )
+
     def in_order(self) -> list[str]:
         """The workers with an intent, the most urgent first."""
         return sorted(self._by_instance, key=lambda instance: _urgency(self._by_instance[instance]))
--- a/arrowfold/placement/placer.py
+++ b/arrowfold/placement/placer.py
@@ -16,6 +16,7 @@
 from arrowfold.placement.corrections import correction_of
 from arrowfold.placement.demand import DemandEstimator, ModelClass
 from arrowfold.placement.fleet import PlacementFleet
+from arrowfold.placement.intents import LoadIntent
 from arrowfold.placement.load_times import ADAPTER_LOAD_S, LoadTimes
 from arrowfold.placement.orders import (
     Action,
@@ -37,7 +38,8 @@
 LONGEST_PAUSE_S = 2.0
 IDLE_WAKEUP_S = 0.25
 LEAST_ROOMS = 2  # workers that may be emptied for loads at a time
-WORKERS_A_ROOM = 5  # of more workers, one in so many
+WORKERS_A_ROOM = 3  # of more workers, one in so many
+COPIES_SHARE = 0.5  # of these, for further copies while a request waits for a model that stands nowhere
 IDLE_WORKLOAD = 0.2  # an unload is taken to be done at once while less than this runs on the model
 
 
@@ -143,7 +145,7 @@
         if intent is None or intent.target.adapter:
             return True
         makes_room = planned.operation is Operation.UNLOAD and not intent.begun
-        if makes_room and not self._may_make_room(planned.instance, now_s):
+        if makes_room and not self._may_make_room(planned.instance, intent, now_s):
             return False
         if not makes_room and not self._ceiling.allows(now_s):
             return False
@@ -152,10 +154,18 @@
             return True
         return self._store_loads() < self._catalogue.parallel_loads
 
-    def _may_make_room(self, instance: str, now_s: float) -> bool:
-        """Whether one more worker may be emptied for a load: it takes no other order until its runs end."""
-        begun = self._planner.intents.begun(beside=instance)
+    def _may_make_room(self, instance: str, intent: LoadIntent, now_s: float) -> bool:
+        """Whether one more worker may be emptied for a load: it takes no other order until its runs end.
+
+        While requests wait for models that stand nowhere, further copies get a part of these rooms only.
+        """
+        intents = self._planner.intents
+        begun = intents.begun(beside=instance)
         most = max(LEAST_ROOMS, len(self._fleet.workers) // WORKERS_A_ROOM)
+        if not intent.urgent and intents.has_waiting_urgent():
+            most_copies = max(1, int(most * COPIES_SHARE))
+            if intents.begun_copies(beside=instance) >= most_copies:
+                return False
         return begun < most and self._ceiling.allows_soon(now_s, begun)
 
     def _send(self, planned: PlannedOrder, now_s: float) -> SendOrder:
--- a/benchmarks/soak/workers.py
+++ b/benchmarks/soak/workers.py
@@ -14,7 +14,7 @@
 BEAT_INTERVAL_S = 0.5
 SERVES_ON_S = 2.0  # after its notice of leaving was acknowledged
 WORK_S = (0.005, 0.05, 0.4)
-EVENT_PAUSES_S = (0.01, 0.1, 0.3)
+EVENT_PAUSES_S = (0.02, 0.2, 0.45)  # in turn: the longest stream outlives the listener of an edge that ends
 SLOTS = 64
 
 
@@ -43,7 +43,7 @@
             [MODEL] if streams else [],
             capacity_slots=SLOTS,
             work_s=self.draw.choice(WORK_S),
-            event_pause_s=self.draw.choice(EVENT_PAUSES_S),
+            event_pause_s=EVENT_PAUSES_S[self._numbers % len(EVENT_PAUSES_S)],
         )
         controls = [self.system.control_address(node) for node in self.system.controls]
         self.draw.shuffle(controls)
