--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -8,8 +8,8 @@
   --first SEED   The first seed [default: 1].
   --count N      How many seeds [default: 1].
   --edges N      Edge processes, 90 at most; there are always three control processes [default: 3].
-  --clients N    Clients with a connection each [default: 16].
-  --workers N    Stand-in workers [default: 6].
+  --clients N    Clients with a connection each [default: 60].
+  --workers N    Stand-in workers [default: 12].
   --series N     Series of faults side by side [default: 3].
   --length N     Faults of each series [default: 5].
   --keep FOLDER  Keep the logs of runs with faults there.
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -14,6 +14,7 @@
 
 KINDS = (CHAT, CHAT, LOOKUP, RECORD, RECORD, ADDED)
 GAPS_S = (0.0, 0.0, 0.003, 0.02, 0.05, 0.09, 0.3)  # from an answer to the next request of its connection
+SHORT_GAPS_S = (0.0, 0.0, 0.003, 0.02, 0.05, 0.09)  # before an edge closes a connection that rests
 DEADLINES_S = (0.5, 2.0, 5.0, 15.0)
 SLOW_BODY_SHARE = 0.1  # of the requests: the last byte of the body comes later than the head
 LONGEST_BODY_S = 1.5
@@ -65,6 +66,7 @@
     system: LocalSystem
     draw: random.Random
     requests: list[SentRequest]
+    only_streams: bool = False  # long ones, with no gap worth mention between them
     stopping: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def run(self) -> None:
@@ -93,12 +95,12 @@
             first = False
             goes_on = await self._exchange(request, reader, writer)
             if goes_on:
-                await asyncio.sleep(self.draw.choice(GAPS_S))
+                await asyncio.sleep(self.draw.choice(SHORT_GAPS_S if self.only_streams else GAPS_S))
 
     def _request(self, edge: LocalNode, process: int, first: bool) -> SentRequest:
         now_s = asyncio.get_running_loop().time()
-        deadline_s = self.draw.choice(DEADLINES_S)
-        kind = self.draw.choice(KINDS)
+        deadline_s = max(DEADLINES_S) if self.only_streams else self.draw.choice(DEADLINES_S)
+        kind = CHAT if self.only_streams else self.draw.choice(KINDS)
         return SentRequest(secrets.token_hex(8), kind, edge.name, process, deadline_s, first, now_s)
 
     async def _exchange(
--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -22,6 +22,7 @@
     """What was found; `faults` are broken promises, `counts` all requests by what came of them."""
 
     counts: Counter[str] = field(default_factory=Counter)
+    late_sends: int = 0  # requests that came later than LATE_SEND_S after their process was told to end
     faults: list[str] = field(default_factory=list)
 
 
@@ -38,6 +39,8 @@
         """Look at every request."""
         for request in requests:
             self.verdict.counts[self._outcome(request)] += 1
+            since_s = self._since_termination(request)
+            self.verdict.late_sends += since_s is not None and since_s > LATE_SEND_S
         return self.verdict
 
     def _fault(self, request: SentRequest, what: str) -> str:
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -30,8 +30,8 @@
 
     seed: int
     edges: int = 3
-    workers: int = 6
-    clients: int = 16
+    workers: int = 12
+    clients: int = 60
     series: int = 3
     length: int = 5
     holds_times: bool = True
@@ -93,8 +93,8 @@
 
     async def _strike(self, faults: Faults) -> None:
         clients = [
-            SoakClient(self._system, random.Random(self._draw.random()), self._requests)
-            for _ in range(self._plan.clients)
+            SoakClient(self._system, random.Random(self._draw.random()), self._requests, number % 2 == 0)
+            for number in range(self._plan.clients)
         ]
         running = [asyncio.create_task(client.run()) for client in clients]
         await faults.play(self._plan.series, self._plan.length)
@@ -145,6 +145,7 @@
         self._report.figures |= {
             "requests": len(requests),
             "on kept connections": sum(not request.first_on_connection for request in requests),
+            "sent late to a process that ends": verdict.late_sends,
             "outcomes": dict(sorted(verdict.counts.items())),
             "faults": dict(sorted(faults.done.items())),
             "changes acknowledged": operator.changes,
--- a/benchmarks/soak/workers.py
+++ b/benchmarks/soak/workers.py
@@ -14,7 +14,7 @@
 BEAT_INTERVAL_S = 0.5
 SERVES_ON_S = 2.0  # after its notice of leaving was acknowledged
 WORK_S = (0.005, 0.05, 0.4)
-EVENT_PAUSES_S = (0.02, 0.2, 0.45)  # in turn: the longest stream outlives the listener of an edge that ends
+EVENT_PAUSES_S = (0.1, 0.6, 0.6)  # in turn: the longer streams outlive the listener of an edge that ends
 SLOTS = 64
 
 
