--- /dev/null
+++ b/tests/system/test_edge_loading.py
@@ -0,0 +1,39 @@
+"""An edge that is told to end while it still loads, as a real process."""
+
+from __future__ import annotations
+
+import socket
+from pathlib import Path
+
+from arrowfold.standins.local_system import LocalNode, LocalSystem
+from arrowfold.standins.servers import LONG, eventually
+from tests.system.edge_loopback import request_bytes
+
+
+def _listens(system: LocalSystem, edge: LocalNode) -> bool:
+    try:
+        socket.create_connection((edge.host, system.ports.front), timeout=LONG).close()
+    except OSError:
+        return False
+    return True
+
+
+def test_given_a_request_to_an_edge_that_loads_when_it_is_told_to_end_then_it_is_answered(
+    tmp_path: Path,
+) -> None:
+    system = LocalSystem(tmp_path, 1)
+    edge = system.edges[0]
+    try:
+        # Given an edge that listens already and still loads, and a request to it
+        system.start(edge)
+        assert edge.process is not None
+        eventually(lambda: _listens(system, edge))
+        with socket.create_connection((edge.host, system.ports.front), timeout=LONG) as client:
+            client.sendall(request_bytes("/chat/x", "a1"))
+            # When it is told to end
+            edge.process.terminate()
+            # Then the request is answered, if only by a refusal, and the process ends in order
+            assert client.recv(64).startswith(b"HTTP/1.1 ")
+        assert edge.process.wait(LONG) == 0
+    finally:
+        system.kill(edge)
