Dials of control nodes overlap, so that an edge does not hang on an early packet

Cause: after a common loss of power edges dial before control machines answer; such a dial hangs for its 0.5 s though the machine listens long before (the kernel sends the packet again only after a second), then pauses. Now an attempt begins every 50 ms beside the first, the first answer wins; after eight silent dials in a row one attempt each. A refusal still ends a dial at once; the first pause after a failure is 0.05 s.

Ruled out: shorter time-outs alone (each dial anew would still pause).

--- a/arrowfold/dataplane/puller.py
+++ b/arrowfold/dataplane/puller.py
@@ -21,7 +21,7 @@
 ANSWER_SLACK_S = 0.7  # beyond POLL_S: the connection is given up and dialled anew
 NOTICE_PAUSE_S = 0.3  # between a notice and the next request for one
 HEAD_START_S = 0.03  # for the node that sends updates, after another one has given notice of them
-RETRY_PAUSE_S = 0.1  # after the first failure; grows with each
+RETRY_PAUSE_S = 0.05  # after the first failure; grows with each
 LONGEST_RETRY_PAUSE_S = 0.5
 
 
--- a/arrowfold/internal/channel.py
+++ b/arrowfold/internal/channel.py
@@ -14,13 +14,13 @@
 from result import Err, Ok, Result
 
 from arrowfold.internal.codec import CodecError, decode, encode
+from arrowfold.internal.dialling import Dialler
 from arrowfold.internal.messages import CallFailed
 from arrowfold.node.result_codes import ResultCode
 
 PROTOCOL_VERSION = 1
 LARGEST_FRAME = 8 * 1024 * 1024  # bytes; a longer frame ends the connection
 CLOSE_TIMEOUT_S = 1.0  # for the tasks of ended connections
-CONNECT_TIMEOUT_S = 0.5
 UNACKNOWLEDGED_MS = 2_000  # TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged
 Handler = Callable[[Any], Awaitable[Any]]
 
@@ -155,6 +155,7 @@
         self._connections: dict[str, _Connection] = {}
         self._dialling: dict[str, asyncio.Lock] = {}
         self._numbers = itertools.count(1)
+        self._dialler = Dialler()
 
     async def call(self, address: str, request: Any, timeout_s: float) -> Result[Any, ChannelError]:
         """The peer's answer, or why there is none; a `CallFailed` answer counts as none."""
@@ -186,9 +187,7 @@
             connection = self._connections.get(address)
             if connection is not None and not connection.closed:
                 return connection
-            host, port = address.rsplit(":", 1)
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await self._dialler.dial(address)
             _tune(writer.transport)
             connection = self._connections[address] = _Connection(reader, writer)
             return connection
