Tell an edge's own lack of connections from a worker out of reach; properties at all bounds

Cause: with failures told to other edges, an edge whose share of a worker's connections is in use would have spoken against the worker (SendFailure.NO_CONNECTION_FREE counted as unreachable). It is an outcome of its own now: it strikes as before, but is told to nobody and leaves the worker a holder. The placement's state machine draws its options at their bounds, loads that take 2.5 times as long as configured, and edges that find workers failing.

--- a/arrowfold/dataplane/forwarding.py
+++ b/arrowfold/dataplane/forwarding.py
@@ -55,6 +55,10 @@
 MOST_CHOICES = 24  # choices of a worker for one request, those included that could not be reached
 LONGEST_RESUME_WAIT_S = 1.2  # a stream that broke off waits this long for a worker to go on at
 RESUME_PAUSE_S = 0.1
+_UNSENT = {
+    SendFailure.UNREACHABLE: Outcome.UNREACHABLE,
+    SendFailure.NO_CONNECTION_FREE: Outcome.NO_CONNECTION_FREE,
+}
 NEWS_FOR_OWNER = frozenset({Outcome.FAILED, Outcome.UNREACHABLE, Outcome.LOST})
 START_WAIT_S = 0.8  # for a first configuration: clients give up a node that reads nothing for a second
 SLOW_PROMPT_TOKENS_S = 15_000  # a busy worker reads prompts faster
@@ -244,7 +248,7 @@
             progress.sends -= 1
             progress.arrivals -= 1
             progress.may_have_run = run_before
-            return Outcome.UNREACHABLE
+            return _UNSENT[sent.unwrap_err()]
         worker_answer = sent.unwrap()
         try:
             return await self._judge(progress, choice, worker_answer, answer, run_before)
--- a/arrowfold/selection/interface.py
+++ b/arrowfold/selection/interface.py
@@ -107,6 +107,7 @@
     REJECTED_FULL = "rejected_full"  # 503 or 429 with X-Not-Executed: it did not run
     MISDIRECTED = "misdirected"  # 421: another worker, or the model is not there; it did not run
     UNREACHABLE = "unreachable"  # no connection: it did not run
+    NO_CONNECTION_FREE = "no_connection_free"  # this edge's share of them is in use; it did not run
     LOST = "lost"  # sent, then broken off or silent: it may have run
     CANCELLED = "cancelled"  # given up by us or by the client
 
--- a/arrowfold/selection/market_selector.py
+++ b/arrowfold/selection/market_selector.py
@@ -33,7 +33,13 @@
 MOST_WAITING = 4096  # requests remembered as counted while they wait
 FAILURES = frozenset({Outcome.FAILED, Outcome.UNREACHABLE, Outcome.LOST})  # that other edges are told of
 LATE_STRIKE = 0.5  # for a first event that is overdue by its whole objective
-STRIKES = {Outcome.FAILED: 1.0, Outcome.UNREACHABLE: 1.0, Outcome.LOST: 1.0, Outcome.REJECTED_FULL: 0.5}
+STRIKES = {
+    Outcome.FAILED: 1.0,
+    Outcome.UNREACHABLE: 1.0,
+    Outcome.NO_CONNECTION_FREE: 1.0,
+    Outcome.LOST: 1.0,
+    Outcome.REJECTED_FULL: 0.5,
+}
 
 
 @dataclass(slots=True)
--- a/tests/system/placement_world.py
+++ b/tests/system/placement_world.py
@@ -16,6 +16,7 @@
 )
 from arrowfold.placement.catalogue import ModelCatalogue, ModelSpec
 from arrowfold.placement.ceiling import LoadCeiling
+from arrowfold.placement.options import PlacementOptions
 from arrowfold.placement.orders import (
     Operation,
     Order,
@@ -157,7 +158,16 @@
 class PlacementWorld:
     """Workers, one owner at a time, and demand, under a virtual clock."""
 
-    def __init__(self, models: ModelCatalogue, workers: int = 3) -> None:
+    def __init__(
+        self,
+        models: ModelCatalogue,
+        workers: int = 3,
+        options: PlacementOptions | None = None,
+        load_slowness: float = 1.0,
+    ) -> None:
+        """`load_slowness`: how many times longer than the configuration says loads take."""
+        self.options = options or PlacementOptions()
+        self.load_slowness = load_slowness
         self.now_s = 100.0
         self.models = models
         self.workers: dict[str, SimulatedWorker] = {}
@@ -198,7 +208,7 @@
         self.token += 1
         self._under_way.clear()
         ceiling = LoadCeiling(self.models.load_rate_s, WINDOW_S, OVERAGE, self.now_s)
-        self.placer = ServicePlacer(self.models, ceiling)
+        self.placer = ServicePlacer(self.models, ceiling, self.options)
 
     def ask(
         self, model: str, adapter: str = "", requests: float = 1.0, took_s: float = 0.5, missing: bool = False
@@ -216,6 +226,12 @@
         edge = NodeIdentity("edge", "e", "z0", "e:1")
         self.placer.apply_demand(DemandReport(edge, 0.5, (seen,)), self.now_s)
 
+    def tell_failing(self, edge: str, *instances: str) -> None:
+        """An edge tells that requests failed at these workers."""
+        assert self.placer is not None
+        report = DemandReport(NodeIdentity(edge, edge, "z0", f"{edge}:1"), 0.5, (), instances)
+        self.placer.apply_demand(report, self.now_s)
+
     def ask_if_missing(self, model: str, adapter: str = "", requests: float = 1.0) -> bool:
         """An edge asks for a class; it reports whether a worker held it. True if one did."""
         ready = any(
@@ -321,7 +337,7 @@
 
     def _load_time(self, on_disk: bool) -> float:
         self.all_loads.append(self.now_s)
-        load_s = max(spec.load_time_s for spec in self.models.models.values())
+        load_s = self.load_slowness * max(spec.load_time_s for spec in self.models.models.values())
         if on_disk:
             return load_s * OWN_DISK_RATIO
         self.store_loads.append(self.now_s)
--- a/tests/system/test_placement_policies.py
+++ b/tests/system/test_placement_policies.py
@@ -4,12 +4,11 @@
 
 from dataclasses import replace
 
-from arrowfold.internal.messages import ClassDemand, DemandReport, NodeIdentity
+from arrowfold.internal.messages import ClassDemand
 from arrowfold.placement.ceiling import LoadCeiling
 from arrowfold.placement.demand import DemandEstimator, ModelClass
 from arrowfold.placement.options import DemandOptions, PlacementOptions
 from arrowfold.placement.orders import Operation
-from arrowfold.placement.placer import ServicePlacer
 from tests.system.placement_world import SERVICE, PlacementWorld, catalogue
 
 
@@ -58,10 +57,8 @@
 
 def test_a_load_that_runs_on_beyond_its_expected_end_is_taken_back() -> None:
     # Given a worker whose loads take three times as long as the configuration says
-    world = PlacementWorld(catalogue(load_time_s=0.5), workers=1)
+    world = PlacementWorld(catalogue(load_time_s=0.5), workers=1, load_slowness=3.0)
     world.run(1.0)
-    slow = PlacementWorld(catalogue(load_time_s=1.5), workers=1)
-    world._load_time = slow._load_time  # type: ignore[method-assign]
     world.ask("m5", missing=True)
     # When its expected end has passed, and reports say that it still runs
     world.run(1.2)
@@ -179,31 +176,13 @@
     options = PlacementOptions()
     rooms = replace(options.rooms, kept_ahead_s=0.0, trust_expected_end=False, least_rooms=1)
     planner = replace(options.planner, further_copies=False, pressing_copies=False, adapter_copies=False)
-    placer = ServicePlacer(
-        catalogue(),
-        LoadCeiling(4.0, 5.0, 1.1, 0.0),
-        replace(options, rooms=rooms, planner=planner),
-    )
-    world = PlacementWorld(catalogue(), workers=2)
-    world.placer = placer
+    world = PlacementWorld(catalogue(), 2, replace(options, rooms=rooms, planner=planner))
     world.run(1.0)
-    placer.apply_demand(
-        DemandReport(
-            NodeIdentity("edge", "e", "z0", "e:1"), 0.5, (ClassDemand(SERVICE, "m5", "", 1.0, 0.5, 1.0),)
-        ),
-        world.now_s,
-    )
+    world.ask("m5", missing=True)
     world.run(2.0)
     assert len(world.held_by("m5")) == 1
 
 
-def tell_failing(world: PlacementWorld, edge: str, *instances: str) -> None:
-    """An edge tells that requests failed at these workers."""
-    assert world.placer is not None
-    report = DemandReport(NodeIdentity(edge, edge, "z0", f"{edge}:1"), 0.5, (), instances)
-    world.placer.apply_demand(report, world.now_s)
-
-
 def troubled(world: PlacementWorld) -> list[str]:
     """The workers that edges are told to keep away from."""
     assert world.placer is not None
@@ -216,11 +195,11 @@
     world.hold("w0", "m0")
     world.run(1.0)
     # When one edge finds it failing, then nothing follows: the edge may be cut off itself
-    tell_failing(world, "e1", "w0")
+    world.tell_failing("e1", "w0")
     world.run(0.1)
     assert troubled(world) == []
     # When a second edge does, then all are told, and m0 is loaded elsewhere for who misses it
-    tell_failing(world, "e2", "w0")
+    world.tell_failing("e2", "w0")
     world.run(0.1)
     assert troubled(world) == ["w0"]
     world.ask("m0", missing=True)
@@ -235,6 +214,6 @@
     world = PlacementWorld(catalogue(), workers=3)
     world.run(1.0)
     for edge in ("e1", "e2", "e3"):
-        tell_failing(world, edge, "w1")
+        world.tell_failing(edge, "w1")
         world.run(2.5)
         assert troubled(world) == []
--- a/tests/system/test_placement_properties.py
+++ b/tests/system/test_placement_properties.py
@@ -7,6 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from arrowfold.placement.ceiling import LoadCeiling
+from arrowfold.placement.options import PlacementOptions, RoomOptions
 from tests.system.placement_world import OVERAGE, WINDOW_S, PlacementWorld, catalogue
 
 MODELS = 14
@@ -19,10 +20,28 @@
 class PlacementMachine(RuleBasedStateMachine):
     """Demand, lost answers, unreachable and restarting workers, foreign orders, and changes of the owner."""
 
-    @initialize(load_time_s=st.sampled_from([0.2, 0.6, 3.0]), load_rate_s=st.sampled_from([1.0, 2.1, 4.2]))
-    def start(self, load_time_s: float, load_rate_s: float) -> None:
+    @initialize(
+        load_time_s=st.sampled_from([0.2, 0.6, 3.0]),
+        load_rate_s=st.sampled_from([1.0, 2.1, 4.2]),
+        rooms=st.builds(
+            RoomOptions,
+            least_rooms=st.sampled_from([0, 2, 100]),
+            workers_a_room=st.sampled_from([1, 3]),
+            copies_share=st.sampled_from([0.0, 0.5, 1.0]),
+            trust_expected_end=st.booleans(),
+            kept_ahead_s=st.sampled_from([0.0, 0.5, 100.0]),
+            room_worth=st.sampled_from([0.0, 0.25, 100.0]),
+            own_disk_uncounted=st.booleans(),
+            idle_workload=st.sampled_from([0.0, 0.2, 100.0]),
+        ),
+        load_slowness=st.sampled_from([1.0, 2.5]),
+    )
+    def start(self, load_time_s: float, load_rate_s: float, rooms: RoomOptions, load_slowness: float) -> None:
         self.world = PlacementWorld(
-            catalogue(MODELS, load_time_s=load_time_s, load_rate_s=load_rate_s), workers=WORKERS
+            catalogue(MODELS, load_time_s=load_time_s, load_rate_s=load_rate_s),
+            WORKERS,
+            PlacementOptions(rooms=rooms),
+            load_slowness,
         )
         self.world.hold("w0", "m0", "m1", "m2")
         self.world.hold("w1", "m0", "m3")
@@ -41,6 +60,10 @@
     def let_time_pass(self, duration_s: float) -> None:
         self.world.run(duration_s)
 
+    @rule(edge=st.sampled_from(["e1", "e2", "e3"]), instance=instances)
+    def find_failing(self, edge: str, instance: str) -> None:
+        self.world.tell_failing(edge, instance)
+
     @rule()
     def change_the_owner(self) -> None:
         self.world.take_over()
--- a/tests/system/test_selection_stories.py
+++ b/tests/system/test_selection_stories.py
@@ -475,3 +475,14 @@
     # And then is sent there again
     stage.now_s += choice.wait_s + 0.01
     assert stage.send(request) == "a"
+
+
+def test_an_edge_without_a_free_connection_tells_nothing_against_the_worker() -> None:
+    # Given the only holder of a class, all of whose connections that this edge may open are in use
+    stage = Stage(worker("a", "m"))
+    request = stage.request("m")
+    stage.selector.sent(request, "a", stage.now_s)
+    stage.selector.ended(request, "a", Outcome.NO_CONNECTION_FREE, stage.now_s)
+    # Then the other edges hear nothing, and the next request may go there at once
+    assert stage.selector.take_failing() == ()
+    assert stage.send(stage.request("m")) == "a"
