--- a/arrowfold/placement/placer.py
+++ b/arrowfold/placement/placer.py
@@ -40,6 +40,7 @@
 FAILURE_PAUSE_S = 0.25
 LONGEST_PAUSE_S = 2.0
 IDLE_WAKEUP_S = 0.25
+REPLACED_SHARE = 0.5  # of the time for which a failing worker is avoided: a load has to end within it
 
 
 class ServicePlacer:
@@ -72,8 +73,15 @@
         self._records = {record.instance: record for record in own}
         self._fleet.apply(own, now_s)
         self._failures.forget_all_but(self._records)
+        self._review_troubled(now_s)
+
+    def _review_troubled(self, now_s: float) -> None:
+        """What a failing worker holds counts as no copy, where a load would end before it is tried again."""
+        longest_s = max((spec.load_time_s for spec in self._catalogue.models.values()), default=0.0)
+        is_replaced = longest_s <= REPLACED_SHARE * self._failure_options.hold_s
         for instance, worker in self._fleet.workers.items():
             worker.is_troubled = self._failures.is_troubled(instance, now_s)
+            worker.is_replaced = worker.is_troubled and is_replaced
 
     def apply_demand(self, report: DemandReport, now_s: float) -> None:
         """Take what an edge saw."""
@@ -198,7 +206,8 @@
             self._note_load(worker.instance, now_s)
         elif order.operation is Operation.UNLOAD:
             self._planner.intents.note_unload(worker.instance)
-            self._traces.room_begun(worker.instance, now_s)
+            if worker.instance in self._planner.intents:
+                self._traces.room_begun(worker.instance, now_s)
         return SendOrder(order)
 
     def _counts(self, worker: WorkerState, model: str) -> bool:
--- a/arrowfold/placement/room_reserve.py
+++ b/arrowfold/placement/room_reserve.py
@@ -13,6 +13,7 @@
 from arrowfold.placement.worker_state import WorkerState
 
 RATE_MEMORY_S = 5.0  # of the rate of loads for waiting requests
+USUAL_LOAD_S = 0.6  # of longer loads an unload before them is a smaller part, in proportion
 WORKERS_A_RESERVE = 4  # one worker in so many keeps a room at most
 
 
@@ -40,7 +41,8 @@
         wanted = self.wanted(context.now_s)
         if wanted == 0 or self._rooms(context.catalogue) >= wanted:
             return None
-        most_loss = self._options.room_worth * self._loads.value(context.now_s) / wanted
+        saved = self._worth_of_room(context.catalogue)
+        most_loss = saved * self._loads.value(context.now_s) / wanted
         found = [
             (victim.loss, instance, victim)
             for instance, worker in self._fleet.workers.items()
@@ -59,10 +61,15 @@
         if self.wanted(context.now_s) == 0:
             return 0.0
         if urgent:
-            return self._options.room_worth
+            return self._worth_of_room(context.catalogue)
         cheapest = context.cheapest_model(worker)
         return 0.0 if cheapest is None else max(0.0, cheapest.loss)
 
+    def _worth_of_room(self, catalogue: ModelCatalogue) -> float:
+        """What a free room saves a missed request: the unload's part of the time until its model is there."""
+        longest_s = max((spec.load_time_s for spec in catalogue.models.values()), default=0.0)
+        return self._options.room_worth * USUAL_LOAD_S / max(longest_s, USUAL_LOAD_S)
+
     def _rooms(self, catalogue: ModelCatalogue) -> int:
         """Workers with a free room, or where one is being made that nothing was planned for."""
         return sum(
--- a/arrowfold/placement/worker_state.py
+++ b/arrowfold/placement/worker_state.py
@@ -67,6 +67,7 @@
         self.failures = 0  # reports and orders without an answer, in a row
         self.unload_unproven = False  # its last unload is taken to be done, but nothing has told so
         self.is_troubled = False  # several edges found it failing lately
+        self.is_replaced = False  # and what it holds counts as no copy meanwhile
         self.unusable = False  # another worker has its address, or it refuses our fence
         self._take_models(record.models, now_s)
 
@@ -79,7 +80,7 @@
     @property
     def serves(self) -> bool:
         """True if what it holds counts as a copy for the time to come."""
-        return self.state == AVAILABLE and not self.unusable and not self.is_troubled
+        return self.state == AVAILABLE and not self.unusable and not self.is_replaced
 
     @property
     def takes_orders(self) -> bool:
--- a/tests/system/test_placement_policies.py
+++ b/tests/system/test_placement_policies.py
@@ -217,3 +217,17 @@
         world.tell_failing(edge, "w1")
         world.run(2.5)
         assert troubled(world) == []
+
+
+def test_what_a_failing_worker_holds_still_counts_where_loads_take_long() -> None:
+    # Given models that take longer to load than a failing worker is avoided for
+    world = PlacementWorld(catalogue(load_time_s=3.0), workers=3)
+    world.hold("w0", "m0")
+    world.run(1.0)
+    # When edges find the only holder of m0 failing, then all are told, and nothing is loaded elsewhere
+    world.tell_failing("e1", "w0")
+    world.tell_failing("e2", "w0")
+    world.ask("m0", missing=True)
+    world.run(1.0)
+    assert troubled(world) == ["w0"]
+    assert loads(world) == []
