--- a/arrowfold/placement/options.py
+++ b/arrowfold/placement/options.py
@@ -17,7 +17,7 @@
     slow_s: float = 5.0  # time constant of the average that bridges gaps
     rare_s: float = 20.0  # time constant of the average by which rare models are kept
     noise_deviations: float = 1.5  # of chance, that a rise of the fast average has to exceed; 0: none
-    urgency: bool = True  # what urgent routes ask for weighs more, by the ranks of all that ask
+    urgency: bool = True  # what urgent routes miss is loaded first, by the ranks of all that ask
     missing_valid_s: float = 4.0  # a request that missed its model waits, or comes back, for this long
     heard_again_s: float = 2.0  # who waits for a class says so this often at least
 
--- a/arrowfold/placement/valuation.py
+++ b/arrowfold/placement/valuation.py
@@ -63,8 +63,8 @@
         """What one more copy adds where `copies` stand."""
         estimate = self._demand.model(model)
         if copies == 0:
-            miss_cost = self._options.miss_cost * self._demand.urgency(model)
-            return estimate.keep_rate_s(self._now_s) * miss_cost + self._queue_gain(model, 0)
+            kept = estimate.keep_rate_s(self._now_s) * self._options.miss_cost
+            return kept + self._queue_gain(model, 0)
         gain = self._queue_gain(model, copies)
         if copies == 1:
             gain += self._spare_gain(estimate)
