--- a/benchmarks/rounds/comparison.py
+++ b/benchmarks/rounds/comparison.py
@@ -76,7 +76,11 @@
         yield " ".join(key), [pair for pair in pairs if (pair.occasion.site, pair.occasion.day) == key]
 
 
-def _row(pairs: Sequence[Pair], figure: str) -> str:
+def _row(all_pairs: Sequence[Pair], figure: str) -> str:
+    """One figure over the pairs that have it: sites differ in their classes."""
+    pairs = [pair for pair in all_pairs if figure in pair.first.figures and figure in pair.second.figures]
+    if not pairs:
+        return f"  {figure[:44]:44s} not in both texts' reports"
     means = [
         sum(report.figures.get(figure, 0.0) for report in side) / len(pairs)
         for side in ([pair.first for pair in pairs], [pair.second for pair in pairs])
@@ -86,10 +90,14 @@
     mark = "" if verdict is Verdict.NOT_TOLD_APART else f"  {verdict.value}"
     return (
         f"  {figure[:44]:44s} {means[0]:10.4f} {means[1]:10.4f} {found.mean:+10.4f}  "
-        f"{found.low:+.4f} {found.high:+.4f}{mark}"
+        f"{found.low:+.4f} {found.high:+.4f}{mark}{_count(pairs, all_pairs)}"
     )
 
 
+def _count(pairs: Sequence[Pair], all_pairs: Sequence[Pair]) -> str:
+    return "" if len(pairs) == len(all_pairs) else f"  ({len(pairs)} pairs)"
+
+
 def plot(pairs: Sequence[Pair], first: str, second: str, path: Path) -> None:
     """Draw the differences of worth and its parts, with their intervals and every pair as a dot."""
     import matplotlib
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -109,6 +109,19 @@
     assert any(line.startswith("site scale-1, 4 pairs") for line in lines)
 
 
+def test_a_class_that_one_site_lacks_is_compared_where_it_is(tmp_path: Path) -> None:
+    # Given a site with the class chat and another without it
+    for text, worth in (("a", 0.5), ("b", 0.6)):
+        keep(tmp_path, text, {1: worth})
+        other = {**report(worth), "classes": [{"name": "draft", "worth": worth}]}
+        path = tmp_path / "plays" / text / "other.scale-1.1.json"
+        path.write_text(json.dumps(other), encoding="utf-8")
+    lines = list(comparison_lines(load_pairs(tmp_path, "a", "b"), "a", "b"))
+    # Then each class counts the pairs that have it
+    (chat,) = (line for line in lines[:12] if "class: chat" in line)
+    assert "0.9000     0.9000" in chat and chat.endswith("(1 pairs)")
+
+
 def test_a_broken_rule_is_shown(tmp_path: Path) -> None:
     keep(tmp_path, "a", {1: 0.5})
     keep(tmp_path, "b", {1: 0.5})
