Signals are taken by one thread from a process's first moment to its last

Ruled out: handlers kept to the end (they run within one another under a storm, and the interpreter takes them back). Change: SIGTERM, SIGINT and SIGHUP are blocked in every thread and taken with sigwait; the service and the stand-ins, which keep their handlers, ignore signals once their exit is decided.

--- a/arrowfold/program/signals.py
+++ b/arrowfold/program/signals.py
@@ -50,3 +50,12 @@
         pending, self._pending = self._pending, {}
         signal.pthread_sigmask(signal.SIG_UNBLOCK, CAUGHT)
         return tuple(pending)
+
+    def ignore_further(self) -> None:
+        """The process is about to end, and its exit code is decided: no signal changes it any more.
+
+        While it ends, the interpreter gives caught signals their default action back; ignored ones stay so.
+        """
+        signal.set_wakeup_fd(-1)
+        for number in CAUGHT:
+            signal.signal(number, signal.SIG_IGN)
--- a/arrowfold/program/start.py
+++ b/arrowfold/program/start.py
@@ -16,6 +16,13 @@
 
 def run_node(edge_file: Path | None, signals: Signals) -> int:
     """The exit code of a node; a bad configuration ends it with one line and code 2."""
+    try:
+        return _run(edge_file, signals)
+    finally:
+        signals.ignore_further()
+
+
+def _run(edge_file: Path | None, signals: Signals) -> int:
     try:
         node = Node(read_config(os.environ, edge_file), signals)
     except (ConfigError, DescriptionError) as error:
--- a/arrowfold/program/trial.py
+++ b/arrowfold/program/trial.py
@@ -125,5 +125,7 @@
         parent = os.getppid()
         while not ended and os.getppid() == parent:
             time.sleep(0.1)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.SIG_IGN)  # caught ones get their default back at the end
         for server in (self.discovery, *self.workers):
             server.close()
--- a/arrowfold/programs/control.py
+++ b/arrowfold/programs/control.py
@@ -16,17 +16,17 @@
 
 import sys
 
-from docopt import docopt
-
 from arrowfold.node.library_loading import loading_libraries
-from arrowfold.node.start_signals import StartSignals
+from arrowfold.node.process_signals import ProcessSignals
 
 
 def main(arguments: list[str] | None = None) -> int:
     """Run a control node until it is told to end; returns the exit code."""
-    options = docopt(__doc__, argv=arguments)
-    signals = StartSignals()
+    signals = ProcessSignals()
     signals.guard()
+    from docopt import docopt  # loaded behind the guard, as all that takes time
+
+    options = docopt(__doc__, argv=arguments)
     with loading_libraries():
         from arrowfold.programs.control_assembly import run_control
 
--- a/arrowfold/programs/control_assembly.py
+++ b/arrowfold/programs/control_assembly.py
@@ -9,14 +9,14 @@
 
 from arrowfold.controlplane.node import ControlNode
 from arrowfold.node.logs import configure
+from arrowfold.node.process_signals import ProcessSignals
 from arrowfold.node.result_codes import ResultCode
-from arrowfold.node.start_signals import StartSignals
 from arrowfold.node.traces import TraceWriter
 from arrowfold.programs.policy_options import load_policy_options
 from arrowfold.programs.startup import open_settings, refuse, run_node
 
 
-def run_control(options: dict[str, Any], signals: StartSignals) -> int:
+def run_control(options: dict[str, Any], signals: ProcessSignals) -> int:
     """Run a control node with the options of the command line; returns the exit code."""
     configure(options["--log-level"], options["--json-log"])
     opened = open_settings(options["--settings"])
--- a/arrowfold/programs/edge.py
+++ b/arrowfold/programs/edge.py
@@ -16,18 +16,18 @@
 
 import sys
 
-from docopt import docopt
-
 from arrowfold.node.library_loading import loading_libraries
 from arrowfold.node.listeners import open_listeners
-from arrowfold.node.start_signals import StartSignals
+from arrowfold.node.process_signals import ProcessSignals
 
 
 def main(arguments: list[str] | None = None) -> int:
     """Run an edge node until it is told to end; returns the exit code."""
-    options = docopt(__doc__, argv=arguments)
-    signals = StartSignals()
+    signals = ProcessSignals()
     signals.guard()
+    from docopt import docopt  # loaded behind the guard, as all that takes time
+
+    options = docopt(__doc__, argv=arguments)
     listeners = open_listeners(options["--settings"], signals.defer_termination)
     # What follows takes a good part of a second to load; connections that come meanwhile wait.
     with loading_libraries():
--- a/arrowfold/programs/edge_assembly.py
+++ b/arrowfold/programs/edge_assembly.py
@@ -13,15 +13,15 @@
 from arrowfold.dataplane.node import EdgeNode
 from arrowfold.node.listeners import Listeners
 from arrowfold.node.logs import RateLimitedLog, configure
+from arrowfold.node.process_signals import ProcessSignals
 from arrowfold.node.result_codes import ResultCode
-from arrowfold.node.start_signals import StartSignals
 from arrowfold.node.traces import TraceWriter
 from arrowfold.programs.policy_options import PolicyOptions, load_policy_options
 from arrowfold.programs.startup import SettingsFile, open_settings, refuse, run_node
 from arrowfold.selection.market_selector import MarketSelector
 
 
-def run_edge(options: dict[str, Any], listeners: Listeners, signals: StartSignals) -> int:
+def run_edge(options: dict[str, Any], listeners: Listeners, signals: ProcessSignals) -> int:
     """Run an edge node with the options of the command line; returns the exit code."""
     configure(options["--log-level"], options["--json-log"])
     opened = open_settings(options["--settings"])
--- a/arrowfold/programs/startup.py
+++ b/arrowfold/programs/startup.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,10 +12,10 @@
 from result import Err, Ok, Result
 
 from arrowfold.node.logs import RateLimitedLog
+from arrowfold.node.process_signals import ProcessSignals
 from arrowfold.node.result_codes import ResultCode
 from arrowfold.node.settings import NodeSettings, load_settings
 from arrowfold.node.settings_path import SETTINGS_VARIABLE, settings_path
-from arrowfold.node.start_signals import StartSignals
 
 EXIT_FAULTY = 2  # exit code where the settings file or the command line is at fault
 SETTINGS_CHECK_INTERVAL_S = 1.0  # between looks at a settings file that may change without a signal
@@ -61,7 +60,7 @@
 
 
 async def run_node(
-    file: SettingsFile, make_node: Callable[[RateLimitedLog], RunnableNode], start_signals: StartSignals
+    file: SettingsFile, make_node: Callable[[RateLimitedLog], RunnableNode], signals: ProcessSignals
 ) -> None:
     """Run a node until SIGTERM or SIGINT; SIGHUP and a changed file bring new settings.
 
@@ -70,18 +69,14 @@
     log = RateLimitedLog(file.settings.nodeName)
     node = make_node(log)
     terminated, hangup = asyncio.Event(), asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, terminated.set)
-    loop.add_signal_handler(signal.SIGINT, terminated.set)
-    loop.add_signal_handler(signal.SIGHUP, hangup.set)
+    signals.listen(asyncio.get_running_loop(), terminated.set, hangup.set)
     await node.start()
     log.info("started", zone=file.settings.zone)
     following = asyncio.create_task(follow_settings(file.path, hangup, node.apply_settings, log))
-    if start_signals.termination_age_s() is None:
-        await terminated.wait()
+    await terminated.wait()
     log.info("stopping")
     following.cancel()
-    await node.stop(start_signals.termination_age_s() or 0.0)
+    await node.stop(signals.termination_age_s() or 0.0)
     log.info("stopped")
 
 
