--- a/arrowfold/dataplane/puller.py
+++ b/arrowfold/dataplane/puller.py
@@ -73,8 +73,8 @@
 
     def _follow(self) -> None:
         view = self._tables.snapshot.view
-        members = {member.address for member in view.members} if view is not None else set()
-        wanted = members | set(self._seeds)
+        members = [member.address for member in view.members] if view is not None else []
+        wanted = dict.fromkeys([*members, *self._seeds])
         for address in [known for known in self._sources if known not in wanted]:
             self._drop(address)
         for address in wanted:
--- a/arrowfold/replication/peers.py
+++ b/arrowfold/replication/peers.py
@@ -8,7 +8,7 @@
 from arrowfold.replication.membership import PeerView
 from arrowfold.replication.messages import HeartbeatAnswer
 from arrowfold.replication.ports import Clock
-from arrowfold.replication.records import EpochRecord, has_majorities
+from arrowfold.replication.records import EpochRecord
 from arrowfold.replication.timings import Timings
 
 AUTHORITY_MARGIN = 1.1  # steady clocks of two machines may differ in speed
@@ -56,13 +56,17 @@
 
     def lease_until(self, record: EpochRecord) -> float:
         """Until when a majority of the witnesses is known to promise nothing to others."""
-        grants = {member: peer.granted_at for member, peer in self._peers.items()}
-        grants[self._own] = self._clock()
-        for start in sorted(set(grants.values()), reverse=True):
-            votes = {member for member, granted_at in grants.items() if granted_at >= start}
-            if has_majorities(record.quorums[-1:], votes):
-                return start + self._timings.lease_s * self._timings.lease_margin
-        return -math.inf
+        voters = record.quorums[-1].voters
+        grants = sorted((self._granted_at(voter) for voter in voters), reverse=True)
+        start = grants[len(voters) // 2]  # the last grant of the smallest majority
+        return start + self._timings.lease_s * self._timings.lease_margin
+
+    def _granted_at(self, member: str) -> float:
+        """When the last heartbeat was sent that this member granted; of the primary itself, now."""
+        if member == self._own:
+            return self._clock()
+        peer = self._peers.get(member)
+        return -math.inf if peer is None else peer.granted_at
 
     def asks_to_leave(self, member: str) -> None:
         """A member was told to end: it still votes and answers, but holds no roles from now on."""
