Candidates ask the voters of every set that a record needs, not its witnesses alone

A silent voter was removed; before anyone but the primary knew that record to be chosen, all lost power and two disks were lost. Superseding it took a majority of the six voters before, of whom four were there; but candidates asked the five witnesses alone, and nobody knew the address of the sixth. Change: a record names the voters of its other sets that are no witnesses any more (a field with a default, at the end); they are asked for promises and told the record.

--- a/arrowfold/replication/epochs.py
+++ b/arrowfold/replication/epochs.py
@@ -144,7 +144,7 @@
             return Err(composed.err_value)
         composition = composed.ok_value
         if trial:
-            return Ok(self._record(epoch, composition.group, composition.witnesses, found.quorums))
+            return Ok(self._record(epoch, composition.group, composition.witnesses, found))
         return await self._establish(epoch, found, composition)
 
     def _record(
@@ -152,11 +152,12 @@
         epoch: int,
         group: tuple[str, ...],
         witnesses: tuple[MemberInfo, ...],
-        quorums: tuple[Quorum, ...],
+        found: Found,
     ) -> EpochRecord:
         deciders = Quorum(tuple(witness.member for witness in witnesses))
-        merged = merged_quorums(quorums, deciders)
-        return EpochRecord(epoch, self._member.info.member, group, witnesses, merged)
+        merged = merged_quorums(found.quorums, deciders)
+        former = _former_voters(found.record, merged, deciders)
+        return EpochRecord(epoch, self._member.info.member, group, witnesses, merged, former)
 
     # Promises
 
@@ -172,7 +173,7 @@
             self._collect(inquiry)
             record = inquiry.newest_record()
             if record is not None:
-                self._ask(inquiry, request, [witness.address for witness in record.witnesses])
+                self._ask(inquiry, request, [voter.address for voter in record.voters()])
             own = inquiry.answers.get(self._member.info.member)
             if own is not None and not own.granted:
                 return Err(EpochFault(own.reason, inquiry.highest_promise()))
@@ -202,7 +203,7 @@
     def _known_addresses(self) -> list[str]:
         record = self._member.image.record
         if record is not None:
-            return [witness.address for witness in record.witnesses]
+            return [voter.address for voter in record.voters()]
         return list(self._seeds)
 
     def _ask(self, inquiry: _Inquiry, request: PrepareEpoch, addresses: Iterable[str]) -> None:
@@ -259,7 +260,7 @@
         if len(group) < composition.copies:
             return Err(EpochFault(f"only {sorted(group)} took the state", epoch))
         members = tuple(member for member in composition.group if member in group)
-        record = self._record(epoch, members, composition.witnesses, found.quorums)
+        record = self._record(epoch, members, composition.witnesses, found)
         return await self._accept(record, found)
 
     async def _starting_state(
@@ -309,7 +310,7 @@
         return verdict if isinstance(verdict, Verdict) else None
 
     async def _accept(self, record: EpochRecord, found: Found) -> Result[EpochRecord, EpochFault]:
-        addresses = {witness.member: witness.address for witness in record.witnesses}
+        addresses = {voter.member: voter.address for voter in record.voters()}
         known = self._member.image.record
         for witness in known.witnesses if known is not None else ():
             addresses.setdefault(witness.member, witness.address)
@@ -335,6 +336,16 @@
         return Err(EpochFault("the record was not accepted by enough witnesses", record.epoch))
 
 
+def _former_voters(
+    superseded: EpochRecord | None, quorums: tuple[Quorum, ...], deciders: Quorum
+) -> tuple[MemberInfo, ...]:
+    """The voters of the sets that a new record takes over, but for its witnesses."""
+    if superseded is None:
+        return ()
+    names = {voter for quorum in quorums for voter in quorum.voters if voter not in deciders.voters}
+    return tuple(voter for voter in superseded.voters() if voter.member in names)
+
+
 def _vote_names(found: Found, member: str) -> set[str]:
     """Under which names an acceptance by this member counts."""
     answer = found.granted.get(member)
--- a/arrowfold/replication/records.py
+++ b/arrowfold/replication/records.py
@@ -32,6 +32,7 @@
 
     It is chosen once a majority of each of `quorums` has accepted it, and it takes the promise of a
     majority of each to supersede it while it is not known to be chosen. The last set are its witnesses.
+    `former`: voters of the other sets that are no witnesses any more; their promises count until then.
     """
 
     epoch: int
@@ -39,6 +40,11 @@
     group: tuple[str, ...]
     witnesses: tuple[MemberInfo, ...]
     quorums: tuple[Quorum, ...]
+    former: tuple[MemberInfo, ...] = ()
+
+    def voters(self) -> tuple[MemberInfo, ...]:
+        """Everyone whose promise may be needed to supersede it."""
+        return (*self.witnesses, *self.former)
 
     def witness_ids(self) -> tuple[str, ...]:
         """The identities of the witnesses."""
--- a/benchmarks/control_model/state.py
+++ b/benchmarks/control_model/state.py
@@ -82,6 +82,7 @@
     wipes: int  # disks that may still be lost
     leaves: int  # members that may still be told to end
     drops: int  # late messages that may still be made
+    arrivals: int = 0  # newcomers that may still come though no disk was lost
 
 
 def has_majorities(quorums: tuple[Members, ...], votes: Members) -> bool:
--- /dev/null
+++ b/benchmarks/guards/catalogue.py
@@ -0,0 +1,601 @@
+"""The guards of the control side and of what follows it: a piece of text each, and what replaces it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Area(StrEnum):
+    """Which tests a guard is looked for in."""
+
+    REPLICATION = "replication"
+    CONTROL_PLANE = "controlplane"
+    REGISTRY = "registry"
+    DATA_PLANE = "dataplane"
+
+
+@dataclass(frozen=True, slots=True)
+class Guard:
+    """A condition that some promise rests on; without it, `text` reads `without`."""
+
+    name: str
+    area: Area
+    file: str  # below arrowfold/
+    text: str
+    without: str
+
+
+def _guards(area: Area, file: str, *rows: tuple[str, str, str]) -> tuple[Guard, ...]:
+    return tuple(Guard(name, area, file, text, without) for name, text, without in rows)
+
+
+MEMBER = _guards(
+    Area.REPLICATION,
+    "replication/member.py",
+    ("a backup is current for a time", "and self.clock() < self._current_until", "and True"),
+    ("a backup is current at a position", "and self.published.sequence == self.committed_known", "and True"),
+    (
+        "a backup is current in an epoch",
+        "            and self.image.state_epoch == record.epoch\n            and self.published",
+        "            and self.published",
+    ),
+    (
+        "accepting forgets how far the log is committed",
+        "self.committed_known = -1  # the new primary",
+        "pass  # the new primary",
+    ),
+    (
+        "a witness waits out a lease after a restart",
+        "clock() + timings.lease_s if record is not None else 0.0",
+        "0.0",
+    ),
+    (
+        "authority only by an echo of this life",
+        "request.echo is not None and request.echo in self._told_clocks",
+        "request.echo is not None",
+    ),
+    (
+        "a promise refuses lower epochs",
+        "if request.epoch <= self.highest_epoch and not again:",
+        "if False:",
+    ),
+    (
+        "a promise is checked again before it is written",
+        "if request.epoch <= image.promised and not again:",
+        "if False:",
+    ),
+    (
+        "a promise waits for the lease",
+        "if self.clock() < self._lease_until and self._lease_holder != request.candidate.member:",
+        "if False:",
+    ),
+    (
+        "no promise with a disk in trouble",
+        'if not self.durable.is_healthy(self.timings.disk_s):\n            return "the disk',
+        'if False:\n            return "the disk',
+    ),
+    ("a state is handed to the promised epoch only", "if request.epoch != image.promised:", "if False:"),
+    (
+        "a state is installed for the promised epoch only",
+        "if (image.promised, image.promised_to) != (request.epoch, request.candidate):",
+        "if False:",
+    ),
+    (
+        "a state counts as held at its position only",
+        "if request.state is None and image.position != request.position:",
+        "if False:",
+    ),
+    (
+        "a record below a promise is refused",
+        "if record.epoch < max(image.promised, self._promising):",
+        "if False:",
+    ),
+    (
+        "a record of another candidate is refused",
+        "if record.epoch == image.promised and record.primary != image.promised_to:",
+        "if False:",
+    ),
+    (
+        "entries of another epoch are refused",
+        "if record is None or record.epoch != request.epoch or self.highest_epoch != request.epoch:",
+        "if record is None:",
+    ),
+    (
+        "entries follow on the state held",
+        "if image.state_epoch != request.epoch or image.position != request.previous:",
+        "if False:",
+    ),
+    (
+        "an epoch that was handed over grants nothing",
+        " and request.epoch != self._handed_over",
+        "",
+    ),
+    (
+        "a heartbeat is granted for the record's epoch only",
+        "granted = leads and image.record is not None and image.record.epoch == request.epoch",
+        "granted = leads and image.record is not None",
+    ),
+    ("what is published never goes back", "if state.sequence > self.published.sequence:", "if True:"),
+)
+
+PRIMARY = _guards(
+    Area.REPLICATION,
+    "replication/primary.py",
+    (
+        "a primary that promised another is none",
+        "if self.ended or self._member.image.promised_to != self._member.info.member:",
+        "if self.ended:",
+    ),
+    (
+        "a group too small confirms nothing",
+        "return self.has_lease() and self.is_complete()",
+        "return self.has_lease()",
+    ),
+    ("a batch is answered under a lease", "if committed and self.is_active():", "if committed:"),
+    ("a release waits for a secured record", "        return self.is_secured()\n", "        return True\n"),
+    (
+        "a record is secured on enough disks",
+        "return own + self._peers.confirmed_on(self.record) >= needed",
+        "return True",
+    ),
+    (
+        "a leaver is out of the voters",
+        "if votes and len(self.record.witnesses) > witnesses_required(self._losses):",
+        "if False:",
+    ),
+    ("a leaver is out of the group", " or member in self.record.group:", ":"),
+    (
+        "no release while members change",
+        "if self._changing or self._wanted is not None or member in",
+        "if member in",
+    ),
+    (
+        "a change follows on the own epoch",
+        "if found.record is None or found.record.epoch != self.record.epoch:",
+        "if False:",
+    ),
+    (
+        "a change keeps enough copies",
+        "if len(group) < copies or self._member.info.member not in group:",
+        "if False:",
+    ),
+    (
+        "no membership below the copies required",
+        "if len(wanted.group) < copies_required(self._losses, len(wanted.witnesses)):",
+        "if False:",
+    ),
+    (
+        "a late acceptance grants only the record in force",
+        "verdict.done and record == self.record and",
+        "verdict.done and",
+    ),
+    (
+        "a primary with its disk in trouble ends",
+        "if not self._member.durable.is_healthy(self._timings.disk_s):",
+        "if False:",
+    ),
+)
+
+EPOCHS = _guards(
+    Area.REPLICATION,
+    "replication/epochs.py",
+    (
+        "an unconfirmed record needs all its majorities",
+        "record.quorums[-1:] if inquiry.is_confirmed(record) else record.quorums",
+        "record.quorums[-1:]",
+    ),
+    (
+        "a record takes the majorities of both sets",
+        "merged = merged_quorums(found.quorums, deciders)",
+        "merged = (deciders,)",
+    ),
+    (
+        "a source is of the newest group",
+        "if member in record.group and answer.state_epoch >= record.epoch",
+        "if answer.state_epoch >= record.epoch",
+    ),
+    (
+        "a source stored the starting state",
+        "if member in record.group and answer.state_epoch >= record.epoch",
+        "if member in record.group",
+    ),
+    ("a new epoch has enough copies", "if len(group) < composition.copies:", "if False:"),
+    ("the candidate stored the state itself", "if self._member.info.member not in group:", "if False:"),
+    (
+        "candidates ask the voters of every set",
+        "self._ask(inquiry, request, [voter.address for voter in record.voters()])",
+        "self._ask(inquiry, request, [voter.address for voter in record.witnesses])",
+    ),
+    (
+        "candidates ask members that leave",
+        "self._ask(inquiry, request, self._leavers.addresses())",
+        "pass",
+    ),
+    (
+        "records go to all who promised",
+        "for member, answer in found.granted.items():\n            addresses",
+        "for member, answer in ():\n            addresses",
+    ),
+    (
+        "the candidate accepted its own record",
+        "if self._member.info.member in votes and has_majorities(record.quorums, votes):",
+        "if has_majorities(record.quorums, votes):",
+    ),
+    (
+        "a fetched state is of the promised epoch",
+        "if not isinstance(image, StateImage) or image.epoch != epoch:",
+        "if not isinstance(image, StateImage):",
+    ),
+    ("a candidate obeys its own promise", "if own is not None and not own.granted:", "if False:"),
+)
+
+MEMBERS = (
+    *_guards(
+        Area.REPLICATION,
+        "replication/membership.py",
+        (
+            "members that leave go before silent ones",
+            "dict.fromkeys((*leaving, *silent))",
+            "dict.fromkeys((*silent, *leaving))",
+        ),
+        (
+            "no witness goes below those required",
+            "if len(witnesses) > witnesses_required(machine_losses):",
+            "if True:",
+        ),
+        ("leavers leave enough copies behind", " and len(remaining) > least_copies:", ":"),
+        (
+            "a new identity replaces the old at its address",
+            "[*(witness for witness in record.witnesses if witness.address not in addresses), *new]",
+            "[*record.witnesses, *new]",
+        ),
+        ("only healthy members are in the group", "not peer.healthy or peer.silence_s", "peer.silence_s"),
+        (
+            "a member left out waits to come back",
+            "return member in record.group or peer.rested",
+            "return True",
+        ),
+    ),
+    *_guards(
+        Area.REPLICATION,
+        "replication/peers.py",
+        (
+            "authority ends before a role passes on",
+            "return self._clock() - last_extension > self._timings.lease_s * AUTHORITY_MARGIN",
+            "return True",
+        ),
+        (
+            "a member without an answer has no authority",
+            "last_extension = min(peer.answered_at, max(peer.echoed_at, self._started_at))",
+            "last_extension = max(peer.echoed_at, self._started_at)",
+        ),
+        (
+            "a member that leaves holds no role",
+            "or not peer.healthy or self.is_leaving(member):",
+            "or not peer.healthy:",
+        ),
+        (
+            "a disk that leaves secures nothing",
+            "self.get(member).confirmed_epoch >= record.epoch and not self.is_leaving(member)",
+            "self.get(member).confirmed_epoch >= record.epoch",
+        ),
+        ("the lease rests on a majority", "start = grants[len(voters) // 2]", "start = grants[0]"),
+        (
+            "the lease ends early for clocks of other speed",
+            "return start + self._timings.lease_s * self._timings.lease_margin",
+            "return start + self._timings.lease_s * 1.2",
+        ),
+    ),
+)
+
+ROLES = (
+    *_guards(
+        Area.REPLICATION,
+        "replication/roles.py",
+        (
+            "a role passes on once its holder's authority ended",
+            "(tenure.member in fit or not authority_ended(tenure.member))",
+            "tenure.member in fit",
+        ),
+        (
+            "a grant follows on the tenure it saw",
+            "if state.roles.get(grant.role) != seen.roles.get(grant.role):",
+            "if False:",
+        ),
+        ("a holder is current", "if tenure is None or not self._replica.is_current():", "if tenure is None:"),
+        (
+            "a new holder waits",
+            "if now < tenure.since or now >= authority_until:",
+            "if now >= authority_until:",
+        ),
+        (
+            "a holder has authority",
+            "if now < tenure.since or now >= authority_until:",
+            "if now < tenure.since:",
+        ),
+    ),
+    *_guards(
+        Area.REPLICATION,
+        "replication/replica.py",
+        (
+            "a stopping primary proposes nothing",
+            "if self._term is None or self._stopping:",
+            "if self._term is None:",
+        ),
+        (
+            "a stopping member claims no authority",
+            "if self._stopping:\n            return 0.0",
+            "if False:\n            return 0.0",
+        ),
+        (
+            "a stopping member doesn't stand",
+            "if self._stopping:\n            return\n",
+            "if False:\n            return\n",
+        ),
+        ("a leaver doesn't join again", " and not self._leavers.is_leaving(request.member.member):", ":"),
+        ("only a first start founds", "return self._member.founder and ", "return "),
+    ),
+)
+
+CONTROL_PLANE = (
+    *_guards(
+        Area.CONTROL_PLANE,
+        "controlplane/changes.py",
+        ("a change that was taken is confirmed again", "if taken is not None:", "if False:"),
+        (
+            "a change too old to know is unclear",
+            "return Proposal(_forgotten() if forgotten else _refused(prepared.err_value))",
+            "return Proposal(_refused(prepared.err_value))",
+        ),
+        ("a document too large is refused", "if len(document.to_json()) > LARGEST_DOCUMENT:", "if False:"),
+        ("a patch leads to the same bytes", " or patched_document(text, patch) != whole:", ":"),
+    ),
+    *_guards(
+        Area.CONTROL_PLANE,
+        "controlplane/registration.py",
+        ("a departure is committed before its answer", "if record.state != AVAILABLE:", "if False:"),
+        (
+            "a notice of a later state stands",
+            "_STAGES.get(departure.state, 0) >= _STAGES.get(wanted, 0)",
+            "_STAGES.get(departure.state, 0) == _STAGES.get(wanted, 0)",
+        ),
+        (
+            "a notice is decided on the committed state",
+            "if already_committed(state, notice.instance, notice.state):",
+            "if False:",
+        ),
+        (
+            "a worker that is gone is told at once",
+            "if notice.state == GONE and self._registry",
+            "if False and self._registry",
+        ),
+    ),
+    *_guards(
+        Area.CONTROL_PLANE,
+        "controlplane/primary_calls.py",
+        ("a call moves on with the primary", "if self._replica.primary() != primary:", "if False:"),
+    ),
+    *_guards(
+        Area.CONTROL_PLANE,
+        "controlplane/placement_executor.py",
+        ("an order is sent only under authority", "if self._lease.remaining_s() < ARRIVAL_S:", "if False:"),
+        (
+            "orders are planned only under authority",
+            "may_order = self._lease.remaining_s() >= ARRIVAL_S",
+            "may_order = True",
+        ),
+        ("the work ends with the tenure", "while self._lease.is_tenured() and not", "while not"),
+        (
+            "the work ends at a higher fence",
+            "while self._lease.is_tenured() and not (self._placer and self._placer.fenced):",
+            "while self._lease.is_tenured():",
+        ),
+    ),
+    *_guards(
+        Area.CONTROL_PLANE,
+        "controlplane/placement_notices.py",
+        (
+            "a new tenure starts its updates anew",
+            "if known is None or token > known.token:",
+            "if known is None:",
+        ),
+        ("a puller of an older tenure gets everything", "if since <= known.first:", "if False:"),
+        ("an origin is one life", "{ROLE_PREFIX}{service}@{self._life}", "{ROLE_PREFIX}{service}"),
+    ),
+    *_guards(
+        Area.CONTROL_PLANE,
+        "controlplane/distribution.py",
+        (
+            "what is committed is urgent",
+            "if self._replica.committed.sequence > request.vector.get(STATE_ORIGIN, 0):",
+            "if False:",
+        ),
+    ),
+)
+
+REGISTRY = _guards(
+    Area.REGISTRY,
+    "registry/workers.py",
+    (
+        "a late call changes nothing",
+        "if record.call_sequence < current.call_sequence or current.state == GONE:",
+        "if current.state == GONE:",
+    ),
+    (
+        "a worker that is gone stays gone",
+        "if record.call_sequence < current.call_sequence or current.state == GONE:",
+        "if record.call_sequence < current.call_sequence:",
+    ),
+    ("an update is taken once", " or update.counter <= self._vector.get(update.origin, 0):", ":"),
+    (
+        "an own record is not taken back",
+        "if update.origin == self.origin or update.counter",
+        "if update.counter",
+    ),
+    (
+        "an older record doesn't replace a newer",
+        "if known is None or _supersedes(update.record, known.update.record):",
+        "if True:",
+    ),
+    (
+        "a node that lacks what was heard is told",
+        "if known.update.origin == self.origin and _supersedes(known.update.record, update.record):",
+        "if False:",
+    ),
+    ("after a pause each worker has its whole time", "        if paused:", "        if False:"),
+    (
+        "another node's workers aren't called silent",
+        "if quiet_s > patience_s and not self._is_others(known.update.origin, is_live):",
+        "if quiet_s > patience_s:",
+    ),
+    (
+        "a worker is announced once",
+        "if known is None or known.update.record.state == GONE:",
+        "if known is None:",
+    ),
+)
+
+DATA_PLANE = (
+    *_guards(
+        Area.DATA_PLANE,
+        "dataplane/tables.py",
+        (
+            "a newcomer takes nothing from a minority",
+            "if self.snapshot.configuration is None and not response.current:",
+            "if False:",
+        ),
+        ("a lower token gives way", "if held is not None and held.token > update.token:", "if False:"),
+        (
+            "a placement update is taken once",
+            "if held is not None and same_owner and held.counter >= update.counter:",
+            "if False:",
+        ),
+        (
+            "another owner's corrections are dropped",
+            "held.corrections if held is not None and same_owner and update.since else {}",
+            "held.corrections if held is not None and update.since else {}",
+        ),
+        (
+            "a worker that drains doesn't come back",
+            "if known.state in (DRAINING, GONE) and _SEVERITY[record.state] < _SEVERITY[known.state]:",
+            "if False:",
+        ),
+        (
+            "a late record of a worker changes nothing",
+            "return record.call_sequence > known.call_sequence",
+            "return True",
+        ),
+        (
+            "a departure outlives later records",
+            "if departure is not None and departure.state == GONE:",
+            "if False:",
+        ),
+        (
+            "a configuration never goes back",
+            "if known is not None and update.sequence <= known.sequence:",
+            "if False:",
+        ),
+        (
+            "a step never goes back",
+            "    if update.sequence <= known.sequence:\n        return known\n    changed",
+            "    changed",
+        ),
+        (
+            "a step needs its base",
+            "if update.base_version != known.version or changed.is_err():",
+            "if changed.is_err():",
+        ),
+        ("a step that was missed is asked for whole", "        if missed_delta:\n", "        if False:\n"),
+        ("a view never goes back", "if known is None or view.epoch >= known.epoch:", "if True:"),
+    ),
+    *_guards(
+        Area.DATA_PLANE,
+        "dataplane/attempts.py",
+        ("attempts are bounded", "if self.sends >= self.route.max_attempts:", "if False:"),
+        (
+            "what may have run is not sent again",
+            "return self.route.repeatable or not self.may_have_run",
+            "return True",
+        ),
+    ),
+    *_guards(
+        Area.DATA_PLANE,
+        "dataplane/worker_connections.py",
+        (
+            "an answer is of the request under way",
+            "if find(message.raw_headers, names.ATTEMPT_ID) == request.attempt_id:",
+            "if True:",
+        ),
+        (
+            "a connection with a foreign answer is dropped",
+            "            reusable = False\n",
+            "            pass\n",
+        ),
+        (
+            "a connection with surplus bytes is dropped",
+            "if not keep or not connection.is_clean() or connection",
+            "if not keep or connection",
+        ),
+        (
+            "a connection with surplus bytes isn't used",
+            "return connection.is_clean() and now_s",
+            "return now_s",
+        ),
+        (
+            "an answer that is not whole drops its connection",
+            "self._reusable and self._whole and self._bounded)",
+            "self._reusable)",
+        ),
+        ("an answer without a length is never whole", "if not self._bounded:", "if False:"),
+        (
+            "connections to a worker are bounded",
+            "if pool.opened >= max(FEWEST_CONNECTIONS, self._share_of.get(instance, FEWEST_CONNECTIONS)):",
+            "if False:",
+        ),
+    ),
+    *_guards(
+        Area.DATA_PLANE,
+        "dataplane/retry_budget.py",
+        (
+            "repeats are bounded",
+            "if repeats.count(now_s) + 1 > self._allowance(service, now_s):",
+            "if False:",
+        ),
+        (
+            "a new life spends nothing of the extra",
+            "if not self._edge_counts or now_s - self._started_s < self._window_s:",
+            "if not self._edge_counts:",
+        ),
+        (
+            "the most edges of a window share",
+            "return self._extra / max(edges for _, edges in self._edge_counts)",
+            "return self._extra / min(edges for _, edges in self._edge_counts)",
+        ),
+    ),
+    *_guards(
+        Area.DATA_PLANE,
+        "dataplane/process_end.py",
+        (
+            "no request outlives its process",
+            "return deadline_s <= self._ends_s or asyncio",
+            "return True or asyncio",
+        ),
+        (
+            "requests under way are bounded by the end",
+            "if due_s is not None and due_s > self._ends_s:",
+            "if False:",
+        ),
+    ),
+)
+
+GUARDS: tuple[Guard, ...] = (
+    *MEMBER,
+    *PRIMARY,
+    *EPOCHS,
+    *MEMBERS,
+    *ROLES,
+    *CONTROL_PLANE,
+    *REGISTRY,
+    *DATA_PLANE,
+)
--- /dev/null
+++ b/benchmarks/guards/trial.py
@@ -0,0 +1,106 @@
+"""One trial: a copy of the project without one guard, and the tests of its area until one fails."""
+
+from __future__ import annotations
+
+import os
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from benchmarks.guards.catalogue import Area, Guard
+
+ROOT = Path(__file__).parent.parent.parent
+COPIED = ("arrowfold", "benchmarks", "tests", "deploy", "docs", "pyproject.toml")
+FAILED_LINE = re.compile(r"^(?:FAILED|ERROR) (tests/.+?)(?: - .*)?$", re.MULTILINE)
+TRIAL_TIMEOUT_S = 900.0
+STANDS_STILL = "the tests stood still"
+_CONTROL = (
+    "member", "peers", "leaving", "currency", "founding", "hand_over", "changes", "confirmation", "failures",
+    "found_anew", "planted", "schedules",
+)  # fmt: skip
+_DATA_PLANE = (
+    "tables", "pulls", "retry_budget", "forwarding", "streams", "ending", "front", "http", "http_streams",
+)  # fmt: skip
+TESTS: dict[Area, tuple[str, ...]] = {
+    Area.REPLICATION: tuple(f"tests/system/test_control_{name}.py" for name in _CONTROL),
+    Area.CONTROL_PLANE: (
+        "tests/system/test_placement_executor.py",
+        "tests/system/test_control_distribution.py",
+        "tests/system/test_control_changes.py",
+        "tests/system/test_control_http.py",
+        "tests/system/test_registry_workers.py",
+        "tests/system/test_edge_tables.py",
+        "tests/system/test_control_currency.py",
+        "tests/system/test_control_failures.py",
+        "tests/system/test_control_planted.py",
+        "tests/system/test_control_schedules.py",
+    ),
+    Area.REGISTRY: ("tests/system/test_registry_workers.py", "tests/system/test_control_http.py"),
+    Area.DATA_PLANE: (
+        *(f"tests/system/test_edge_{name}.py" for name in _DATA_PLANE),
+        "tests/system/test_connection_machine.py",
+        "tests/system/test_control_distribution.py",
+        "tests/system/test_control_planted.py",
+    ),
+}
+
+
+class GuardFault(Exception):
+    """The text of a guard isn't in its file exactly once: the list has to follow the code."""
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """What came of a trial: the first test that failed without the guard; None if none did."""
+
+    name: str
+    file: str
+    red: str | None
+
+
+def without_guard(guard: Guard, source: str) -> str:
+    """The source of the guard's file without it; raises GuardFault."""
+    if source.count(guard.text) != 1:
+        raise GuardFault(f"{guard.file}: {guard.name!r} is there {source.count(guard.text)} times")
+    return source.replace(guard.text, guard.without)
+
+
+def try_without(guard: Guard) -> Finding:
+    """Run the tests of the guard's area on a copy without it."""
+    with tempfile.TemporaryDirectory(prefix="guard-") as folder:
+        root = Path(folder)
+        _copy_project(root)
+        file = root / "arrowfold" / guard.file
+        file.write_text(without_guard(guard, file.read_text(encoding="utf-8")), encoding="utf-8")
+        return Finding(guard.name, guard.file, _first_red(root, guard.area))
+
+
+def _copy_project(root: Path) -> None:
+    ignored = shutil.ignore_patterns("__pycache__", "results")
+    for name in COPIED:
+        source = ROOT / name
+        if source.is_dir():
+            shutil.copytree(source, root / name, ignore=ignored)
+        else:
+            shutil.copy2(source, root / name)
+
+
+def _first_red(root: Path, area: Area) -> str | None:
+    command = [sys.executable, "-W", "ignore", "-m", "pytest", "-x", "-q", "-p", "no:cacheprovider"]
+    command += ["--no-header", "-rfE", *TESTS[area]]
+    # The copy comes before the installed project.
+    environment = {**os.environ, "PYTHONPATH": str(root), "PYTHONDONTWRITEBYTECODE": "1"}
+    try:
+        done = subprocess.run(
+            command, cwd=root, env=environment, capture_output=True, text=True, timeout=TRIAL_TIMEOUT_S
+        )
+    except subprocess.TimeoutExpired:
+        return STANDS_STILL
+    if done.returncode == 0:
+        return None
+    failed = FAILED_LINE.search(done.stdout)
+    return failed.group(1) if failed else f"code {done.returncode}: {done.stdout.strip()[-200:]}"
--- a/tests/system/test_control_failures.py
+++ b/tests/system/test_control_failures.py
@@ -312,3 +312,42 @@
 
 def test_given_a_primary_that_restarts_within_its_lease_then_it_leads_under_a_new_epoch() -> None:
     run_world(_primary_restarts_quickly())
+
+
+async def _removed_voter_is_needed(seed: int) -> None:
+    """A silent voter is removed, and before the others know that, all lose power and one its disk."""
+    # Given four voters, one of which is out of touch
+    world = World(seed, machines=4)
+    world.start_all()
+    assert await world.change(0, 1, 9.0) == 1
+    await world.until(world.is_whole, 6.0, "a whole group")
+    primary = await world.until_primary()
+    silent, *rest = [machine for machine in world.machines.values() if machine is not primary]
+    touching = [primary, *rest]
+    for other in touching:
+        world.network.cut(silent.address, other.address)
+        world.network.cut(other.address, silent.address)
+
+    def knows_without_certainty(machine: Machine) -> bool:
+        assert machine.replica is not None
+        image = machine.replica.group_member.image
+        return image.record is not None and len(image.record.witnesses) == 3 and not image.confirmed
+
+    # When the others have accepted the record without it, and none but the primary knows that it is chosen
+    while not all(knows_without_certainty(machine) for machine in rest):
+        await asyncio.sleep(0.0005)
+    for machine in touching:
+        machine.lose_power()
+    primary.wipe()
+    world.network.heal()
+    for machine in touching:
+        machine.start()
+    # Then the removed one's promise is asked for, and the group goes on
+    assert await world.change(1, 2, 9.0) == 2
+    await world.settle()
+    world.require_sound()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_given_a_silent_voter_removed_just_before_a_loss_then_its_promise_still_counts(seed: int) -> None:
+    run_world(_removed_voter_is_needed(seed))
