--- a/benchmarks/control_model/checker.py
+++ b/benchmarks/control_model/checker.py
@@ -79,6 +79,7 @@
     first = initial(scenario)
     start = form(first)
     parents: dict[int, int] = {hash(start): 0}
+    formed: set[int] = set()  # hashes of states as steps made them: most come again, and their form is known
     frontier = [start]
     depth = 0
     while frontier:
@@ -86,6 +87,10 @@
         for state in frontier:
             origin = hash(state)
             for _, step in steps(state, bounds):
+                made = hash(step)
+                if made in formed:
+                    continue
+                formed.add(made)
                 after = form(step)
                 key = hash(after)
                 if key in parents:
