--- a/benchmarks/control_figures.py
+++ b/benchmarks/control_figures.py
@@ -14,11 +14,14 @@
 
 from docopt import docopt
 
+from benchmarks.guards.catalogue import GUARDS
+
 ROOT = Path(__file__).parent.parent
 PAGE = ROOT / "docs" / "control-guarantees.md"
 MARK = "<!-- figures -->"
 STATE_RESULTS = ROOT / "benchmarks" / "control_state" / "results"
 KILL_RESULTS = ROOT / "benchmarks" / "control_kills" / "results"
+GUARD_RESULTS = ROOT / "benchmarks" / "guards" / "results"
 MODEL_RESULTS = ROOT / "benchmarks" / "control_model" / "results"
 
 
@@ -53,17 +56,27 @@
 
 def _long_runs() -> str:
     command = "python -m benchmarks.control_state run --seconds 1800 --result FILE"
-    runs = [_read(STATE_RESULTS / name) for name in ("long-3-1.json", "long-5-2.json")]
-    names = ("schedules", "seconds", "acknowledged", "departures", "reads", "acts", "lost", "back_steps")
-    names += ("two_holders", "stuck", "other", "longest_recovery_s")
+    runs = [_read(STATE_RESULTS / name) for name in ("long-3-1.json", "long-4-1.json", "long-5-2.json")]
+    names = ("schedules", "seconds", "core_s", "acknowledged", "departures", "reads", "acts", "lost")
+    names += ("back_steps","two_holders", "stuck", "other", "longest_recovery_s")
     rows: list[list[object]] = [
-        [f"{run['machines']} / {run['losses']}", *(f"{run[name]:,}" for name in names)]
+        [f"{run['machines']} / {run['losses']}", *(f"{run[name]:,}" if name in run else "" for name in names)]
         for run in runs
         if run is not None
     ]
     return f"`{command}`\n\n{_table(['size', *names], rows)}\n"
 
 
+def _guards() -> str:
+    command = "python -m benchmarks.guards run --result FILE"
+    found = {row["name"]: row["red"] for row in _read(GUARD_RESULTS / "guards.json") or []}
+    rows: list[list[object]] = []
+    for guard in GUARDS:
+        red = found.get(guard.name) or "**nothing red**" if guard.name in found else "not run"
+        rows.append([guard.name, f"`{guard.file}`", red.partition("::")[2] or red])
+    return f"`{command}`\n\n{_table(['guard', 'file', 'red without it'], rows)}\n"
+
+
 def _planted() -> str:
     command = "python -m benchmarks.control_state planted --schedules 60 --result FILE"
     rows = _read(STATE_RESULTS / "planted.json") or []
@@ -98,6 +111,8 @@
         _planted(),
         "### Schedules, long runs\n",
         _long_runs(),
+        "### Guards taken out one at a time\n",
+        _guards(),
         "### Real processes on loopback\n",
         _kills(),
     ]
