A test that needs the check of a promise before it is written

A request for a promise that comes once more while a later record of the same candidate is on its way to the disk would take the promise back; the test fails without the check.

--- a/tests/system/test_control_member.py
+++ b/tests/system/test_control_member.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
@@ -91,6 +92,24 @@
     _story(act)
 
 
+def test_a_promise_asked_for_again_does_not_take_back_a_record_that_is_being_stored() -> None:
+    async def act(alone: Alone) -> None:
+        # Given a promise, and a record of a later epoch of the same candidate that is on its way to the disk
+        epoch = await _promised(alone)
+        later = replace(alone.record, epoch=epoch + 1, primary=alone.third.member)
+        storing = asyncio.create_task(alone.member.accept(AcceptEpoch(later)))
+        await asyncio.sleep(0.001)
+        assert alone.member.image.promised == epoch
+        # When the request for the promise comes once more
+        answer = await alone.member.prepare(PrepareEpoch(epoch, alone.third))
+        # Then it is refused, and the record stands
+        assert (await storing).done
+        assert not answer.granted
+        assert alone.member.image.promised == epoch + 1
+
+    _story(act)
+
+
 def test_the_state_is_handed_to_the_promised_epoch_alone() -> None:
     async def act(alone: Alone) -> None:
         epoch = await _promised(alone)
