--- a/benchmarks/control_figures.py
+++ b/benchmarks/control_figures.py
@@ -58,7 +58,7 @@
     command = "python -m benchmarks.control_state run --seconds 1800 --result FILE"
     runs = [_read(STATE_RESULTS / name) for name in ("long-3-1.json", "long-4-1.json", "long-5-2.json")]
     names = ("schedules", "seconds", "core_s", "acknowledged", "departures", "reads", "acts", "lost")
-    names += ("back_steps","two_holders", "stuck", "other", "longest_recovery_s")
+    names += ("back_steps", "two_holders", "stuck", "other", "longest_recovery_s")
     rows: list[list[object]] = [
         [f"{run['machines']} / {run['losses']}", *(f"{run[name]:,}" if name in run else "" for name in names)]
         for run in runs
--- a/benchmarks/control_model/scenarios.py
+++ b/benchmarks/control_model/scenarios.py
@@ -23,6 +23,22 @@
         Scenario(members=5, newcomers=2, crashes=0, wipes=2),
         Bounds(losses=2, most_epochs=2, most_entries=0),
     ),
+    "5 / 2, a crash and a lost disk": (
+        Scenario(members=5, newcomers=1, crashes=1, wipes=1),
+        Bounds(losses=2, most_epochs=2, most_entries=0),
+    ),
+    "3 / 1, a fourth, one leaves, a crash": (
+        Scenario(joined=True, newcomers=1, crashes=1, wipes=0, leaves=1),
+        Bounds(most_epochs=2),
+    ),
+    "3 / 1, a fourth comes, one leaves": (
+        Scenario(newcomers=1, crashes=0, wipes=0, leaves=1, arrivals=1),
+        Bounds(most_epochs=3, most_entries=0),
+    ),
+    "3 / 1, two replacements one after the other": (
+        Scenario(newcomers=2, crashes=0, wipes=0, leaves=2, arrivals=2),
+        Bounds(most_epochs=5, most_entries=0),
+    ),
 }
 
 # By fault: the scenario, and how many epochs it takes.
