--- a/benchmarks/guards/trial.py
+++ b/benchmarks/guards/trial.py
@@ -19,7 +19,7 @@
 TRIAL_TIMEOUT_S = 900.0
 STANDS_STILL = "the tests stood still"
 _CONTROL = (
-    "member", "peers", "leaving", "currency", "founding", "hand_over", "changes", "confirmation", "failures",
+    "member", "guards", "peers", "leaving", "currency", "founding", "hand_over", "changes", "confirmation", "failures",
     "found_anew", "planted", "schedules",
 )  # fmt: skip
 _DATA_PLANE = (
