--- a/benchmarks/guards/trial.py
+++ b/benchmarks/guards/trial.py
@@ -19,12 +19,31 @@
 TRIAL_TIMEOUT_S = 900.0
 STANDS_STILL = "the tests stood still"
 _CONTROL = (
-    "member", "guards", "peers", "leaving", "currency", "founding", "hand_over", "changes", "confirmation", "failures",
-    "found_anew", "planted", "schedules",
-)  # fmt: skip
+    "member",
+    "guards",
+    "peers",
+    "leaving",
+    "currency",
+    "founding",
+    "hand_over",
+    "changes",
+    "confirmation",
+    "failures",
+    "found_anew",
+    "planted",
+    "schedules",
+)
 _DATA_PLANE = (
-    "tables", "pulls", "retry_budget", "forwarding", "streams", "ending", "front", "http", "http_streams",
-)  # fmt: skip
+    "tables",
+    "pulls",
+    "retry_budget",
+    "forwarding",
+    "streams",
+    "ending",
+    "front",
+    "http",
+    "http_streams",
+)
 TESTS: dict[Area, tuple[str, ...]] = {
     Area.REPLICATION: tuple(f"tests/system/test_control_{name}.py" for name in _CONTROL),
     Area.CONTROL_PLANE: (
