--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,20 +18,21 @@
 from rig import CannotRun, Record, Rig, call  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-PLAY_S = 80.0
+PLAY_S = 70.0
 EDGES = 3
 WORKERS = 5
 GARBLING = 3  # share 0.6 of the workers
 GARBLE_SHARE = 0.03  # of the answers of each of them, while the trouble lasts
 GARBLE_FOR_S = 5.0
 GARBLE_EVERY_S = 6.0
-MODELS = [f"m{number}" for number in range(24)]
+MODELS = [f"m{number}" for number in range(36)]
 BUSY = MODELS[:5]  # held by one worker each from the start, and asked for often
 LOAD_S = 0.6
 ENGINE = Engine("llm-pool", 64, 220_000.0, 72_700.0, LOAD_S, events=6, event_pause_s=0.02)
 LOAD_RATE_S = 5.4
 LOADS_AT_ONCE = 3  # at full speed; LOAD_RATE_S x LOAD_S rounded, as on the sheets
-RARE_EVERY_S = 1.2  # rare models are asked for at once: RARE_MODELS of them, each by RARE_CLIENTS
+RARE_AFTER_S = 10.0
+RARE_EVERY_S = 1.5  # rare models are asked for at once: RARE_MODELS of them, each by RARE_CLIENTS
 RARE_MODELS = 5
 RARE_CLIENTS = 3
 BUSY_EVERY_S = 0.035
@@ -177,7 +178,8 @@
             worker.doubles_answer = garble
     clients = Clients(rig, record, rng)
     tasks: set[asyncio.Task[None]] = set()
-    next_busy_s = next_rare_s = start_s = record.now()
+    next_busy_s = start_s = record.now()
+    next_rare_s = start_s + RARE_AFTER_S
     while record.now() < start_s + PLAY_S:
         now_s = record.now()
         asked = []
--- a/review/lib/engine_workers.py
+++ b/review/lib/engine_workers.py
@@ -92,6 +92,7 @@
         self._running: dict[str, int] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._server: asyncio.Server | None = None
+        self._readers: dict[asyncio.StreamWriter, asyncio.StreamReader] = {}
         # Returns whether the answer that is about to be sent gets a late second copy.
         self.doubles_answer: Callable[[EngineWorker, int, str], bool] = lambda worker, status, attempt: False
 
@@ -148,6 +149,7 @@
     # Calls
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._readers[writer] = reader
         surplus = b""  # a second copy of the last answer, sent in the place where the next one is due
         try:
             while True:
@@ -166,13 +168,14 @@
         except (OSError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
             pass
         finally:
+            del self._readers[writer]
             writer.transport.abort()
 
     def _own_call(self, method: str, path: str, headers: dict[str, str], body: bytes) -> bytes:
         if headers.get("x-target-instance", self.instance) != self.instance:
-            return _plain(421, {})
+            return answer_bytes(421, {})
         if path == "/order" and method == "POST":
-            return _plain(self._take_order(json.loads(body)), {})
+            return answer_bytes(self._take_order(json.loads(body)), {})
         if path == "/report":
             report = {
                 "stage": "both",
@@ -185,8 +188,8 @@
                 "kvTotal": 256290,
                 "handles": 0,
             }
-            return _plain(200, {"Content-Type": "application/json"}, json.dumps(report).encode())
-        return _plain(200, {"X-Instance-Id": self.instance})
+            return answer_bytes(200, {"Content-Type": "application/json"}, json.dumps(report).encode())
+        return answer_bytes(200, {"X-Instance-Id": self.instance})
 
     def _take_order(self, order: dict[str, Any]) -> int:
         if "holder" not in order or "fenceToken" not in order:
@@ -231,7 +234,7 @@
         if is_other or model not in self._models or (model == self._order and model in self._models):
             status = 421 if is_other or model not in self._models else 503
             fields = told if status == 421 else {**told, "X-Not-Executed": "1"}
-            answer = _plain(status, fields)
+            answer = answer_bytes(status, fields)
             self._record.write("not run", worker=self.instance, attempt=attempt, model=model, status=status)
             writer.write(answer)
             return answer if self._doubles(status, attempt) else b""
@@ -263,7 +266,7 @@
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
         }
-        writer.write(_head(200, fields))
+        writer.write(head_bytes(200, fields))
         for number in range(1, self._engine.events + 1):
             event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
@@ -272,10 +275,12 @@
         writer.write(b"0\r\n\r\n")
 
 
-def _head(status: int, fields: dict[str, str]) -> bytes:
+def head_bytes(status: int, fields: dict[str, str]) -> bytes:
+    """Returns the head of an answer."""
     lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in fields.items())]
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
-def _plain(status: int, fields: dict[str, str], body: bytes = b"") -> bytes:
-    return _head(status, {**fields, "Content-Length": str(len(body))}) + body
+def answer_bytes(status: int, fields: dict[str, str], body: bytes = b"") -> bytes:
+    """Returns a whole answer."""
+    return head_bytes(status, {**fields, "Content-Length": str(len(body))}) + body
