Split the connections to workers: a connection, its answer, and the pools

One connection with its instance's pool, and the answer on it, have modules of their own now; nothing else changes.

--- /dev/null
+++ b/arrowfold/dataplane/connection_answer.py
@@ -0,0 +1,82 @@
+"""The answer to a request on a connection to a worker, read as it comes and parsed by aiohttp."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import ClientError, http_exceptions
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import EMPTY_PAYLOAD, EofStream, StreamReader
+
+from arrowfold.dataplane import headers as names
+from arrowfold.dataplane.exchange import IncompleteBodyError
+from arrowfold.dataplane.headers import RawHeaders, find, parse_keep_alive_s
+from arrowfold.dataplane.worker_connection import DEFAULT_KEEP_ALIVE_S, InstancePool, WorkerConnection
+
+KEEP_ALIVE_MARGIN_S = 1.0  # closed this long before the worker closes it
+READ_ERRORS = (ClientError, http_exceptions.HttpProcessingError, OSError, EofStream)
+
+
+class ConnectionAnswer:
+    """A worker's answer on a connection; implements `WorkerAnswer`."""
+
+    def __init__(
+        self,
+        message: RawResponseMessage,
+        payload: StreamReader,
+        connection: WorkerConnection,
+        pool: InstancePool,
+        release: Callable[[InstancePool, WorkerConnection, bool], None],
+        reusable: bool,
+    ) -> None:
+        self.status = message.code
+        self.headers: RawHeaders = tuple(message.raw_headers)
+        self._payload = payload
+        self._connection: WorkerConnection | None = connection
+        self._pool = pool
+        self._loop = asyncio.get_running_loop()
+        self._release = release
+        self._reusable = reusable and not message.should_close
+        self._is_complete = payload is EMPTY_PAYLOAD
+        self._has_known_length = _is_length_known(message)
+        self._chunked = message.chunked
+
+    async def read_chunk(self) -> bytes:
+        """Returns the next bytes of the body, empty at its end. Raises IncompleteBodyError."""
+        if not self._has_known_length:
+            raise IncompleteBodyError("the answer has neither Content-Length nor chunked encoding")
+        if self._is_complete:
+            return b""
+        if self._connection is not None:
+            self._connection.awaited_since_s = self._loop.time()
+        try:
+            data = await self._payload.readany()
+        except READ_ERRORS as error:
+            raise IncompleteBodyError(str(error)) from error
+        if not data:
+            self._is_complete = True
+        if self._connection is not None:
+            self._pool.record_received(self._connection, self._loop.time())
+        return data
+
+    def close(self) -> None:
+        """Release the connection for reuse if the answer was read completely, else close it."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        connection.keep_alive_s = _keep_alive_s(self.headers)
+        has_trailers = self._chunked and not connection.protocol.chunked_end.has_no_trailers()
+        is_complete = self._is_complete and self._has_known_length and not has_trailers
+        self._release(self._pool, connection, self._reusable and is_complete)
+
+
+def _is_length_known(message: RawResponseMessage) -> bool:
+    if message.chunked or message.code in (204, 304):
+        return True
+    return find(message.raw_headers, names.CONTENT_LENGTH) is not None
+
+
+def _keep_alive_s(headers: RawHeaders) -> float:
+    timeout_s = parse_keep_alive_s(find(headers, names.KEEP_ALIVE))
+    return DEFAULT_KEEP_ALIVE_S if timeout_s is None else max(0.0, timeout_s - KEEP_ALIVE_MARGIN_S)
--- a/arrowfold/dataplane/stalled_exchanges.py
+++ b/arrowfold/dataplane/stalled_exchanges.py
@@ -10,7 +10,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from arrowfold.dataplane.worker_connections import InstancePool, WorkerConnection, WorkerConnections
+from arrowfold.dataplane.worker_connection import InstancePool, WorkerConnection
+from arrowfold.dataplane.worker_connections import WorkerConnections
 from arrowfold.node.logs import RateLimitedLog
 
 CHECK_INTERVAL_S = 0.2
--- a/benchmarks/guards/catalogue.py
+++ b/benchmarks/guards/catalogue.py
@@ -566,6 +566,16 @@
             "return True",
         ),
     ),
+    *_guards(
+        Area.DATA_PLANE,
+        "dataplane/connection_answer.py",
+        (
+            "an answer that is not whole drops its connection",
+            "self._reusable and is_complete)",
+            "self._reusable)",
+        ),
+        ("an answer without a length is never whole", "if not self._has_known_length:", "if False:"),
+    ),
     *_guards(
         Area.DATA_PLANE,
         "dataplane/worker_connections.py",
@@ -589,12 +599,6 @@
             "return connection.is_clean() and now_s",
             "return now_s",
         ),
-        (
-            "an answer that is not whole drops its connection",
-            "self._reusable and is_complete)",
-            "self._reusable)",
-        ),
-        ("an answer without a length is never whole", "if not self._has_known_length:", "if False:"),
         (
             "connections to a worker are bounded",
             "if pool.open_count >= max_connections:",
