Log each answer that comes in the place of the awaited one

Neither the log nor a trace told the hypotheses of the incident of 5 December apart: an answer that was skipped left no line, and a request that ends with a success in time leaves no trace. Connections remember the ids of their latest 32 requests; foreign_answer names the request that waited, the id and status that came, and whether that id was an earlier request's on the connection. No decision changes. Test: a surplus answer is reported once, with both ids.

--- a/arrowfold/dataplane/connection_answer.py
+++ b/arrowfold/dataplane/connection_answer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from aiohttp import ClientError, http_exceptions
 from aiohttp.http_parser import RawResponseMessage
@@ -18,6 +19,21 @@
 READ_ERRORS = (ClientError, http_exceptions.HttpProcessingError, OSError, EofStream)
 
 
+@dataclass(frozen=True, slots=True)
+class ForeignAnswer:
+    """An answer that came in the place of the awaited one, with another attempt id or without one.
+
+    `is_surplus`: its id is that of an earlier request on the same connection.
+    """
+
+    instance: str
+    connection: int  # its number at this edge
+    status: int
+    attempt_id: str | None
+    awaited_attempt_id: str
+    is_surplus: bool
+
+
 class ConnectionAnswer:
     """A worker's answer on a connection; implements `WorkerAnswer`."""
 
--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -9,6 +9,7 @@
 
 from arrowfold.configuration.routes import Limits
 from arrowfold.dataplane.attempts import RequestProgress
+from arrowfold.dataplane.connection_answer import ForeignAnswer
 from arrowfold.dataplane.credentials import TENANTS_CONTRACT
 from arrowfold.dataplane.forwarding import RequestForwarder
 from arrowfold.dataplane.freshness import StateFreshness
@@ -41,6 +42,7 @@
 SHUTDOWN_MARGIN_S = 0.7  # part of the grace time reserved for the end of the process itself
 MS_PER_S = 1_000.0
 DEFAULT_CONNECTIONS_PER_WORKER = 64  # of all edges together, if the configuration has no bound
+MAX_LOGGED_ID_CHARS = 64  # of an id that a worker sent
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +93,7 @@
         self._tables = FleetTables()
         revoke_s = bounds.revokeMs / MS_PER_S if bounds.revocationClosed else None
         freshness = StateFreshness(revoke_s)
-        self._connections = WorkerConnections()
+        self._connections = WorkerConnections(self._log_foreign_answer)
         process_end = ProcessEnd()
         self._usage = UsageCounts(bounds.usageWindowS, time.time)
         self._forwarder = RequestForwarder(
@@ -194,6 +196,18 @@
             deliveries=progress.deliveries,
         )
 
+    def _log_foreign_answer(self, foreign: ForeignAnswer) -> None:
+        attempt_id = foreign.attempt_id
+        self._log.warning(
+            "foreign_answer",
+            attempt=foreign.awaited_attempt_id,
+            instance=foreign.instance,
+            connection=foreign.connection,
+            got=None if attempt_id is None else attempt_id[:MAX_LOGGED_ID_CHARS],
+            status=foreign.status,
+            is_surplus=foreign.is_surplus,
+        )
+
     def _limits(self) -> Limits:
         configuration = self._tables.snapshot.configuration
         return configuration.routes.limits if configuration is not None else Limits()
--- a/arrowfold/dataplane/worker_connection.py
+++ b/arrowfold/dataplane/worker_connection.py
@@ -12,6 +12,7 @@
 from arrowfold.dataplane.exchange import WorkerRequest
 
 DEFAULT_KEEP_ALIVE_S = 4.0  # maximum idle time for reuse, if the worker sends no Keep-Alive header
+MAX_RECENT_ATTEMPTS = 32  # whose ids a connection remembers
 
 
 class AnswerProtocol(ResponseHandler):
@@ -41,6 +42,11 @@
         self.has_body_started = False  # the first bytes of the answer's body were received
         self.is_silence_reported = False  # since the last bytes received
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
+        self._recent_attempts: deque[str] = deque(maxlen=MAX_RECENT_ATTEMPTS)
+
+    def has_carried(self, attempt_id: str | None) -> bool:
+        """Whether a request with this attempt id was written, of the latest MAX_RECENT_ATTEMPTS."""
+        return attempt_id in self._recent_attempts
 
     def is_clean(self) -> bool:
         """Whether it is open and holds no unsolicited bytes."""
@@ -51,6 +57,7 @@
         self.request, self.sent_s, self.last_activity_s, self.has_body_started = request, now_s, now_s, False
         self.is_silence_reported = False
         self.awaited_since_s = now_s
+        self._recent_attempts.append(request.attempt_id)
         request.connections.numbers.append(self.number)
         transport = self.protocol.transport
         assert transport is not None
--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -8,13 +8,14 @@
 import asyncio
 import itertools
 import socket
+from collections.abc import Callable
 
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.streams import EofStream
 from result import Err, Ok, Result
 
 from arrowfold.dataplane import headers as names
-from arrowfold.dataplane.connection_answer import READ_ERRORS, ConnectionAnswer
+from arrowfold.dataplane.connection_answer import READ_ERRORS, ConnectionAnswer, ForeignAnswer
 from arrowfold.dataplane.exchange import SendFailure, WorkerAnswer, WorkerRequest
 from arrowfold.dataplane.headers import find
 from arrowfold.dataplane.worker_connection import AnswerProtocol, InstancePool, WorkerConnection
@@ -30,7 +31,9 @@
 class WorkerConnections:
     """All connections to workers, by instance."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_foreign_answer: Callable[[ForeignAnswer], None] = lambda foreign: None) -> None:
+        """`on_foreign_answer` is called with each answer that isn't the awaited one."""
+        self._on_foreign_answer = on_foreign_answer
         self._loop = asyncio.get_running_loop()
         self._pools: dict[str, InstancePool] = {}
         self._limits: dict[str, int] = {}
@@ -70,7 +73,7 @@
         pool.active.add(connection)
         try:
             connection.write(request, self._loop.time())
-            answer = await self._read_answer(pool, connection, request)
+            answer = await self._read_answer(instance, pool, connection, request)
         except READ_ERRORS:
             self._close(pool, connection)
             return Err(SendFailure.LOST)
@@ -122,17 +125,24 @@
         return Ok(WorkerConnection(protocol, self._loop.time(), next(self._numbers)))
 
     async def _read_answer(
-        self, pool: InstancePool, connection: WorkerConnection, request: WorkerRequest
+        self, instance: str, pool: InstancePool, connection: WorkerConnection, request: WorkerRequest
     ) -> ConnectionAnswer:
         reusable = request.method != "HEAD"
         for _ in range(MAX_FOREIGN_ANSWERS + 1):
             message, payload = await connection.protocol.read()
             while message.code < 200:
                 message, payload = await connection.protocol.read()
-            if find(message.raw_headers, names.ATTEMPT_ID) == request.attempt_id:
+            attempt_id = find(message.raw_headers, names.ATTEMPT_ID)
+            if attempt_id == request.attempt_id:
                 pool.last_activity_s = connection.last_activity_s = self._loop.time()
                 return ConnectionAnswer(message, payload, connection, pool, self._release, reusable)
             reusable = False
+            is_surplus = connection.has_carried(attempt_id)
+            self._on_foreign_answer(
+                ForeignAnswer(
+                    instance, connection.number, message.code, attempt_id, request.attempt_id, is_surplus
+                )
+            )
             while await payload.readany():
                 pass
         raise EofStream
--- a/benchmarks/guards/catalogue.py
+++ b/benchmarks/guards/catalogue.py
@@ -581,7 +581,7 @@
         "dataplane/worker_connections.py",
         (
             "an answer is of the request under way",
-            "if find(message.raw_headers, names.ATTEMPT_ID) == request.attempt_id:",
+            "if attempt_id == request.attempt_id:",
             "if True:",
         ),
         (
--- a/tests/system/test_worker_connections.py
+++ b/tests/system/test_worker_connections.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+
+from arrowfold.dataplane.connection_answer import ForeignAnswer
+from arrowfold.dataplane.exchange import WorkerRequest
+from arrowfold.dataplane.worker_connections import WorkerConnections
 from tests.system.edge_loopback import (
     HTTP_ROUTES,
     LoopbackEdge,
@@ -90,3 +95,25 @@
         await edge.stop()
 
     run_on_loopback(scenario)
+
+
+def test_given_a_surplus_answer_then_it_is_reported_with_the_request_that_it_came_before() -> None:
+    async def scenario() -> None:
+        raw = TwiceAnsweringWorker(b"400 Bad Request")
+        await raw.start()
+        reported: list[ForeignAnswer] = []
+        connections = WorkerConnections(reported.append)
+        for attempt in ("a1", "a2"):
+            request = WorkerRequest(
+                attempt, "POST", "/draft/1", ((b"X-Attempt-Id", attempt.encode()),), b"", True
+            )
+            answer = (await connections.send("w1", raw.address, request)).unwrap()
+            while await answer.read_chunk():
+                pass
+            answer.close()
+        assert reported == [ForeignAnswer("w1", 1, 400, "a1", "a2", is_surplus=True)]
+        connections.keep_only(set())
+        raw.stop()
+        await asyncio.sleep(0)
+
+    run_on_loopback(scenario)
