Pass over an answer only if it is that to an earlier request of its connection (MIXED)

Cause: an answer whose id is not the request's was skipped as one of an earlier request, whatever its id was. An answer without an id, or with one that the connection never carried, may be the request's own, spoiled. Change: a connection knows the ids that it carried. Only those are skipped; anything else loses the request and closes the connection, so nothing after it is read. Ruled out: skipping by seal, since a spoiled answer may have any. A test is replaced: its foreign answer on a new connection had an id that was never sent, which is the fault. Now the id is an earlier request's, the rest is as strict, and an unknown id is played by the new tests.

--- a/arrowfold/dataplane/connection_answer.py
+++ b/arrowfold/dataplane/connection_answer.py
@@ -16,7 +16,19 @@
 from arrowfold.dataplane.worker_connection import DEFAULT_KEEP_ALIVE_S, InstancePool, WorkerConnection
 
 KEEP_ALIVE_MARGIN_S = 1.0  # closed this long before the worker closes it
-READ_ERRORS = (ClientError, http_exceptions.HttpProcessingError, OSError, EofStream)
+
+
+class UnattributableAnswerError(Exception):
+    """An answer that is neither the awaited one nor known to be that of an earlier request."""
+
+
+READ_ERRORS = (
+    ClientError,
+    http_exceptions.HttpProcessingError,
+    OSError,
+    EofStream,
+    UnattributableAnswerError,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -11,11 +11,16 @@
 from collections.abc import Callable
 
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.streams import EofStream
+from aiohttp.http_parser import RawResponseMessage
 from result import Err, Ok, Result
 
 from arrowfold.dataplane import headers as names
-from arrowfold.dataplane.connection_answer import READ_ERRORS, ConnectionAnswer, ForeignAnswer
+from arrowfold.dataplane.connection_answer import (
+    READ_ERRORS,
+    ConnectionAnswer,
+    ForeignAnswer,
+    UnattributableAnswerError,
+)
 from arrowfold.dataplane.exchange import SendFailure, WorkerAnswer, WorkerRequest
 from arrowfold.dataplane.headers import find
 from arrowfold.dataplane.worker_connection import AnswerProtocol, InstancePool, WorkerConnection
@@ -25,7 +30,7 @@
 MAX_HEADER_LINE_BYTES = 64 * 1024  # of an answer
 NON_RETRYABLE_MAX_IDLE_S = 2.0  # idle for longer, a connection is not used for requests without a retry
 MIN_CONNECTIONS = 2  # minimum per instance, regardless of this edge's share
-MAX_FOREIGN_ANSWERS = 2  # answers to other requests that are skipped before the request counts as lost
+MAX_SURPLUS_ANSWERS = 2  # answers to earlier requests that are skipped before the request counts as lost
 
 
 class WorkerConnections:
@@ -127,8 +132,13 @@
     async def _read_answer(
         self, instance: str, pool: InstancePool, connection: WorkerConnection, request: WorkerRequest
     ) -> ConnectionAnswer:
+        """Returns the answer to the request, after surplus answers to earlier requests of the connection.
+
+        Any other answer may be the request's own, spoiled; a second answer to it may follow, which may differ
+        from the first. So nothing after it is read.
+        """
         reusable = request.method != "HEAD"
-        for _ in range(MAX_FOREIGN_ANSWERS + 1):
+        for _ in range(MAX_SURPLUS_ANSWERS + 1):
             message, payload = await connection.protocol.read()
             while message.code < 200:
                 message, payload = await connection.protocol.read()
@@ -136,16 +146,29 @@
             if attempt_id == request.attempt_id:
                 pool.last_activity_s = connection.last_activity_s = self._loop.time()
                 return ConnectionAnswer(message, payload, connection, pool, self._release, reusable)
+            if not self._is_surplus(instance, connection, request, message):
+                break
             reusable = False
-            is_surplus = connection.has_carried(attempt_id)
-            self._on_foreign_answer(
-                ForeignAnswer(
-                    instance, connection.number, message.code, attempt_id, request.attempt_id, is_surplus
-                )
-            )
             while await payload.readany():
                 pass
-        raise EofStream
+        raise UnattributableAnswerError
+
+    def _is_surplus(
+        self,
+        instance: str,
+        connection: WorkerConnection,
+        request: WorkerRequest,
+        message: RawResponseMessage,
+    ) -> bool:
+        """Whether a foreign answer is that to an earlier request of the connection; reports it."""
+        attempt_id = find(message.raw_headers, names.ATTEMPT_ID)
+        is_surplus = connection.has_carried(attempt_id)
+        self._on_foreign_answer(
+            ForeignAnswer(
+                instance, connection.number, message.code, attempt_id, request.attempt_id, is_surplus
+            )
+        )
+        return is_surplus
 
     @property
     def pools(self) -> dict[str, InstancePool]:
--- a/tests/system/misbehaving_workers.py
+++ b/tests/system/misbehaving_workers.py
@@ -218,9 +218,16 @@
 class MemoryLoop:
     """An event loop whose `create_connection` connects to misbehaving workers in memory."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, script: WorkerScript) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        script: Any,
+        protocol: Callable[[Any], asyncio.Protocol] = MisbehavingWorker,
+    ) -> None:
+        """`protocol` creates a worker's side of a connection from the script, which has an `rng`."""
         self._loop = loop
         self._script = script
+        self._protocol = protocol
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._loop, name)
@@ -230,6 +237,6 @@
         delay_s = self._script.rng.choice([0.0005, 0.002])
         ours, theirs = MemoryTransport(delay_s), MemoryTransport(delay_s)
         client = factory()
-        theirs.connect(MisbehavingWorker(self._script), ours)
+        theirs.connect(self._protocol(self._script), ours)
         ours.connect(client, theirs)
         return ours, client
--- a/tests/system/test_edge_http.py
+++ b/tests/system/test_edge_http.py
@@ -139,18 +139,17 @@
     run_on_loopback(scenario)
 
 
-def test_an_answer_to_another_request_before_the_expected_one_is_skipped() -> None:
+def test_an_answer_to_an_earlier_request_before_the_expected_one_is_skipped() -> None:
     async def late(exchange: RawExchange) -> None:
-        surplus = exchange.answer_bytes(b"surplus").replace(exchange.attempt_id, b"other")
+        surplus = exchange.answer_bytes(b"surplus").replace(exchange.attempt_id, b"a1")
         await exchange.write(surplus + exchange.answer_bytes(b"own"))
 
     async def scenario() -> None:
-        edge, worker = await edge_with(late, plain)
+        edge, worker = await edge_with(plain, late, plain)
         client = await edge.client()
-        await client.send(request_bytes("/pay/1", "a1"))
-        assert (await client.read()).body == b"own"
-        await client.send(request_bytes("/pay/1", "a2"))
-        assert (await client.read()).body == b"done"
+        for attempt, body in (("a1", b"done"), ("a2", b"own"), ("a3", b"done")):
+            await client.send(request_bytes("/pay/1", attempt))
+            assert (await client.read()).body == body
         assert worker.connections == 2
         await edge.stop()
 
--- /dev/null
+++ b/tests/system/test_second_answers.py
@@ -0,0 +1,119 @@
+"""Workers that answer twice: a client's success is the first and whole answer to its own send."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from arrowfold.dataplane.exchange import ClientRequest
+from arrowfold.dataplane.worker_connections import WorkerConnections
+from tests.system.edge_stories import HOST, EdgeHarness, RecordedAnswer, route, worker
+from tests.system.misbehaving_workers import MemoryLoop
+from tests.system.stuttering_workers import Naming, SecondAnswer, Stutter, StutteringWorker, StutterScript
+from tests.system.virtual_time import run_virtual
+
+ROUTES = [
+    route("pay", "/pay/", "cards", "non_idempotent"),
+    route("look", "/look/", "cards", "idempotent", maxAttempts=4),
+]
+PATHS = ("/pay/1", "/look/1")
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+SPOILED = b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"
+
+
+def edge_with_workers(script: StutterScript, instances: list[str]) -> tuple[EdgeHarness, WorkerConnections]:
+    """Returns an edge, and its connections to these workers in memory."""
+    records = tuple(worker(name, "cards") for name in instances)
+    edge = EdgeHarness(ROUTES, records)
+    connections = WorkerConnections()
+    loop = MemoryLoop(asyncio.get_running_loop(), script, StutteringWorker)
+    connections._loop = loop  # type: ignore[assignment]
+    connections.set_connection_limits({record.instance: 4 for record in records})
+    edge.forwarder._transport = connections
+    return edge, connections
+
+
+async def ask(edge: EdgeHarness, path: str, attempt: str) -> RecordedAnswer:
+    """Forward a request with this attempt id and return its answer."""
+    headers = ((b"Host", HOST.encode()), (b"X-Attempt-Id", attempt.encode()))
+    answer = RecordedAnswer()
+    request = ClientRequest("POST", path, HOST, headers, b"", asyncio.get_running_loop().time())
+    await edge.forwarder.forward(request, answer)
+    return answer
+
+
+def check_answer(script: StutterScript, attempt: str, answer: RecordedAnswer) -> None:
+    """Check that a sealed answer is the first answer to a run of this attempt."""
+    assert answer.complete or answer.aborted
+    if answer.sealed:
+        seal = answer.header("X-Server-Seal")
+        run = script.runs[seal or ""]
+        assert run.attempt == attempt, "the answer to another request"
+        assert (answer.status, answer.body) == (run.status, run.body), "not the answer that the worker gave"
+    else:
+        assert answer.status is not None and answer.status >= 400, "a success without a seal"
+
+
+def play(*sends: tuple[str, str, Stutter], workers: int = 1) -> tuple[StutterScript, list[RecordedAnswer]]:
+    """Sends requests (path, attempt id, how the worker answers) one after the other; checks each answer."""
+    script = StutterScript()
+
+    async def scenario() -> list[RecordedAnswer]:
+        edge, connections = edge_with_workers(script, [f"w{number + 1}" for number in range(workers)])
+        answers = []
+        for path, attempt, stutter in sends:
+            script.stutters.append(stutter)
+            answers.append(await ask(edge, path, attempt))
+        connections.keep_only(set())
+        return answers
+
+    answers = run_virtual(scenario())
+    for (_, attempt, _), answer in zip(sends, answers, strict=True):
+        check_answer(script, attempt, answer)
+    return script, answers
+
+
+SECOND_ANSWERS = [SecondAnswer.AT_ONCE, SecondAnswer.AFTER_PAUSE]
+
+
+# Guards against MIXED: a failure that can't be told to be the request's own is passed over, and the second
+# answer to the same run, a success, is taken for the first.
+@pytest.mark.parametrize("second", SECOND_ANSWERS)
+@pytest.mark.parametrize("naming", [Naming.NONE, Naming.UNKNOWN])
+@pytest.mark.parametrize("path", PATHS)
+def test_given_a_failure_of_an_unclear_request_then_the_second_answer_is_no_success(
+    path: str, naming: Naming, second: SecondAnswer
+) -> None:
+    script, (answer,) = play((path, "a1", Stutter(500, naming=naming, second=second)))
+    assert script.run_count("a1") == (1 if path == "/pay/1" else 2)
+    assert answer.status == (502 if path == "/pay/1" else 200)
+
+
+# Guards against MIXED: the second answer to a failed send is taken for the answer to the next send.
+@pytest.mark.parametrize("second", [*SECOND_ANSWERS, SecondAnswer.IN_PLACE_OF_NEXT])
+def test_given_a_failure_that_is_sent_again_then_the_second_answer_is_no_success(
+    second: SecondAnswer,
+) -> None:
+    script, (answer,) = play(("/look/1", "a1", Stutter(500, second=second)))
+    assert script.run_count("a1") == 2
+    assert (answer.status, answer.body) == (200, b"a1")
+
+
+# Guards against MIXED: what follows a spoiled answer is read as an answer.
+@pytest.mark.parametrize("before", [SPOILED])
+def test_given_an_answer_after_bytes_that_are_none_then_it_is_not_passed_on(before: bytes) -> None:
+    _, (answer,) = play(("/pay/1", "a1", Stutter(before=before)))
+    assert answer.status == 502
+
+
+def test_given_interim_answers_then_the_final_one_is_passed_on() -> None:
+    _, (answer,) = play(("/pay/1", "a1", Stutter(before=INTERIM * 2)))
+    assert (answer.status, answer.body) == (200, b"a1")
+
+
+@pytest.mark.parametrize("second", [SecondAnswer.AFTER_PAUSE, SecondAnswer.IN_PLACE_OF_NEXT])
+def test_given_an_answer_that_came_twice_then_the_next_request_gets_its_own(second: SecondAnswer) -> None:
+    stutter = Stutter(second=second, pause_s=0.0025)
+    _, answers = play(("/pay/1", "a1", stutter), ("/pay/1", "a2", Stutter()))
+    assert [(answer.status, answer.body) for answer in answers] == [(200, b"a1"), (200, b"a2")]
