--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -90,12 +90,13 @@
     def _acquire_idle(self, pool: InstancePool, request: WorkerRequest) -> WorkerConnection | None:
         """Returns the idle connection that was used last, of those that the request may use.
 
-        A connection on which the same request was sent before isn't one of them: the worker's answers to
-        both have the same attempt id, so a surplus copy of the first would pass for the second.
+        A connection that carried the same attempt id before isn't one of them, whether for this request or
+        for one that its client sent again: a surplus answer to the first would pass for that to the second.
         """
         now_s = self._loop.time()
         for connection in reversed(tuple(pool.idle)):
-            if connection.number in request.connections.numbers:
+            has_sent_it = connection.number in request.connections.numbers
+            if has_sent_it or connection.has_carried(request.attempt_id):
                 continue
             if not _is_usable(connection, now_s):
                 pool.idle.remove(connection)
--- a/tests/system/test_second_answers.py
+++ b/tests/system/test_second_answers.py
@@ -100,6 +100,16 @@
     assert (answer.status, answer.body) == (200, b"a1")
 
 
+# Guards against MIXED: an id that comes again gets the connection on which its second answer is still due.
+@pytest.mark.parametrize("second", [SecondAnswer.AFTER_PAUSE, SecondAnswer.IN_PLACE_OF_NEXT])
+def test_given_an_id_that_comes_again_then_the_second_answer_to_its_first_send_is_no_success(
+    second: SecondAnswer,
+) -> None:
+    script, answers = play(("/pay/1", "a1", Stutter(500, second=second)), ("/pay/1", "a1", Stutter()))
+    assert [answer.status for answer in answers] == [500, 200]
+    assert answers[1].body == b"a1"
+
+
 # Guards against MIXED: what follows a spoiled answer is read as an answer.
 @pytest.mark.parametrize("before", [SPOILED])
 def test_given_an_answer_after_bytes_that_are_none_then_it_is_not_passed_on(before: bytes) -> None:
