Pass on no success without a worker's seal (MIXED)

Cause: a 2xx with the right id was passed on whatever its headers were. Now it counts as lost: it may have run, a request that may be repeated goes elsewhere, another one gets a 502.

--- a/arrowfold/dataplane/forwarding.py
+++ b/arrowfold/dataplane/forwarding.py
@@ -373,10 +373,13 @@
                 return Outcome.REJECTED_FULL
             self._record_misdirection(progress, choice)
             return Outcome.MISDIRECTED
-        if not (200 <= status < 300 and is_event_stream(worker_answer)):
+        is_success = 200 <= status < 300
+        if not (is_success and is_event_stream(worker_answer)):
             self._count_for_tenant(progress)
+        if is_success and find(worker_answer.headers, names.SERVER_SEAL) is None:
+            return Outcome.LOST  # no answer of the worker, which seals each success
         try:
-            if 200 <= status < 300 and is_event_stream(worker_answer):
+            if is_success and is_event_stream(worker_answer):
                 longest_pause_s = await relay_stream(
                     progress,
                     worker_answer,
@@ -394,7 +397,7 @@
             return Outcome.LOST
         if answer.started:
             return Outcome.LOST  # not a stream, so it cannot continue the interrupted one
-        if not 200 <= status < 300:
+        if not is_success:
             return await self._forward_failure(progress, worker_answer, body, answer)
         self._record_first_event(progress, choice)
         await answer.send_complete(status, end_to_end(worker_answer.headers, REWRITTEN_IN_ANSWERS), body)
--- a/tests/system/stuttering_workers.py
+++ b/tests/system/stuttering_workers.py
@@ -133,7 +133,8 @@
         """Returns the first answer, which is recorded if the request runs, and the second one."""
         seal = f"run-{len(self._script.runs) + 1}"
         if not stutter.runs:
-            refusal = encode_answer(_name(attempt, stutter.naming), stutter.status, b"", NOT_EXECUTED)
+            promise = b"" if stutter.status == 200 else NOT_EXECUTED
+            refusal = encode_answer(_name(attempt, stutter.naming), stutter.status, b"", promise)
             return refusal, encode_answer(_name(attempt, stutter.second_naming), 200, SECOND_BODY)
         body = b"" if stutter.status >= 500 else attempt.encode()
         self._script.runs[seal] = RunRecord(attempt, stutter.status, body)
--- a/tests/system/test_second_answers.py
+++ b/tests/system/test_second_answers.py
@@ -110,6 +110,13 @@
     assert answers[1].body == b"a1"
 
 
+# Guards against MIXED: a success without a worker's seal.
+@pytest.mark.parametrize("path", PATHS)
+def test_given_a_success_without_a_seal_then_it_is_not_passed_on(path: str) -> None:
+    _, (answer,) = play((path, "a1", Stutter(200, runs=False)))
+    assert answer.status == (502 if path == "/pay/1" else 200)
+
+
 # Guards against MIXED: what follows a spoiled answer is read as an answer.
 @pytest.mark.parametrize("before", [SPOILED])
 def test_given_an_answer_after_bytes_that_are_none_then_it_is_not_passed_on(before: bytes) -> None:
