Read no answer after a surplus one that may have trailers (REFUSED)

What callers would see: a refusal (503, not executed) for a request that has run. Change: a surplus answer in chunks is not skipped; the request is lost and the connection closed.

--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -9,9 +9,11 @@
 import itertools
 import socket
 from collections.abc import Callable
+from http import HTTPStatus
 
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import StreamReader
 from result import Err, Ok, Result
 
 from arrowfold.dataplane import headers as names
@@ -140,14 +142,13 @@
         """
         reusable = request.method != "HEAD"
         for _ in range(MAX_SURPLUS_ANSWERS + 1):
-            message, payload = await connection.protocol.read()
-            while message.code < 200:
-                message, payload = await connection.protocol.read()
+            message, payload = await _read_final(connection)
             attempt_id = find(message.raw_headers, names.ATTEMPT_ID)
             if attempt_id == request.attempt_id:
                 pool.last_activity_s = connection.last_activity_s = self._loop.time()
                 return ConnectionAnswer(message, payload, connection, pool, self._release, reusable)
-            if not self._is_surplus(instance, connection, request, message):
+            is_surplus = self._is_surplus(instance, connection, request, message)
+            if not is_surplus or message.chunked:  # the parser takes trailers for headers of the next answer
                 break
             reusable = False
             while await payload.readany():
@@ -202,6 +203,14 @@
         connection.close()
 
 
+async def _read_final(connection: WorkerConnection) -> tuple[RawResponseMessage, StreamReader]:
+    """Returns the head and the body of the next answer that is not an interim one."""
+    message, payload = await connection.protocol.read()
+    while message.code < HTTPStatus.OK:
+        message, payload = await connection.protocol.read()
+    return message, payload
+
+
 def _is_usable(connection: WorkerConnection, now_s: float) -> bool:
     return connection.is_clean() and now_s - connection.idle_since_s <= connection.keep_alive_s
 
--- a/tests/system/test_second_answers.py
+++ b/tests/system/test_second_answers.py
@@ -124,6 +124,17 @@
     assert answer.status == 502
 
 
+# Guards against REFUSED: the trailer of a skipped answer is read as a header of the next one, which has run.
+def test_given_a_surplus_answer_with_a_trailer_then_the_next_one_is_not_read() -> None:
+    surplus = (
+        b"HTTP/1.1 200 X\r\nX-Attempt-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"0\r\nX-Not-Executed: 1\r\n\r\n"
+    )
+    script, answers = play(("/pay/1", "a1", Stutter()), ("/pay/1", "a2", Stutter(before=surplus)))
+    assert [answer.status for answer in answers] == [200, 502]
+    assert script.run_count("a2") == 1
+
+
 def test_given_interim_answers_then_the_final_one_is_passed_on() -> None:
     _, (answer,) = play(("/pay/1", "a1", Stutter(before=INTERIM * 2)))
     assert (answer.status, answer.body) == (200, b"a1")
