Count a switch of protocols by a worker as a lost exchange at once

A 101 was passed over as an interim answer; the parser gives nothing after it, so the request waited until its deadline (504 in the test; now a 502 at once, and a request that may be repeated goes elsewhere).

--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -207,6 +207,8 @@
     """Returns the head and the body of the next answer that is not an interim one."""
     message, payload = await connection.protocol.read()
     while message.code < HTTPStatus.OK:
+        if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
+            raise UnattributableAnswerError
         message, payload = await connection.protocol.read()
     return message, payload
 
--- a/tests/system/test_second_answers.py
+++ b/tests/system/test_second_answers.py
@@ -19,6 +19,7 @@
 ]
 PATHS = ("/pay/1", "/look/1")
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+SWITCH = b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n"
 SPOILED = b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -117,8 +118,8 @@
     assert answer.status == (502 if path == "/pay/1" else 200)
 
 
-# Guards against MIXED: what follows a spoiled answer is read as an answer.
-@pytest.mark.parametrize("before", [SPOILED])
+# Guards against MIXED: what follows a spoiled answer, or a switch of protocols, is read as an answer.
+@pytest.mark.parametrize("before", [SPOILED, SWITCH])
 def test_given_an_answer_after_bytes_that_are_none_then_it_is_not_passed_on(before: bytes) -> None:
     _, (answer,) = play(("/pay/1", "a1", Stutter(before=before)))
     assert answer.status == 502
