Play workers that answer twice in every shape as a state machine

Shapes: a first answer that succeeds, fails or turns away, with its own id, none or an unknown one; a second answer never, at once, after a pause or in the place of the next; interim answers, a switch, a spoiled answer before it; in pieces of 7 bytes; connections that close; ids that come again. Each run has a seal: a client's sealed answer must be the first answer to a run of its own attempt, with its status and body; what may run once runs once, and not after a refusal.

--- a/tests/system/test_second_answers.py
+++ b/tests/system/test_second_answers.py
@@ -3,26 +3,108 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from typing import Any
 
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from arrowfold.dataplane.exchange import ClientRequest
 from arrowfold.dataplane.worker_connections import WorkerConnections
 from tests.system.edge_stories import HOST, EdgeHarness, RecordedAnswer, route, worker
 from tests.system.misbehaving_workers import MemoryLoop
 from tests.system.stuttering_workers import Naming, SecondAnswer, Stutter, StutteringWorker, StutterScript
-from tests.system.virtual_time import run_virtual
+from tests.system.virtual_time import VirtualTimeLoop, run_virtual
 
 ROUTES = [
     route("pay", "/pay/", "cards", "non_idempotent"),
     route("look", "/look/", "cards", "idempotent", maxAttempts=4),
 ]
 PATHS = ("/pay/1", "/look/1")
+NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 SWITCH = b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n"
 SPOILED = b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"
 
 
+stutters = st.one_of(
+    st.just(Stutter()),
+    st.builds(
+        Stutter,
+        status=st.sampled_from([200, 500, 504]),
+        naming=st.sampled_from(Naming),
+        second=st.sampled_from(SecondAnswer),
+        second_naming=st.sampled_from([Naming.OWN, Naming.NONE]),
+        pause_s=st.sampled_from([0.001, 0.03, 0.4]),
+        before=st.sampled_from([b"", INTERIM, INTERIM * 3, SWITCH, SPOILED]),
+        in_pieces=st.booleans(),
+        closes=st.sampled_from([False, False, False, True]),
+    ),
+    st.builds(
+        Stutter,
+        status=st.sampled_from([200, 421, 429, 503]),
+        runs=st.just(False),
+        naming=st.sampled_from([Naming.OWN, Naming.OWN, Naming.NONE]),
+        second=st.sampled_from(SecondAnswer),
+        pause_s=st.sampled_from([0.001, 0.03]),
+    ),
+)
+
+
+class SecondAnswerMachine(RuleBasedStateMachine):
+    """An edge's forwarder on its real connections, with stuttering workers in memory."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = VirtualTimeLoop()
+        self.script = StutterScript(random.Random(1))
+        self.edge: Any = None
+        self.sent = 0
+        self.loop.run_until_complete(self._set_up())
+
+    async def _set_up(self) -> None:
+        self.edge, self.connections = edge_with_workers(self.script, ["w1", "w2"])
+
+    @rule(
+        scripted=st.lists(stutters, max_size=5),
+        number=st.integers(1, 3),
+        path=st.sampled_from(PATHS),
+        reuses_id=st.booleans(),
+    )
+    def send_requests(self, scripted: list[Stutter], number: int, path: str, reuses_id: bool) -> None:
+        """Send several requests concurrently, some with an id that was sent before."""
+        self.script.stutters = list(scripted)
+        self.loop.run_until_complete(self._send_concurrently(number, path, reuses_id))
+
+    @rule(wait_s=st.sampled_from([0.001, 0.02, 0.5, 3.0]))
+    def wait(self, wait_s: float) -> None:
+        """Let time pass, so that second answers arrive and connections expire."""
+        self.loop.run_until_complete(self._wait(wait_s))
+
+    async def _wait(self, wait_s: float) -> None:
+        await asyncio.sleep(wait_s)
+        self.connections.close_expired()
+
+    async def _send_concurrently(self, number: int, path: str, reuses_id: bool) -> None:
+        first = max(1, self.sent) if reuses_id else self.sent + 1
+        attempts = [f"attempt-{first + offset}" for offset in range(number)]
+        self.sent = max(self.sent, first + number - 1)
+        answers = await asyncio.gather(*(ask(self.edge, path, attempt) for attempt in attempts))
+        for attempt, answer in zip(attempts, answers, strict=True):
+            check_answer(self.script, attempt, answer)
+            if path == "/pay/1" and not reuses_id:
+                check_single_run(self.script, attempt, answer)
+
+    def teardown(self) -> None:
+        self.loop.close()
+
+
+SecondAnswerMachine.TestCase.settings = settings(max_examples=80, stateful_step_count=10, deadline=None)
+TestSecondAnswers = SecondAnswerMachine.TestCase
+
+
 def edge_with_workers(script: StutterScript, instances: list[str]) -> tuple[EdgeHarness, WorkerConnections]:
     """Returns an edge, and its connections to these workers in memory."""
     records = tuple(worker(name, "cards") for name in instances)
@@ -56,6 +138,14 @@
         assert answer.status is not None and answer.status >= 400, "a success without a seal"
 
 
+def check_single_run(script: StutterScript, attempt: str, answer: RecordedAnswer) -> None:
+    """Check that an attempt ran at most once, and not at all if its answer says so."""
+    runs = script.run_count(attempt)
+    assert runs <= 1, "run twice"
+    if answer.status in NOT_EXECUTED_STATUSES:
+        assert runs == 0, "ran although answered as not executed"
+
+
 def play(*sends: tuple[str, str, Stutter], workers: int = 1) -> tuple[StutterScript, list[RecordedAnswer]]:
     """Sends requests (path, attempt id, how the worker answers) one after the other; checks each answer."""
     script = StutterScript()
