Soak: workers that stutter in every shape, a judge that sees MIXED, other checkouts

Workers without an engine write their answers byte by byte: fail, turn away (early too), break off, spoil, have no length, come in pieces, have no attempt id, come twice (at once, later, in the place of the next).

--- a/arrowfold/standins/local_system.py
+++ b/arrowfold/standins/local_system.py
@@ -88,7 +88,11 @@
     Call `terminate_all` to stop every process that was started.
     """
 
-    def __init__(self, folder: Path, edges: int, log_level: str = "INFO") -> None:
+    def __init__(
+        self, folder: Path, edges: int, log_level: str = "INFO", checkout: Path | None = None
+    ) -> None:
+        """`checkout`: the folder of another version of the programs; None runs the installed one."""
+        self._checkout = checkout
         self._folder = folder
         self._log_level = log_level
         network = f"127.{random.randint(10, 250)}.{random.randint(0, 250)}"
@@ -121,6 +125,7 @@
             node.process = subprocess.Popen(
                 [sys.executable, "-m", module, f"--log-level={self._log_level}"],
                 env=environment,
+                cwd=self._checkout,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
--- a/arrowfold/standins/model_workers.py
+++ b/arrowfold/standins/model_workers.py
@@ -83,6 +83,12 @@
 
     async def start(self, host: str) -> None:
         """Listen on a free port of `host` and start sending heartbeats."""
+        await self._listen(host)
+        self._client = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=HEARTBEAT_TIMEOUT_S))
+        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
+
+    async def _listen(self, host: str) -> None:
+        """Listen on a free port of `host` and set the address."""
         application = web.Application()
         application.router.add_get("/healthz", self._answer_health)
         application.router.add_get("/report", self._answer_report)
@@ -93,8 +99,6 @@
         await web.TCPSite(self._runner, host, 0).start()
         port = self._runner.addresses[0][1]
         self.address = f"{host}:{port}"
-        self._client = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=HEARTBEAT_TIMEOUT_S))
-        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
 
     async def stop(self) -> None:
         """Stop at once, without deregistering from the control nodes."""
--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -2,7 +2,7 @@
 
 Usage:
   soak [--first SEED] [--count N] [--edges N] [--clients N] [--workers N] [--series N] [--length N]
-       [--keep FOLDER] [--result FILE]
+       [--keep FOLDER] [--result FILE] [--checkout FOLDER]
 
 Options:
   --first SEED   The first seed [default: 1].
@@ -14,6 +14,7 @@
   --length N     Faults of each series [default: 5].
   --keep FOLDER  Keep the logs of runs with faults there.
   --result FILE  Write the figures of all seeds as JSON.
+  --checkout FOLDER  Run the programs of another checkout of this repository.
 """
 
 from __future__ import annotations
@@ -38,10 +39,11 @@
     logging.getLogger("aiohttp").setLevel(logging.CRITICAL)  # simulated workers log disconnects
     sizes = {name: int(options[f"--{name}"]) for name in ("edges", "clients", "workers", "series", "length")}
     first = int(options["--first"])
+    checkout = Path(options["--checkout"]).resolve() if options["--checkout"] else None
     reports = []
     for seed in range(first, first + int(options["--count"])):
         with tempfile.TemporaryDirectory() as folder:
-            report = run_soak(Path(folder), SoakPlan(seed, **sizes))
+            report = run_soak(Path(folder), SoakPlan(seed, **sizes), checkout)
             if report.faults and options["--keep"]:
                 shutil.copytree(folder, Path(options["--keep"]) / f"seed-{seed}", dirs_exist_ok=True)
         reports.append(asdict(report))
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -8,15 +8,17 @@
 from dataclasses import dataclass, field
 
 from arrowfold.standins.local_system import LocalNode, LocalSystem
-from arrowfold.standins.model_workers import STREAM_EVENTS, answer_text, event_text
+from arrowfold.standins.model_workers import STREAM_EVENTS, event_text
 from arrowfold.standins.trial_client import RequestKind
 from arrowfold.standins.trial_configuration import ADDED, CHAT, HOST, LOOKUP, RECORD
+from benchmarks.soak.answers import request_body
 from benchmarks.soak.configuration import DRAFT
 
 KINDS = (CHAT, CHAT, LOOKUP, RECORD, RECORD, ADDED, DRAFT)
 GAPS_S = (0.0, 0.0, 0.003, 0.02, 0.05, 0.09, 0.3)  # from a response to the next request on its connection
 SHORT_GAPS_S = (0.0, 0.0, 0.003, 0.02, 0.05, 0.09)  # shorter than an edge's idle timeout
 DEADLINES_S = (0.5, 2.0, 5.0, 15.0)
+BODY_REPEATS = (1, 1, 1, 40, 8_000)  # of the attempt id
 SLOW_BODY_SHARE = 0.1  # share of requests whose last body byte is sent after a delay
 LONGEST_BODY_S = 1.5
 CLIENT_CLOSE_SHARE = 0.03  # share of requests whose client disconnects before the response
@@ -41,7 +43,7 @@
     sent_s: float | None = None  # when the last byte was written
     ended_s: float | None = None
     status: int | None = None  # set once the head of the response has arrived
-    has_seal: bool = False
+    seal: str | None = None
     body: bytes = b""
     complete: bool = False
     closed_by_client: bool = False  # whether the client itself closed the connection
@@ -55,6 +57,11 @@
     status: int
     fields: dict[bytes, bytes]
 
+    @property
+    def seal(self) -> str | None:
+        seal = self.fields.get(b"x-server-seal")
+        return None if seal is None else seal.decode("latin-1")
+
     @property
     def closes(self) -> bool:
         return self.fields.get(b"connection", b"").lower() == b"close"
@@ -121,7 +128,7 @@
                     return False
                 head = await _read_head(reader)
                 request.status = head.status
-                request.has_seal = b"x-server-seal" in head.fields
+                request.seal = head.seal
                 await _read_body(request, reader, head)
                 retry_s = head.fields.get(b"retry-after")
         except (OSError, asyncio.IncompleteReadError):
@@ -136,7 +143,7 @@
         return not head.closes
 
     async def _send(self, request: SentRequest, writer: asyncio.StreamWriter) -> None:
-        body = b"{}"
+        body = request_body(request.attempt, self.rng.choice(BODY_REPEATS))
         lines = [
             f"POST {request.kind.path}x HTTP/1.1",
             f"Host: {HOST}",
@@ -157,11 +164,6 @@
         await writer.drain()
 
 
-def expected_body(request: SentRequest) -> bytes:
-    """Returns the complete body of a successful response."""
-    return COMPLETE_STREAM if request.kind.streams else answer_text(request.attempt).encode()
-
-
 async def _read_head(reader: asyncio.StreamReader) -> _ResponseHead:
     lines = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
     fields = {}
--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -7,7 +7,8 @@
 
 from arrowfold.standins.local_system import GRACE_S
 from arrowfold.standins.trial_configuration import CHAT, trial_route
-from benchmarks.soak.clients import SentRequest, expected_body
+from benchmarks.soak.answers import AnswerRecord
+from benchmarks.soak.clients import COMPLETE_STREAM, SentRequest
 from benchmarks.soak.faults import FaultEvent
 
 ROUTE_TIMEOUT_S = trial_route("chat", CHAT, "streaming")["timeoutMs"] / 1000
@@ -37,6 +38,7 @@
 
     events: list[FaultEvent]
     run_counts: Counter[str]
+    answers: AnswerRecord
     checks_timing: bool
     result: CheckResult = field(default_factory=CheckResult)
 
@@ -46,6 +48,8 @@
             self.result.counts[self._outcome(request)] += 1
             since_s = self._since_termination(request)
             self.result.late_sends += since_s is not None and since_s > LATE_SEND_S
+        changed = self.answers.changed_bodies
+        self.result.faults += [f"UNASKED: {attempt} ran with another body" for attempt in changed]
         return self.result
 
     def _record_fault(self, request: SentRequest, what: str) -> str:
@@ -72,13 +76,27 @@
             )
         if not request.complete:
             return self._closed_outcome(request, ran)
+        mixed = self._mixed_answer(request)
+        if mixed is not None:
+            return self._record_fault(request, f"MIXED ({mixed})")
         if request.status == 200:
-            whole = request.has_seal and request.body == expected_body(request)
-            return "served" if whole else self._record_fault(request, "MIXED")
+            return "served"
         if request.status in REFUSALS and ran and not request.kind.repeatable:
             return self._record_fault(request, "REFUSED")
         return f"answered {request.status}"
 
+    def _mixed_answer(self, request: SentRequest) -> str | None:
+        """Returns why a complete response is not the first answer of a worker to this request, or None."""
+        if request.seal is None:
+            return "a success without a seal" if request.status == 200 else None
+        run = self.answers.by_seal.get(request.seal)
+        if run is None or run.attempt != request.attempt:
+            return "the answer to another request"
+        if request.status != run.status:
+            return f"{request.status} where the worker answered {run.status}"
+        expected = COMPLETE_STREAM if run.body is None else run.body
+        return None if request.body == expected else "not the whole body"
+
     def _closed_outcome(self, request: SentRequest, ran: int) -> str:
         """Returns the outcome of a request whose connection was closed without a complete response."""
         if self._was_hit(request):
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -49,9 +49,12 @@
     figures: dict[str, Any] = field(default_factory=dict)
 
 
-def run_soak(folder: Path, plan: SoakPlan) -> SoakReport:
-    """Runs one soak; all processes that it started have ended when it returns."""
-    system = LocalSystem(folder, plan.edges, "INFO")
+def run_soak(folder: Path, plan: SoakPlan, checkout: Path | None = None) -> SoakReport:
+    """Runs one soak; all processes that it started have ended when it returns.
+
+    `checkout`: the folder of another version of the programs.
+    """
+    system = LocalSystem(folder, plan.edges, "INFO", checkout)
     report = SoakReport(plan.seed)
     started = time.monotonic()
     try:
@@ -136,7 +139,9 @@
             await self._wait_until(is_newest, f"{node.name} does not return version {operator.acknowledged}")
 
     def _check_outcome(self, injector: FaultInjector, operator: Operator) -> None:
-        checker = RequestChecker(injector.events, self._workers.run_counts(), self._plan.checks_timing)
+        checker = RequestChecker(
+            injector.events, self._workers.run_counts(), self._workers.answers, self._plan.checks_timing
+        )
         requests = [request for request in self._requests if request.ended_s is not None]
         result = checker.check(requests)
         self._report.faults += [*result.faults, *operator.faults]
--- a/benchmarks/soak/troubled_worker.py
+++ b/benchmarks/soak/troubled_worker.py
@@ -1,4 +1,4 @@
-"""Simulated workers with troubles: memory that runs out, absent models, and answers that come twice."""
+"""Simulated model workers with troubles: memory that runs out, absent models, refusals that come twice."""
 
 from __future__ import annotations
 
@@ -12,18 +12,21 @@
 from aiohttp import web
 
 from arrowfold.standins.model_workers import (
+    ATTEMPT_HEADER,
     LAST_EVENT_HEADER,
+    SEAL_HEADER,
     STREAM_EVENTS,
     StandInWorker,
     WorkerProfile,
     event_text,
 )
+from benchmarks.soak.answers import AnswerRecord, RunAnswer
 
 MEMORY_EVENTS = 30  # events of running streams that fit into a worker's memory
 PREEMPTION_POLL_S = 0.01
 ABSENCE_PERIOD_S = 2.0  # a model is absent for ABSENCE_S of each period, as while a load ends late
 ABSENCE_S = 0.25
-DOUBLED_SHARE = 0.3  # of the answers with a length
+DOUBLED_SHARE = 0.3  # of the refusals
 
 
 @dataclass(eq=False)
@@ -82,7 +85,7 @@
 
 
 class TroubledWorker(StandInWorker):
-    """A worker whose memory is short, whose models are absent in spells, and whose answers may come twice.
+    """A worker whose memory is short, whose models are absent in spells, and whose refusals may come twice.
 
     The second copy of an answer is sent in the place where the next one on its connection is due.
     """
@@ -93,8 +96,10 @@
         control_addresses: Sequence[str],
         heartbeat_interval_s: float,
         rng: random.Random,
+        answers: AnswerRecord,
     ) -> None:
         super().__init__(profile, control_addresses, heartbeat_interval_s)
+        self._answers = answers
         self.memory = StreamMemory(MEMORY_EVENTS)
         self.doubled_answers = 0
         self._rng = rng
@@ -109,13 +114,8 @@
             self._double(request, refusal)
         return refusal
 
-    async def _answer_whole(self, request: web.Request) -> web.Response:
-        response = await super()._answer_whole(request)
-        self._double(request, response)
-        return response
-
     def _double(self, request: web.Request, response: web.Response) -> None:
-        """Keep a second copy of some answers."""
+        """Keep a second copy of some refusals."""
         if request.transport is None or self._rng.random() >= DOUBLED_SHARE:
             return
         self.doubled_answers += 1
@@ -130,7 +130,9 @@
             request.transport.write(self._surplus.pop(request.transport, b""))
 
     async def _stream(self, request: web.Request) -> web.StreamResponse:
-        response = web.StreamResponse(headers=self._sealed_headers(request))
+        headers = self._sealed_headers(request)
+        self._answers.by_seal[headers[SEAL_HEADER]] = RunAnswer(headers[ATTEMPT_HEADER], 200, None)
+        response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         response.headers["Versions"] = "1"
         await asyncio.sleep(self.profile.work_s)
--- a/benchmarks/soak/workers.py
+++ b/benchmarks/soak/workers.py
@@ -10,7 +10,9 @@
 from arrowfold.standins.local_system import LocalSystem
 from arrowfold.standins.model_workers import RequestRun, WorkerProfile
 from arrowfold.standins.trial_configuration import MODEL
+from benchmarks.soak.answers import AnswerRecord
 from benchmarks.soak.configuration import RARE_MODEL
+from benchmarks.soak.stuttering_worker import StutteringWorker
 from benchmarks.soak.troubled_worker import TroubledWorker
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -18,6 +20,7 @@
 WORK_DURATIONS_S = (0.005, 0.05, 0.4)
 EVENT_PAUSES_S = (0.1, 0.6, 0.6)  # by turns; with 0.6 s, streams outlive a terminating edge's listener
 SLOTS = 16
+SoakWorker = TroubledWorker | StutteringWorker
 
 
 @dataclass
@@ -26,8 +29,9 @@
 
     system: LocalSystem
     rng: random.Random
-    active: list[TroubledWorker] = field(default_factory=list)
-    removed: list[TroubledWorker] = field(default_factory=list)
+    active: list[SoakWorker] = field(default_factory=list)
+    removed: list[SoakWorker] = field(default_factory=list)
+    answers: AnswerRecord = field(default_factory=AnswerRecord)
     _last_number: int = 0
 
     async def start(self, count: int) -> None:
@@ -49,7 +53,12 @@
         )
         controls = [self.system.control_address(node) for node in self.system.controls]
         self.rng.shuffle(controls)
-        worker = TroubledWorker(profile, controls, HEARTBEAT_INTERVAL_S, random.Random(self.rng.random()))
+        rng = random.Random(self.rng.random())
+        worker: SoakWorker = (
+            TroubledWorker(profile, controls, HEARTBEAT_INTERVAL_S, rng, self.answers)
+            if streams
+            else StutteringWorker(profile, controls, HEARTBEAT_INTERVAL_S, rng, self.answers)
+        )
         await worker.start(self.system.worker_host)
         self.active.append(worker)
 
@@ -81,7 +90,8 @@
 
     def preemptions(self) -> int:
         """Returns how often a stream was preempted since its worker's memory had run out."""
-        return sum(worker.memory.preemptions for worker in [*self.active, *self.removed])
+        workers = [*self.active, *self.removed]
+        return sum(worker.memory.preemptions for worker in workers if isinstance(worker, TroubledWorker))
 
     def doubled_answers(self) -> int:
         """Returns how many answers came twice, if their connection was used again."""
