Soak: record when the clients' own process stood still

Nothing told whether the edge or the clients' process was late. The report has the longest stall now, and each fault when the request ended and for how long the clients stood still meanwhile. No check and no bound changes.

--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -10,6 +10,7 @@
 from benchmarks.soak.answers import AnswerRecord
 from benchmarks.soak.clients import COMPLETE_STREAM, SentRequest
 from benchmarks.soak.faults import FaultEvent
+from benchmarks.soak.stalls import StallMonitor
 
 ROUTE_TIMEOUT_S = trial_route("chat", CHAT, "streaming")["timeoutMs"] / 1000
 REFUSALS = (408, 421, 429, 503)
@@ -40,6 +41,7 @@
     run_counts: Counter[str]
     answers: AnswerRecord
     checks_timing: bool
+    stalls: StallMonitor = field(default_factory=StallMonitor)
     result: CheckResult = field(default_factory=CheckResult)
 
     def check(self, requests: list[SentRequest]) -> CheckResult:
@@ -58,10 +60,17 @@
         after = "" if since is None else f", sent {since:.3f} s after SIGTERM"
         self.result.faults.append(
             f"{what}: {request.attempt} ({request.kind.name}) at {request.edge}"
-            f" ({request.process}){after}, status {request.status}, ran {ran} times"
+            f" ({request.process}){after}, status {request.status}, ran {ran} times{self._times(request)}"
         )
         return what
 
+    def _times(self, request: SentRequest) -> str:
+        """Returns when the request ended after its send, and how long the clients stood still in it."""
+        if request.sent_s is None or request.ended_s is None:
+            return ""
+        stalled_s = self.stalls.stalled_s(request.sent_s, request.ended_s)
+        return f", ended {request.ended_s - request.sent_s:.3f} s after, clients stalled {stalled_s:.3f} s"
+
     def _outcome(self, request: SentRequest) -> str:
         ran = self.run_counts[request.attempt]
         if ran > 1 and not request.kind.repeatable:
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -17,6 +17,7 @@
 from benchmarks.soak.faults import FaultInjector
 from benchmarks.soak.judge import RequestChecker
 from benchmarks.soak.operator import Operator
+from benchmarks.soak.stalls import StallMonitor
 from benchmarks.soak.workers import WorkerFleet
 
 READY_TIMEOUT_S = 120.0  # many processes start at the same time
@@ -78,6 +79,7 @@
         self._rng = random.Random(plan.seed)
         self._requests: list[SentRequest] = []
         self._workers = WorkerFleet(system, self._rng)
+        self._stalls = StallMonitor()
 
     async def run(self) -> None:
         """Starts the system, injects faults, waits for recovery and checks the outcome."""
@@ -103,10 +105,12 @@
             for number in range(self._plan.clients)
         ]
         running = [asyncio.create_task(client.run()) for client in clients]
+        monitor = asyncio.create_task(self._stalls.run())
         await injector.run(self._plan.series, self._plan.length)
         for client in clients:
             client.stopping.set()
         await asyncio.wait(running, timeout=CLIENT_END_S)
+        monitor.cancel()
         for task in running:
             task.cancel()
         for outcome in await asyncio.gather(*running, return_exceptions=True):
@@ -140,7 +144,11 @@
 
     def _check_outcome(self, injector: FaultInjector, operator: Operator) -> None:
         checker = RequestChecker(
-            injector.events, self._workers.run_counts(), self._workers.answers, self._plan.checks_timing
+            injector.events,
+            self._workers.run_counts(),
+            self._workers.answers,
+            self._plan.checks_timing,
+            self._stalls,
         )
         requests = [request for request in self._requests if request.ended_s is not None]
         result = checker.check(requests)
@@ -163,6 +171,7 @@
             "changes acknowledged": operator.changes,
             "streams preempted": self._workers.preemptions(),
             "answers doubled": self._workers.doubled_answers(),
+            "longest stall of the clients, s": round(self._stalls.longest_s(), 2),
             "longest planned end, s": round(max(termination_durations_s, default=0.0), 2),
         }
 
--- a/tests/system/test_soak_judge.py
+++ b/tests/system/test_soak_judge.py
@@ -10,6 +10,7 @@
 from benchmarks.soak.answers import AnswerRecord, RunAnswer
 from benchmarks.soak.clients import COMPLETE_STREAM, SentRequest
 from benchmarks.soak.judge import CheckResult, RequestChecker
+from benchmarks.soak.stalls import Stall, StallMonitor
 
 ANSWERS = AnswerRecord(
     {
@@ -70,3 +71,11 @@
     assert check(sent("a1", 200, "w1.1", b"answer to a1"), answers).faults == [
         "UNASKED: a1 ran with another body"
     ]
+
+
+def test_given_a_stall_of_the_clients_then_the_judge_says_how_much_of_it_was_in_the_request() -> None:
+    stalls = StallMonitor([Stall(0.5, 1.04), Stall(1.06, 1.5)])
+    checker = RequestChecker([], Counter({"a1": 1}), ANSWERS, checks_timing=False, stalls=stalls)
+    (fault,) = checker.check([sent("a1", 200, None)]).faults
+    assert fault.endswith("ended 0.100 s after, clients stalled 0.080 s")
+    assert stalls.longest_s() == pytest.approx(0.54)
