--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .dev-venv
 # Empty: the platform's front alone.
 # Packages in the formatter's style; older ones keep theirs until they are taken over.
-FORMATTED = benchmarks/guards benchmarks/control_state benchmarks/jobs.py arrowfold/node arrowfold/explain benchmarks/rounds arrowfold/internal arrowfold/selection arrowfold/programs $(wildcard arrowfold/configuration arrowfold/storage arrowfold/replication arrowfold/registry arrowfold/placement arrowfold/market arrowfold/controlplane arrowfold/dataplane arrowfold/emulator tests/system)
+FORMATTED = benchmarks/guards benchmarks/soak benchmarks/control_state benchmarks/jobs.py arrowfold/node arrowfold/explain benchmarks/rounds arrowfold/internal arrowfold/selection arrowfold/programs $(wildcard arrowfold/configuration arrowfold/storage arrowfold/replication arrowfold/registry arrowfold/placement arrowfold/market arrowfold/controlplane arrowfold/dataplane arrowfold/emulator tests/system)
 EDGE = deploy/edge.kdl
 export PATH := $(CURDIR)/$(VENV)/bin:$(PATH)
 
