--- a/arrowfold/dataplane/front.py
+++ b/arrowfold/dataplane/front.py
@@ -14,6 +14,7 @@
 
 from arrowfold.configuration.routes import Limits
 from arrowfold.dataplane.chunked_ends import ChunkedEnd
+from arrowfold.dataplane.end_schedule import IN_FLIGHT_GRACE_S
 from arrowfold.dataplane.exchange import ClientAnswer, ClientRequest
 from arrowfold.dataplane.own_answers import EdgeAnswer
 from arrowfold.dataplane.process_end import ProcessEnd
@@ -169,12 +170,15 @@
         """Closes each connection after its next answer, which contains `Connection: close`."""
         self._draining = True
 
-    async def stop(self, grace_s: float) -> None:
-        """Accepts no new connections, answers the requests received within `grace_s` seconds, then ends."""
+    async def stop(self, grace_s: float, in_flight_grace_s: float = IN_FLIGHT_GRACE_S) -> None:
+        """Accepts no new connections, answers the requests received within `grace_s` seconds, then ends.
+
+        After `in_flight_grace_s` seconds, requests whose deadline is later than the end are refused.
+        """
         if self._listener is not None:
             self._listener.close()
         deadline_s = self._loop.time() + grace_s
-        self._process_end.plan(deadline_s)
+        self._process_end.plan(deadline_s, in_flight_grace_s)
         while self._web.connections and self._loop.time() < deadline_s:
             await self._close_idle()
             await asyncio.sleep(SHUTDOWN_POLL_S)
--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -11,6 +11,7 @@
 from arrowfold.dataplane.attempts import RequestProgress
 from arrowfold.dataplane.connection_answer import ForeignAnswer
 from arrowfold.dataplane.credentials import TENANTS_CONTRACT
+from arrowfold.dataplane.end_schedule import plan_end
 from arrowfold.dataplane.forwarding import RequestForwarder
 from arrowfold.dataplane.freshness import StateFreshness
 from arrowfold.dataplane.front import EdgeFront, ReadinessServer
@@ -38,8 +39,6 @@
 MAINTENANCE_INTERVAL_S = 0.5  # between market rounds, which also check connections and demand reports
 MAX_REPORTS_PER_S = 100.0  # of demand, over all edges: in a large fleet each edge reports less often
 MAX_REPORT_INTERVAL_S = 2.0
-READINESS_PROPAGATION_S = 2.3  # from the end of readiness until the platform sends no new connections
-SHUTDOWN_MARGIN_S = 0.7  # part of the grace time reserved for the end of the process itself
 MS_PER_S = 1_000.0
 DEFAULT_CONNECTIONS_PER_WORKER = 64  # of all edges together, if the configuration has no bound
 MAX_LOGGED_ID_CHARS = 64  # of an id that a worker sent
@@ -174,9 +173,9 @@
             return
         self._stopping = True
         self._front.begin_draining()
-        await asyncio.sleep(READINESS_PROPAGATION_S)
-        grace_s = self._settings.bounds.graceS - elapsed_grace_s - READINESS_PROPAGATION_S - SHUTDOWN_MARGIN_S
-        await self._front.stop(max(0.0, grace_s))
+        schedule = plan_end(self._settings.bounds.graceS, elapsed_grace_s)
+        await asyncio.sleep(schedule.until_listener_closes_s)
+        await self._front.stop(schedule.answering_s, schedule.in_flight_grace_s)
         if self._has_usage_duty():
             await self._usage_reporter.report(LAST_REPORT_TIMEOUT_S)
         self._puller.stop()
--- a/arrowfold/dataplane/process_end.py
+++ b/arrowfold/dataplane/process_end.py
@@ -7,10 +7,10 @@
 import math
 from collections.abc import AsyncIterator
 
+from arrowfold.dataplane.end_schedule import IN_FLIGHT_GRACE_S
+
 FINAL_ANSWER_MARGIN_S = 0.1  # before the end, for sending the last answers
-# After the listener closes, requests that clients had already sent are admitted whatever their deadline is.
-IN_FLIGHT_GRACE_S = 0.5
-IN_FLIGHT_GRACE_SHARE = 0.25  # maximum, as a part of the time until the end
+IN_FLIGHT_GRACE_SHARE = 0.25  # maximum in-flight grace, as a part of the time until the end
 
 
 class ProcessEnd:
@@ -21,10 +21,13 @@
         self._grace_until_s = math.inf  # requests are admitted whatever their deadline is
         self._timeouts: set[asyncio.Timeout] = set()  # of the requests in progress
 
-    def plan(self, ends_s: float) -> None:
-        """Set the time of the end, which limits requests in progress from now on."""
+    def plan(self, ends_s: float, in_flight_grace_s: float = IN_FLIGHT_GRACE_S) -> None:
+        """Set the time of the end, which limits requests in progress from now on.
+
+        For `in_flight_grace_s` seconds, requests are still admitted whatever their deadline is.
+        """
         now_s = asyncio.get_running_loop().time()
-        grace_s = min(IN_FLIGHT_GRACE_S, IN_FLIGHT_GRACE_SHARE * (ends_s - now_s))
+        grace_s = min(in_flight_grace_s, IN_FLIGHT_GRACE_SHARE * (ends_s - now_s))
         self._grace_until_s = now_s + grace_s
         self._answers_end_s = ends_s - FINAL_ANSWER_MARGIN_S
         for timeout in self._timeouts:
