Accept the connections that wait before an ending edge closes its listener (LOST)

Shown in a test: of 20 connections that waited, the event loop had taken 4 in four passes, one in each. The same reset ended those that waited at any end of an edge. The whole schedule is in force from the begin of the end, not from the close of the listener, so that no request is admitted beyond it meanwhile. A request that waits for the first configuration is refused when the process is to end, in place of being cut: found by reading.

--- a/arrowfold/dataplane/forwarding.py
+++ b/arrowfold/dataplane/forwarding.py
@@ -192,20 +192,20 @@
 
     async def _wait_for_configuration(self, request: ClientRequest) -> ConfigurationSnapshot | None:
         """Returns the configuration in force, for which a new node waits; None if none arrives in time."""
+        configuration = self._snapshot().configuration
+        if configuration is not None:
+            return configuration
         client_deadline_ms = parse_number(find(request.headers, names.DEADLINE_MS))
         max_wait_s = (
             FIRST_CONFIGURATION_WAIT_S
             if client_deadline_ms is None
             else min(FIRST_CONFIGURATION_WAIT_S, client_deadline_ms / 2000)
         )
-        while (configuration := self._snapshot().configuration) is None:
-            remaining_s = request.arrived_s + max_wait_s - self._clock()
-            if remaining_s <= 0:
-                return None
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(remaining_s):
+        with contextlib.suppress(TimeoutError):
+            async with self._process_end.limit_time(request.arrived_s + max_wait_s):
+                while self._snapshot().configuration is None:
                     await self._tables_changed.wait()
-        return configuration
+        return self._snapshot().configuration
 
     async def _run_attempts(self, progress: RequestProgress, answer: ClientAnswer) -> GiveUp | None:
         """Make attempts until a worker has answered the client: returns None, or why none has."""
--- a/arrowfold/dataplane/front.py
+++ b/arrowfold/dataplane/front.py
@@ -14,7 +14,7 @@
 
 from arrowfold.configuration.routes import Limits
 from arrowfold.dataplane.chunked_ends import ChunkedEnd
-from arrowfold.dataplane.end_schedule import IN_FLIGHT_GRACE_S
+from arrowfold.dataplane.end_schedule import plan_end_after_listening
 from arrowfold.dataplane.exchange import ClientAnswer, ClientRequest
 from arrowfold.dataplane.own_answers import EdgeAnswer
 from arrowfold.dataplane.process_end import ProcessEnd
@@ -86,6 +86,12 @@
         return response
 
 
+async def _pass_loop() -> None:
+    """Let the event loop accept and read what has arrived, and start the requests that are complete."""
+    for _ in range(PASSES_BEFORE_CLOSE):
+        await asyncio.sleep(0)
+
+
 def _reason(status: int) -> str:
     try:
         return HTTPStatus(status).phrase
@@ -137,7 +143,7 @@
     """The HTTP server for clients, at one address."""
 
     def __init__(self, forward: Forward, limits: Callable[[], Limits], process_end: ProcessEnd) -> None:
-        """`stop` plans `process_end`, which also bounds the forwarding of requests."""
+        """`process_end` also bounds the forwarding of requests; `stop` plans it if it is not planned."""
         self._loop = asyncio.get_running_loop()
         self._forward = forward
         self._limits = limits
@@ -147,6 +153,7 @@
         self._busy: set[object] = set()  # connections with a request that has not been answered
         self._web = web.Server(self._handle, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
+        self._accepted = 0  # connections
 
     async def start(self, address: str, opened: socket.socket | None = None) -> str:
         """Serves at HOST:PORT, or on `opened`, a socket that listens there; returns the bound address."""
@@ -154,6 +161,7 @@
         return _bound_address(self._listener)
 
     def _connection(self) -> ClientConnection:
+        self._accepted += 1
         return ClientConnection(
             self._web,
             loop=self._loop,
@@ -170,20 +178,26 @@
         """Closes each connection after its next answer, which contains `Connection: close`."""
         self._draining = True
 
-    async def stop(self, grace_s: float, in_flight_grace_s: float = IN_FLIGHT_GRACE_S) -> None:
-        """Accepts no new connections, answers the requests received within `grace_s` seconds, then ends.
-
-        After `in_flight_grace_s` seconds, requests whose deadline is later than the end are refused.
-        """
+    async def stop(self, grace_s: float) -> None:
+        """Accepts no new connections, answers the requests received within `grace_s` seconds, then ends."""
+        if not self._process_end.is_planned:
+            self._process_end.plan(plan_end_after_listening(grace_s))
+        deadline_s = self._loop.time() + grace_s
+        await self._accept_waiting(deadline_s)
         if self._listener is not None:
             self._listener.close()
-        deadline_s = self._loop.time() + grace_s
-        self._process_end.plan(deadline_s, in_flight_grace_s)
         while self._web.connections and self._loop.time() < deadline_s:
             await self._close_idle()
             await asyncio.sleep(SHUTDOWN_POLL_S)
         await self._web.shutdown(0.1)
 
+    async def _accept_waiting(self, deadline_s: float) -> None:
+        """Accepts the connections that wait, of which the event loop may take one in each pass."""
+        accepted = -1
+        while self._accepted > accepted and self._loop.time() < deadline_s:
+            accepted = self._accepted
+            await _pass_loop()
+
     def close_overdue(self) -> None:
         """Closes connections that exceed the configured header timeout or the longest idle timeout."""
         limits = self._limits()
@@ -204,8 +218,8 @@
         starts the requests that are complete: the process may have stood still since the last input.
         """
         idle = [c for c in self._web.connections if isinstance(c, ClientConnection) and self._is_idle(c)]
-        for _ in range(PASSES_BEFORE_CLOSE if idle else 0):
-            await asyncio.sleep(0)
+        if idle:
+            await _pass_loop()
         for connection in idle:
             if self._is_idle(connection):
                 connection.force_close()
--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -93,7 +93,7 @@
         revoke_s = bounds.revokeMs / MS_PER_S if bounds.revocationClosed else None
         freshness = StateFreshness(revoke_s)
         self._connections = WorkerConnections(self._log_foreign_answer)
-        process_end = ProcessEnd()
+        self._process_end = ProcessEnd()
         self._usage = UsageCounts(bounds.usageWindowS, time.time)
         self._forwarder = RequestForwarder(
             self._connections,
@@ -101,7 +101,7 @@
             self._budget,
             lambda: self._tables.snapshot,
             loop.time,
-            process_end=process_end,
+            process_end=self._process_end,
             traces=traces,
             options=self._options,
             on_execution_started=self._usage.count_request,
@@ -109,7 +109,7 @@
             always_hides_keys=TENANTS_CONTRACT in settings.contracts,
             keys_are_fresh=freshness.is_fresh,
         )
-        self._front = EdgeFront(self._forwarder.forward, self._limits, process_end)
+        self._front = EdgeFront(self._forwarder.forward, self._limits, self._process_end)
         self._readiness = ReadinessServer(self.is_ready)
         self._client = ChannelClient()
         identity = NodeIdentity(
@@ -174,8 +174,9 @@
         self._stopping = True
         self._front.begin_draining()
         schedule = plan_end(self._settings.bounds.graceS, elapsed_grace_s)
-        await asyncio.sleep(schedule.until_listener_closes_s)
-        await self._front.stop(schedule.answering_s, schedule.in_flight_grace_s)
+        self._process_end.plan(schedule)
+        await asyncio.sleep(schedule.listener_closes_s)
+        await self._front.stop(schedule.ends_s - schedule.listener_closes_s)
         if self._has_usage_duty():
             await self._usage_reporter.report(LAST_REPORT_TIMEOUT_S)
         self._puller.stop()
--- a/arrowfold/dataplane/process_end.py
+++ b/arrowfold/dataplane/process_end.py
@@ -7,10 +7,9 @@
 import math
 from collections.abc import AsyncIterator
 
-from arrowfold.dataplane.end_schedule import IN_FLIGHT_GRACE_S
+from arrowfold.dataplane.end_schedule import EndSchedule
 
 FINAL_ANSWER_MARGIN_S = 0.1  # before the end, for sending the last answers
-IN_FLIGHT_GRACE_SHARE = 0.25  # maximum in-flight grace, as a part of the time until the end
 
 
 class ProcessEnd:
@@ -21,15 +20,16 @@
         self._grace_until_s = math.inf  # requests are admitted whatever their deadline is
         self._timeouts: set[asyncio.Timeout] = set()  # of the requests in progress
 
-    def plan(self, ends_s: float, in_flight_grace_s: float = IN_FLIGHT_GRACE_S) -> None:
-        """Set the time of the end, which limits requests in progress from now on.
+    @property
+    def is_planned(self) -> bool:
+        """Whether the end is planned."""
+        return self._answers_end_s < math.inf
 
-        For `in_flight_grace_s` seconds, requests are still admitted whatever their deadline is.
-        """
+    def plan(self, schedule: EndSchedule) -> None:
+        """Set the time of the end, which limits requests in progress from now on."""
         now_s = asyncio.get_running_loop().time()
-        grace_s = min(in_flight_grace_s, IN_FLIGHT_GRACE_SHARE * (ends_s - now_s))
-        self._grace_until_s = now_s + grace_s
-        self._answers_end_s = ends_s - FINAL_ANSWER_MARGIN_S
+        self._grace_until_s = now_s + schedule.admits_any_until_s
+        self._answers_end_s = now_s + schedule.ends_s - FINAL_ANSWER_MARGIN_S
         for timeout in self._timeouts:
             timeout_at_s = timeout.when()
             if timeout_at_s is not None and timeout_at_s > self._answers_end_s:
--- a/tests/system/test_edge_ending.py
+++ b/tests/system/test_edge_ending.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from unittest.mock import patch
 
+from arrowfold.dataplane.end_schedule import plan_end_after_listening
 from arrowfold.dataplane.front import MIN_INPUT_PAUSE_S, ClientConnection
 from arrowfold.node.result_codes import ResultCode
 from tests.system.edge_loopback import (
@@ -232,7 +234,7 @@
         waiting = asyncio.create_task(edge.ask("/talk/1"))
         await asyncio.sleep(0.01)
         # When the process is to end before the wait
-        edge.process_end.plan(edge.loop.time() + 0.3)
+        edge.process_end.plan(plan_end_after_listening(0.3))
         answer = await waiting
         # Then the client gets a refusal with Retry-After before the end
         assert answer.status == 503 and answer.header("Retry-After") is not None
@@ -247,7 +249,7 @@
         # Given an edge whose process ends in four seconds
         edge = EdgeHarness(ROUTES, (worker("w1", "cards"),))
         edge.workers.scripts["w1"] = answers(whole())
-        edge.process_end.plan(edge.loop.time() + 4.0)
+        edge.process_end.plan(plan_end_after_listening(4.0))
         # Then requests within the grace period are admitted whatever their deadline is
         assert (await edge.ask("/pay/1")).status == 200
         # And later ones only if their deadline is before the end
@@ -266,10 +268,50 @@
         edge.workers.scripts["w1"] = answers(events(1, 50, pause_s=0.1))
         stream_task = asyncio.create_task(edge.ask("/draft/1"))
         await asyncio.sleep(0.5)
-        edge.process_end.plan(edge.loop.time() + 1.0)
+        edge.process_end.plan(plan_end_after_listening(1.0))
         # Then it continues until the end, and is aborted there
         answer = await stream_task
         assert answer.aborted and not answer.complete
         assert answer.ended_s >= 1.3
 
     run_virtual(scenario())
+
+
+# Guards against LOST: connections that waited while the program loaded are reset, with their requests unread,
+# if the signal to end came meanwhile.
+def test_given_requests_that_waited_for_an_ending_process_then_they_are_answered() -> None:
+    async def scenario() -> None:
+        # Given an edge that has just begun to listen, and requests that waited for it
+        edge, worker = await edge_with(plain)
+        assert edge.front is not None
+        host, port = edge.address.rsplit(":", 1)
+        clients = []
+        for number in range(20):
+            connection = socket.create_connection((host, int(port)))
+            connection.sendall(request_bytes("/pay/1", f"a{number}", LONG_DEADLINE))
+            clients.append(connection)
+        # When its end begins before it has looked at its listener
+        await edge.front.stop(PROCESS_END_S)
+        # Then each is answered
+        for connection in clients:
+            connection.settimeout(5)
+            assert connection.recv(4096).startswith((b"HTTP/1.1 200 ", b"HTTP/1.1 503 "))
+            connection.close()
+        assert len(worker.heads) > len(clients) // 2
+        await edge.stop()
+
+    run_on_loopback(scenario)
+
+
+# Guards against LOST: a request that waits for the first configuration is cut at the end of the process.
+def test_given_a_request_without_a_configuration_when_the_process_ends_then_it_is_refused() -> None:
+    async def scenario() -> None:
+        edge = EdgeHarness()
+        waiting = asyncio.create_task(edge.ask("/pay/1"))
+        await asyncio.sleep(0.1)
+        edge.process_end.plan(plan_end_after_listening(0.3))
+        await asyncio.sleep(0.25)
+        assert waiting.done()
+        assert (await waiting).status == 503
+
+    run_virtual(scenario())
--- a/tests/system/test_end_schedule.py
+++ b/tests/system/test_end_schedule.py
@@ -9,7 +9,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from arrowfold.dataplane.end_schedule import MIN_ANSWERING_S, SHUTDOWN_MARGIN_S, plan_end
+from arrowfold.dataplane.end_schedule import (
+    MIN_ANSWERING_S,
+    MIN_LISTENING_S,
+    SHUTDOWN_MARGIN_S,
+    plan_end,
+)
 from arrowfold.dataplane.node import EdgeNode
 from arrowfold.node.logs import RateLimitedLog
 from arrowfold.node.settings import parse_settings
@@ -20,6 +25,7 @@
 GRACE_S = 8.0
 LATEST_EXEMPT_SEND_S = 3.0  # after the signal; what is sent later must not be cut by the end of the process
 SAMPLE_S = 0.05
+TOLERANCE_S = 1e-6
 
 
 # Guards against LOST: a process whose stop signal came while it was loading admits requests, long after the
@@ -38,7 +44,7 @@
             await asyncio.sleep(SAMPLE_S)
             since_signal_s = elapsed_s + loop.time() - began_s
             if since_signal_s > LATEST_EXEMPT_SEND_S:
-                admits = node._front._process_end.admits(loop.time() + 60)
+                admits = node._process_end.admits(loop.time() + 60)
                 assert not admits, f"{since_signal_s:.2f} s after the signal"
         await stopping
 
@@ -50,8 +56,9 @@
     grace_s: float, elapsed_s: float
 ) -> None:
     schedule = plan_end(grace_s, elapsed_s)
-    ends_s = elapsed_s + schedule.until_listener_closes_s + schedule.answering_s
-    assert min(schedule.until_listener_closes_s, schedule.in_flight_grace_s) >= 0
-    assert schedule.answering_s >= MIN_ANSWERING_S
-    is_on_time = ends_s <= grace_s - SHUTDOWN_MARGIN_S + 1e-6
-    assert is_on_time or schedule.answering_s == MIN_ANSWERING_S
+    assert 0 <= schedule.admits_any_until_s <= schedule.ends_s
+    assert schedule.listener_closes_s >= MIN_LISTENING_S
+    assert schedule.ends_s - schedule.listener_closes_s >= MIN_ANSWERING_S - TOLERANCE_S
+    shortest_s = schedule.listener_closes_s + MIN_ANSWERING_S
+    is_on_time = elapsed_s + schedule.ends_s <= grace_s - SHUTDOWN_MARGIN_S + TOLERANCE_S
+    assert is_on_time or schedule.ends_s == shortest_s
