--- a/tests/system/misbehaving_workers.py
+++ b/tests/system/misbehaving_workers.py
@@ -55,16 +55,12 @@
     return head + SEAL + extra_headers + b"Content-Length: %d\r\n\r\n" % len(body) + body
 
 
-class MisbehavingWorker(asyncio.Protocol):
-    """One connection of a misbehaving worker."""
+class RequestReader(asyncio.Protocol):
+    """One connection of a worker in a test: reads requests with a length and serves them in order."""
 
-    def __init__(self, script: WorkerScript) -> None:
-        self._script = script
+    def __init__(self) -> None:
         self._buffer = b""
         self._transport: Any = None
-        self._last_attempt: str | None = None
-        self._is_truncated = False  # within an answer: further bytes would be parsed as its body
-        self._surplus = b""  # a second copy of the last answer, sent in the place of the next one
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
@@ -86,6 +82,21 @@
         self._serve(fields[b"x-attempt-id"].decode())
         return True
 
+    def _serve(self, attempt: str) -> None:
+        """Answer the request of this attempt."""
+        raise NotImplementedError
+
+
+class MisbehavingWorker(RequestReader):
+    """One connection of a misbehaving worker."""
+
+    def __init__(self, script: WorkerScript) -> None:
+        super().__init__()
+        self._script = script
+        self._last_attempt: str | None = None
+        self._is_truncated = False  # within an answer: further bytes would be parsed as its body
+        self._surplus = b""  # a second copy of the last answer, sent in the place of the next one
+
     def _serve(self, attempt: str) -> None:
         behaviour = self._script.next_behaviour()
         self._script.arrivals[attempt] += 1
--- a/tests/system/stuttering_workers.py
+++ b/tests/system/stuttering_workers.py
@@ -11,7 +11,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any
+
+from tests.system.misbehaving_workers import RequestReader
 
 SECOND_BODY = b"ok"
 NOT_EXECUTED = b"X-Not-Executed: 1\r\n"
@@ -79,37 +80,15 @@
         return sum(run.attempt == attempt for run in self.runs.values())
 
 
-class StutteringWorker(asyncio.Protocol):
+class StutteringWorker(RequestReader):
     """One connection of a stuttering worker."""
 
     def __init__(self, script: StutterScript) -> None:
+        super().__init__()
         self._script = script
         script.connections += 1
         self._number = script.connections
-        self._buffer = b""
-        self._transport: Any = None
         self._due = b""  # a second answer, sent in the place of the next one
-        self._send_after_s = 0.0  # when the pieces written so far have been sent
-
-    def connection_made(self, transport: Any) -> None:
-        self._transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        self._buffer += data
-        while self._serve_buffered_request():
-            pass
-
-    def _serve_buffered_request(self) -> bool:
-        head, separator, rest = self._buffer.partition(b"\r\n\r\n")
-        if not separator:
-            return False
-        fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
-        size = int(fields.get(b"content-length", b"0"))
-        if len(rest) < size:
-            return False
-        self._buffer = rest[size:]
-        self._serve(fields[b"x-attempt-id"].decode())
-        return True
 
     def _serve(self, attempt: str) -> None:
         script = self._script
