--- /dev/null
+++ b/arrowfold/dataplane/answer_protocol.py
@@ -0,0 +1,61 @@
+"""The protocol of a connection to a worker: reports bytes that are not those of an awaited answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp.client_proto import ResponseHandler
+
+from arrowfold.dataplane.answer_framing import AnswerFramer
+from arrowfold.dataplane.answer_heads import AnswerFault, InvalidAnswerError
+from arrowfold.dataplane.chunked_ends import ChunkedEnd
+
+
+class AnswerProtocol(ResponseHandler):
+    """Parses a worker's answers, and reports bytes that are not those of an awaited one.
+
+    `on_invalid_answer` is called with the reason when the bytes in place of an awaited answer are none.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.on_invalid_answer: Callable[[AnswerFault], None] = lambda fault: None
+        self.chunked_end = ChunkedEnd()
+        self._framer = AnswerFramer()
+        self._is_invalid = False  # no further byte is checked
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether the connection is open, and all bytes received belong to answers that were read."""
+        return self.is_connected() and not self.should_close and not len(self)
+
+    @property
+    def has_surplus(self) -> bool:
+        """Whether bytes were received after the end of the last awaited answer, or before the first."""
+        return self._framer.has_surplus
+
+    @property
+    def has_trailers(self) -> bool:
+        """Whether the latest answer ended with trailers, which aiohttp takes for headers of the next one."""
+        return not self.chunked_end.has_no_trailers()
+
+    def expect_answer(self) -> None:
+        """Await an answer: the next bytes are its head."""
+        self._framer.expect_answer()
+        self._pass_on(b"")
+
+    def data_received(self, data: bytes) -> None:
+        """Process bytes from the worker; with no bytes, go on after a pause."""
+        self._pass_on(data)
+        self.chunked_end.take(data)
+        super().data_received(data)
+
+    def _pass_on(self, data: bytes) -> None:
+        if self._is_invalid:
+            return
+        try:
+            self._framer.take(data)
+        except InvalidAnswerError as error:
+            self._is_invalid = True
+            self.on_invalid_answer(error.fault)
--- a/arrowfold/dataplane/connection_answer.py
+++ b/arrowfold/dataplane/connection_answer.py
@@ -11,6 +11,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD, EofStream, StreamReader
 
 from arrowfold.dataplane import headers as names
+from arrowfold.dataplane.answer_heads import AnswerFault
 from arrowfold.dataplane.exchange import IncompleteBodyError
 from arrowfold.dataplane.headers import RawHeaders, find, parse_keep_alive_s
 from arrowfold.dataplane.worker_connection import DEFAULT_KEEP_ALIVE_S, InstancePool, WorkerConnection
@@ -31,6 +32,19 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class InvalidAnswer:
+    """Bytes of a worker that are not the awaited answer.
+
+    `awaited_attempt_id`: None while no answer was awaited.
+    """
+
+    instance: str
+    connection: int  # its number at this edge
+    fault: AnswerFault
+    awaited_attempt_id: str | None
+
+
 @dataclass(frozen=True, slots=True)
 class ForeignAnswer:
     """An answer that came in the place of the awaited one, with another attempt id or without one.
@@ -94,7 +108,7 @@
         if connection is None:
             return
         connection.keep_alive_s = _keep_alive_s(self.headers)
-        has_trailers = self._chunked and not connection.protocol.chunked_end.has_no_trailers()
+        has_trailers = self._chunked and connection.protocol.has_trailers
         is_complete = self._is_complete and self._has_known_length and not has_trailers
         self._release(self._pool, connection, self._reusable and is_complete)
 
--- a/arrowfold/dataplane/headers.py
+++ b/arrowfold/dataplane/headers.py
@@ -24,6 +24,7 @@
 TENANT = b"x-tenant"
 RETRY_AFTER = b"retry-after"
 CONTENT_LENGTH = b"content-length"
+TRANSFER_ENCODING = b"transfer-encoding"
 CONTENT_TYPE = b"content-type"
 CONNECTION = b"connection"
 KEEP_ALIVE = b"keep-alive"
@@ -38,7 +39,7 @@
         b"proxy-connection",
         b"te",
         b"trailer",
-        b"transfer-encoding",
+        TRANSFER_ENCODING,
         b"upgrade",
     }
 )
--- a/arrowfold/dataplane/node.py
+++ b/arrowfold/dataplane/node.py
@@ -9,7 +9,7 @@
 
 from arrowfold.configuration.routes import Limits
 from arrowfold.dataplane.attempts import RequestProgress
-from arrowfold.dataplane.connection_answer import ForeignAnswer
+from arrowfold.dataplane.connection_answer import ForeignAnswer, InvalidAnswer
 from arrowfold.dataplane.credentials import TENANTS_CONTRACT
 from arrowfold.dataplane.end_schedule import plan_end
 from arrowfold.dataplane.forwarding import RequestForwarder
@@ -92,7 +92,7 @@
         self._tables = FleetTables()
         revoke_s = bounds.revokeMs / MS_PER_S if bounds.revocationClosed else None
         freshness = StateFreshness(revoke_s)
-        self._connections = WorkerConnections(self._log_foreign_answer)
+        self._connections = WorkerConnections(self._log_foreign_answer, self._log_invalid_answer)
         self._process_end = ProcessEnd()
         self._usage = UsageCounts(bounds.usageWindowS, time.time)
         self._forwarder = RequestForwarder(
@@ -208,6 +208,15 @@
             is_surplus=foreign.is_surplus,
         )
 
+    def _log_invalid_answer(self, invalid: InvalidAnswer) -> None:
+        self._log.warning(
+            "invalid_answer",
+            attempt=invalid.awaited_attempt_id,
+            instance=invalid.instance,
+            connection=invalid.connection,
+            reason=invalid.fault.value,
+        )
+
     def _limits(self) -> Limits:
         configuration = self._tables.snapshot.configuration
         return configuration.routes.limits if configuration is not None else Limits()
--- a/arrowfold/dataplane/worker_connection.py
+++ b/arrowfold/dataplane/worker_connection.py
@@ -2,32 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import deque
 from dataclasses import dataclass, field
 
-from aiohttp.client_proto import ResponseHandler
-
-from arrowfold.dataplane.chunked_ends import ChunkedEnd
+from arrowfold.dataplane.answer_protocol import AnswerProtocol
 from arrowfold.dataplane.exchange import WorkerRequest
 
 DEFAULT_KEEP_ALIVE_S = 4.0  # maximum idle time for reuse, if the worker sends no Keep-Alive header
 MAX_RECENT_ATTEMPTS = 32  # whose ids a connection remembers
 
 
-class AnswerProtocol(ResponseHandler):
-    """Parses a worker's answers and tracks the last bytes received, to detect trailers."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop)
-        self.chunked_end = ChunkedEnd()
-
-    def data_received(self, data: bytes) -> None:
-        """Process bytes from the worker."""
-        self.chunked_end.take(data)
-        super().data_received(data)
-
-
 class WorkerConnection:
     """One connection to an instance of a worker; `number` counts the connections that this edge opened."""
 
@@ -50,7 +34,7 @@
 
     def is_clean(self) -> bool:
         """Whether it is open and holds no unsolicited bytes."""
-        return self.protocol.is_connected() and not self.protocol.should_close and not len(self.protocol)
+        return self.protocol.is_clean
 
     def write(self, request: WorkerRequest, now_s: float) -> None:
         """Write a complete request."""
@@ -61,6 +45,7 @@
         request.connections.numbers.append(self.number)
         transport = self.protocol.transport
         assert transport is not None
+        self.protocol.expect_answer()
         transport.write(encode_request(request))
 
     def close(self) -> None:
--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -17,19 +17,21 @@
 from result import Err, Ok, Result
 
 from arrowfold.dataplane import headers as names
+from arrowfold.dataplane.answer_heads import MAX_HEAD_BYTES, AnswerFault
+from arrowfold.dataplane.answer_protocol import AnswerProtocol
 from arrowfold.dataplane.connection_answer import (
     READ_ERRORS,
     ConnectionAnswer,
     ForeignAnswer,
+    InvalidAnswer,
     UnattributableAnswerError,
 )
 from arrowfold.dataplane.exchange import SendFailure, WorkerAnswer, WorkerRequest
 from arrowfold.dataplane.headers import find
-from arrowfold.dataplane.worker_connection import AnswerProtocol, InstancePool, WorkerConnection
+from arrowfold.dataplane.worker_connection import InstancePool, WorkerConnection
 
 CONNECT_TIMEOUT_S = 0.4
 TCP_USER_TIMEOUT_MS = 2_000  # until a connection with unacknowledged data is closed
-MAX_HEADER_LINE_BYTES = 64 * 1024  # of an answer
 NON_RETRYABLE_MAX_IDLE_S = 2.0  # idle for longer, a connection is not used for requests without a retry
 MIN_CONNECTIONS = 2  # minimum per instance, regardless of this edge's share
 MAX_SURPLUS_ANSWERS = 2  # answers to earlier requests that are skipped before the request counts as lost
@@ -38,9 +40,16 @@
 class WorkerConnections:
     """All connections to workers, by instance."""
 
-    def __init__(self, on_foreign_answer: Callable[[ForeignAnswer], None] = lambda foreign: None) -> None:
-        """`on_foreign_answer` is called with each answer that isn't the awaited one."""
+    def __init__(
+        self,
+        on_foreign_answer: Callable[[ForeignAnswer], None] = lambda foreign: None,
+        on_invalid_answer: Callable[[InvalidAnswer], None] = lambda invalid: None,
+    ) -> None:
+        """`on_foreign_answer` is called with each answer that isn't the awaited one, `on_invalid_answer` with
+        the reason why received bytes are not an awaited answer.
+        """
         self._on_foreign_answer = on_foreign_answer
+        self._on_invalid_answer = on_invalid_answer
         self._loop = asyncio.get_running_loop()
         self._pools: dict[str, InstancePool] = {}
         self._limits: dict[str, int] = {}
@@ -130,7 +139,13 @@
             pool.open_count -= 1
             raise
         _configure(protocol)
-        return Ok(WorkerConnection(protocol, self._loop.time(), next(self._numbers)))
+        connection = WorkerConnection(protocol, self._loop.time(), next(self._numbers))
+        protocol.on_invalid_answer = lambda fault: self._report_invalid(instance, connection, fault)
+        return Ok(connection)
+
+    def _report_invalid(self, instance: str, connection: WorkerConnection, fault: AnswerFault) -> None:
+        awaited = None if connection.request is None else connection.request.attempt_id
+        self._on_invalid_answer(InvalidAnswer(instance, connection.number, fault, awaited))
 
     async def _read_answer(
         self, instance: str, pool: InstancePool, connection: WorkerConnection, request: WorkerRequest
@@ -153,6 +168,7 @@
             reusable = False
             while await payload.readany():
                 pass
+            connection.protocol.expect_answer()
         raise UnattributableAnswerError
 
     def _is_surplus(
@@ -198,6 +214,8 @@
         pool.idle.append(connection)
 
     def _close(self, pool: InstancePool, connection: WorkerConnection) -> None:
+        if connection.protocol.has_surplus:
+            connection.protocol.on_invalid_answer(AnswerFault.BYTES_WHILE_IDLE)
         pool.active.discard(connection)
         pool.open_count -= 1
         connection.close()
@@ -220,8 +238,8 @@
 def _configure(protocol: ResponseHandler) -> None:
     protocol.set_response_params(
         auto_decompress=False,
-        max_line_size=MAX_HEADER_LINE_BYTES,
-        max_field_size=MAX_HEADER_LINE_BYTES,
+        max_line_size=MAX_HEAD_BYTES,
+        max_field_size=MAX_HEAD_BYTES,
     )
     transport = protocol.transport
     connection = transport.get_extra_info("socket") if transport is not None else None
--- a/tests/system/misbehaving_workers.py
+++ b/tests/system/misbehaving_workers.py
@@ -60,6 +60,7 @@
 
     def __init__(self) -> None:
         self._buffer = b""
+        self._fields: dict[bytes, bytes] = {}  # of the request that is served, in lower case
         self._transport: Any = None
 
     def connection_made(self, transport: Any) -> None:
@@ -79,6 +80,7 @@
         if len(rest) < size:
             return False
         self._buffer = rest[size:]
+        self._fields = fields
         self._serve(fields[b"x-attempt-id"].decode())
         return True
 
