--- a/arrowfold/dataplane/answer_protocol.py
+++ b/arrowfold/dataplane/answer_protocol.py
@@ -1,4 +1,4 @@
-"""The protocol of a connection to a worker: reports bytes that are not those of an awaited answer."""
+"""The protocol of a connection to a worker: hands aiohttp's parser the bytes of the awaited answers alone."""
 
 from __future__ import annotations
 
@@ -6,14 +6,14 @@
 from collections.abc import Callable
 
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import EMPTY_PAYLOAD
 
 from arrowfold.dataplane.answer_framing import AnswerFramer
 from arrowfold.dataplane.answer_heads import AnswerFault, InvalidAnswerError
-from arrowfold.dataplane.chunked_ends import ChunkedEnd
 
 
 class AnswerProtocol(ResponseHandler):
-    """Parses a worker's answers, and reports bytes that are not those of an awaited one.
+    """Parses the answers that are awaited; any other byte makes the connection unusable.
 
     `on_invalid_answer` is called with the reason when the bytes in place of an awaited answer are none.
     """
@@ -21,14 +21,13 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.on_invalid_answer: Callable[[AnswerFault], None] = lambda fault: None
-        self.chunked_end = ChunkedEnd()
         self._framer = AnswerFramer()
-        self._is_invalid = False  # no further byte is checked
+        self._is_invalid = False  # no further byte can be attributed
 
     @property
     def is_clean(self) -> bool:
         """Whether the connection is open, and all bytes received belong to answers that were read."""
-        return self.is_connected() and not self.should_close and not len(self)
+        return self.is_connected() and not self.should_close and not len(self) and not self.has_surplus
 
     @property
     def has_surplus(self) -> bool:
@@ -38,7 +37,7 @@
     @property
     def has_trailers(self) -> bool:
         """Whether the latest answer ended with trailers, which aiohttp takes for headers of the next one."""
-        return not self.chunked_end.has_no_trailers()
+        return self._framer.has_trailers
 
     def expect_answer(self) -> None:
         """Await an answer: the next bytes are its head."""
@@ -47,15 +46,27 @@
 
     def data_received(self, data: bytes) -> None:
         """Process bytes from the worker; with no bytes, go on after a pause."""
-        self._pass_on(data)
-        self.chunked_end.take(data)
-        super().data_received(data)
+        if data:
+            self._pass_on(data)
+        else:
+            super().data_received(data)
 
     def _pass_on(self, data: bytes) -> None:
         if self._is_invalid:
             return
         try:
-            self._framer.take(data)
+            part = self._framer.take(data)
         except InvalidAnswerError as error:
-            self._is_invalid = True
-            self.on_invalid_answer(error.fault)
+            self._fail(error)
+            return
+        if part:
+            super().data_received(part)
+
+    def _fail(self, error: InvalidAnswerError) -> None:
+        """End the exchange: nothing that follows on this connection can be attributed."""
+        self._is_invalid = True
+        self.on_invalid_answer(error.fault)
+        payload = self._payload
+        if payload is not None and payload is not EMPTY_PAYLOAD and not payload.is_eof():
+            payload.set_exception(error)
+        self.set_exception(error)
--- a/arrowfold/dataplane/connection_answer.py
+++ b/arrowfold/dataplane/connection_answer.py
@@ -11,7 +11,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD, EofStream, StreamReader
 
 from arrowfold.dataplane import headers as names
-from arrowfold.dataplane.answer_heads import AnswerFault
+from arrowfold.dataplane.answer_heads import AnswerFault, InvalidAnswerError
 from arrowfold.dataplane.exchange import IncompleteBodyError
 from arrowfold.dataplane.headers import RawHeaders, find, parse_keep_alive_s
 from arrowfold.dataplane.worker_connection import DEFAULT_KEEP_ALIVE_S, InstancePool, WorkerConnection
@@ -29,6 +29,7 @@
     OSError,
     EofStream,
     UnattributableAnswerError,
+    InvalidAnswerError,
 )
 
 
@@ -81,7 +82,7 @@
         self._release = release
         self._reusable = reusable and not message.should_close
         self._is_complete = payload is EMPTY_PAYLOAD
-        self._has_known_length = _is_length_known(message)
+        self._has_known_length = is_length_known(message)
         self._chunked = message.chunked
 
     async def read_chunk(self) -> bytes:
@@ -113,7 +114,8 @@
         self._release(self._pool, connection, self._reusable and is_complete)
 
 
-def _is_length_known(message: RawResponseMessage) -> bool:
+def is_length_known(message: RawResponseMessage) -> bool:
+    """Whether the end of the body can be told from the end of the connection."""
     if message.chunked or message.code in (204, 304):
         return True
     return find(message.raw_headers, names.CONTENT_LENGTH) is not None
--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -25,6 +25,7 @@
     ForeignAnswer,
     InvalidAnswer,
     UnattributableAnswerError,
+    is_length_known,
 )
 from arrowfold.dataplane.exchange import SendFailure, WorkerAnswer, WorkerRequest
 from arrowfold.dataplane.headers import find
@@ -165,6 +166,8 @@
             is_surplus = self._is_surplus(instance, connection, request, message)
             if not is_surplus or message.chunked:  # the parser takes trailers for headers of the next answer
                 break
+            if not is_length_known(message):
+                break
             reusable = False
             while await payload.readany():
                 pass
