Send a try to a worker once, but for streams, whose events show what they belong to (MIXED, TWICE)

Callers saw a 2xx where their worker had answered a failure, or got a stream run twice: a worker's second answer to a try came on another connection, in front of the answer to the next send of the same try (after a 421, a 503, or a 500 of a request that may be repeated). Cause: an answer names its try, not its send, and a worker may answer twice on any of its connections; kept the send off the same connection only. Ruled out: telling the two by the seal (opaque, and the second answer bears that of its run), by time, or by a header that comes back (none). Change: a worker that was sent a try is no longer chosen for it. Streams may go there again, as a model may be about to be loaded; then only an event stream counts as the answer, and "not executed" only where the stream may be repeated. Weighed: no second send at all before the stream has begun.

--- a/arrowfold/dataplane/attempts.py
+++ b/arrowfold/dataplane/attempts.py
@@ -24,6 +24,8 @@
 from arrowfold.dataplane.request_trace import RequestTrace
 from arrowfold.selection.interface import RequestProfile
 
+STREAMING = "streaming"  # the kind of a route
+
 
 @dataclass(slots=True)
 class RequestProgress:
@@ -42,7 +44,8 @@
     deliveries: int = 0  # attempts that reached a worker, including misdirected ones
     misdirections: int = 0  # deliveries to workers that did not have the model
     may_have_run: bool = False
-    tried_instances: set[str] = field(default_factory=set)
+    tried_instances: set[str] = field(default_factory=set)  # that are not chosen for now
+    delivered_to: set[str] = field(default_factory=set)  # instances that were sent the request
     last_event_id: int | None = None
     events_forwarded: int = 0
     last_event_s: float | None = None  # when the latest event was forwarded
@@ -62,6 +65,17 @@
             return False
         return self.route.repeatable or not self.may_have_run
 
+    @property
+    def excluded_instances(self) -> set[str]:
+        """The instances that must not be chosen.
+
+        An answer names its try, not its send, and a worker may answer twice, on any of its connections. So a
+        worker gets a try once, but for a stream, whose events show what they belong to.
+        """
+        if self.route.kind == STREAMING:
+            return self.tried_instances
+        return self.tried_instances | self.delivered_to
+
     def undo_delivery(self, may_have_run: bool) -> None:
         """Uncount an attempt that was not sent; `may_have_run`: as it was before."""
         self.attempts_used -= 1
@@ -109,7 +123,7 @@
         output_tokens=output_tokens,
         parts=parse_prompt_parts(find(headers, PROMPT_PREFIX)),
         priority=_priority(route, tenant),
-        streaming=route.kind == "streaming",
+        streaming=route.kind == STREAMING,
         idempotent=route.repeatable,
         arrived_s=request.arrived_s,
         latency_objective_s=route.latency_objective_s,
--- a/arrowfold/dataplane/forwarding.py
+++ b/arrowfold/dataplane/forwarding.py
@@ -7,9 +7,10 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from http import HTTPStatus
 
 from arrowfold.dataplane import headers as names
-from arrowfold.dataplane.attempts import RequestProgress, create_progress
+from arrowfold.dataplane.attempts import STREAMING, RequestProgress, create_progress
 from arrowfold.dataplane.credentials import read_credentials
 from arrowfold.dataplane.exchange import (
     ClientAnswer,
@@ -60,7 +61,6 @@
     SendFailure.UNREACHABLE: Outcome.UNREACHABLE,
     SendFailure.NO_CONNECTION_FREE: Outcome.NO_CONNECTION_FREE,
 }
-STREAMING = "streaming"  # the kind of a route
 # Outcomes that trigger an early demand report to the owner of the placement.
 EARLY_REPORT_OUTCOMES = frozenset({Outcome.FAILED, Outcome.UNREACHABLE, Outcome.LOST})
 
@@ -256,7 +256,7 @@
                 attempts_left=progress.route.max_attempts - progress.attempts_used,
                 last_event_s=progress.last_event_s,
             )
-            choice = self._selector.choose(profile, progress.tried_instances, now_s)
+            choice = self._selector.choose(profile, progress.excluded_instances, now_s)
             if isinstance(choice, WaitForWorker) or _is_model_missing(choice):
                 self.on_early_report_due()
             if not isinstance(choice, WaitForWorker):
@@ -315,6 +315,7 @@
         progress.deliveries += 1
         remaining_s = progress.deadline_s - self._clock()
         request = make_worker_request(progress, choice, remaining_s, takeover.report_silence)
+        was_delivered_there = choice.instance in progress.delivered_to
         writes_before = len(progress.connections.numbers)
         try:
             sent = await self._transport.send(choice.instance, choice.address, request)
@@ -324,6 +325,7 @@
             raise
         if sent.is_ok() or sent.unwrap_err() is SendFailure.LOST:
             step.connection = progress.connections.last
+            progress.delivered_to.add(choice.instance)
         if sent.is_err():
             if sent.unwrap_err() is SendFailure.LOST:
                 if progress.route.kind != STREAMING:
@@ -333,6 +335,9 @@
             progress.undo_delivery(may_have_run_before)
             return _OUTCOMES_WITHOUT_DELIVERY[sent.unwrap_err()]
         worker_answer = sent.unwrap()
+        if was_delivered_there and not self._is_for_latest_send(progress, worker_answer):
+            worker_answer.close()
+            return Outcome.LOST
         try:
             return await self._handle_worker_answer(
                 progress, choice, worker_answer, answer, may_have_run_before, takeover
@@ -354,20 +359,20 @@
         if load is not None:
             self._selector.load_reported(choice.instance, *load, self._clock())
         status = worker_answer.status
-        if status == 421 or find(worker_answer.headers, names.NOT_EXECUTED) is not None:
+        if _is_not_executed(worker_answer):
             progress.may_have_run = may_have_run_before
             await discard_body(worker_answer)
-            if status != 421:
+            if status != HTTPStatus.MISDIRECTED_REQUEST:
                 return Outcome.REJECTED_FULL
             self._record_misdirection(progress, choice)
             return Outcome.MISDIRECTED
         is_success = 200 <= status < 300
-        if not (is_success and is_event_stream(worker_answer)):
+        if not _is_stream(worker_answer):
             self._count_for_tenant(progress)
         if is_success and find(worker_answer.headers, names.SERVER_SEAL) is None:
             return Outcome.LOST  # no answer of the worker, which seals each success
         try:
-            if is_success and is_event_stream(worker_answer):
+            if _is_stream(worker_answer):
                 longest_pause_s = await relay_stream(
                     progress,
                     worker_answer,
@@ -392,6 +397,14 @@
         progress.trace.status = status
         return Outcome.SUCCEEDED
 
+    def _is_for_latest_send(self, progress: RequestProgress, worker_answer: WorkerAnswer) -> bool:
+        """Whether the answer of a worker that was sent the request before may be that to the latest send.
+
+        It may be a surplus answer to the earlier send. The events of a stream show what they belong to; and
+        that a stream that may be repeated was not run is no promise to rely on.
+        """
+        return _is_stream(worker_answer) or (progress.route.repeatable and _is_not_executed(worker_answer))
+
     def _record_first_event(self, progress: RequestProgress, choice: ChosenWorker) -> None:
         now_s = self._clock()
         self._selector.first_event(progress.profile, choice.instance, now_s)
@@ -455,5 +468,14 @@
     await answer.send_complete(edge_answer.status, edge_answer.headers(attempt_id), edge_answer.body())
 
 
+def _is_not_executed(worker_answer: WorkerAnswer) -> bool:
+    is_misdirected = worker_answer.status == HTTPStatus.MISDIRECTED_REQUEST
+    return is_misdirected or find(worker_answer.headers, names.NOT_EXECUTED) is not None
+
+
+def _is_stream(worker_answer: WorkerAnswer) -> bool:
+    return 200 <= worker_answer.status < 300 and is_event_stream(worker_answer)
+
+
 def _is_model_missing(choice: ChosenWorker | RefusedRequest) -> bool:
     return isinstance(choice, RefusedRequest) and choice.code == ResultCode.MODEL_LOADING
--- a/tests/system/test_answer_bytes.py
+++ b/tests/system/test_answer_bytes.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from arrowfold.dataplane.exchange import ClientRequest
 from arrowfold.dataplane.worker_connections import WorkerConnections
@@ -14,6 +16,7 @@
     ByteLoop,
     ByteScript,
     ByteWorker,
+    Content,
     Kind,
     Place,
     Reply,
@@ -33,6 +36,87 @@
 UNREPEATABLE = ("/pay/1", "/draft/1")
 STREAMS = ("/draft/1", "/talk/1")
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+HEAD_BYTES = 40  # less than the shortest head
+NAMED_HEAD_BYTES = 110  # of a surplus answer, up to and including its attempt id
+FRAGMENTS = (
+    b"\r\n",
+    b"0\r\n\r\n",
+    b"HTTP/1.1 200 ",
+    b"HTTP/1.1 200 OK\r\nX-Other: ",
+    b"HTTP/1.1 100 X\r\nA: ",
+    b"X: y\r\n",
+)
+
+noises = st.one_of(st.just(b""), st.just(b""), st.binary(max_size=40), st.sampled_from(FRAGMENTS))
+surpluses = st.builds(
+    Surplus,
+    place=st.sampled_from(Place),
+    content=st.sampled_from(Content),
+    stops_after=st.one_of(st.none(), st.integers(1, 90)),
+    pause_s=st.sampled_from([0.0005, 0.002, 0.01, 0.3]),
+    noise=noises,
+)
+whole_replies = st.builds(
+    Reply,
+    kind=st.sampled_from(Kind),
+    chunked=st.booleans(),
+    piece_bytes=st.sampled_from([0, 0, 1, 7, 40]),
+    surplus=st.one_of(st.none(), surpluses),
+    closes=st.sampled_from([False, False, False, True]),
+)
+head_cuts = st.builds(
+    Reply,
+    kind=st.sampled_from(Kind),
+    chunked=st.booleans(),
+    stops_after=st.integers(1, HEAD_BYTES),
+    piece_bytes=st.sampled_from([0, 0, 1, 7, 40]),
+    surplus=st.one_of(
+        st.none(),
+        st.builds(
+            Surplus,
+            place=st.sampled_from(Place),
+            content=st.sampled_from([Content.SUCCESS, Content.COPY]),
+            stops_after=st.one_of(st.none(), st.integers(1, 180)),
+        ),
+    ),
+    closes=st.booleans(),
+)
+# What follows a part of a body on its connection can be told from the rest of that body by nothing but the
+# head of an answer, so that head comes whole and in one piece.
+body_cuts = st.builds(
+    Reply,
+    kind=st.sampled_from(Kind),
+    chunked=st.booleans(),
+    stops_after=st.integers(1, 180),
+    surplus=st.one_of(
+        st.none(),
+        st.builds(
+            Surplus,
+            place=st.sampled_from(Place),
+            content=st.sampled_from([Content.SUCCESS, Content.COPY]),
+            stops_after=st.one_of(st.none(), st.integers(NAMED_HEAD_BYTES, 180)),
+        ),
+    ),
+    closes=st.booleans(),
+)
+exchanges = st.lists(
+    st.tuples(
+        st.sampled_from(PATHS),
+        st.lists(st.one_of(whole_replies, whole_replies, head_cuts, body_cuts), max_size=4),
+        st.sampled_from([0.0, 0.001, 0.05]),
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+# Guards against MIXED, TWICE, REFUSED and ORDER: bytes of another answer reach the parser of an answer.
+@settings(max_examples=150, deadline=None)
+@given(exchanges, st.integers(1, 2))
+def test_given_any_bytes_around_answers_then_a_client_gets_its_own_whole_answer_or_none(
+    scripted: list[tuple[str, list[Reply], float]], workers: int
+) -> None:
+    play(*scripted, workers=workers)
 
 
 def play(
@@ -122,6 +206,19 @@
     play((path, [Reply(surplus=surplus)], 0.0), (path, [Reply(Kind.FAILURE)], 0.1))
 
 
+# Guards against MIXED and REFUSED: a surplus answer on another connection passes for the answer to the next
+# send of the same try.
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("kind", [Kind.MISDIRECTION, Kind.REFUSAL, Kind.FAILURE])
+@pytest.mark.parametrize("content", [Content.SUCCESS, Content.COPY])
+def test_given_a_surplus_answer_on_another_connection_then_it_is_not_that_to_the_next_send(
+    path: str, kind: Kind, content: Content
+) -> None:
+    surplus = Surplus(Place.BEFORE_NEXT_ELSEWHERE, content)
+    play((path, [Reply(kind, surplus=surplus), Reply(Kind.FAILURE)], 0.0))
+    play((path, [Reply(kind, surplus=surplus), Reply(Kind.SUCCESS)], 0.0))
+
+
 # Guards against MIXED: an answer stops in its head or body, and the second answer to the same run follows.
 @pytest.mark.parametrize("path", PATHS)
 @pytest.mark.parametrize("kind", [Kind.SUCCESS, Kind.FAILURE])
