Know a surplus answer on another connection than its first by its id

Callers got a 502 for a request that may run once, where the second answer to another request came first on its connection: a foreign answer was passed over only if the same connection had carried its id. PROTOCOL.md: it comes "in the place where the next one is due; the id shows which it is". Cause: the ids were remembered by connection. Change: by instance, the latest 512. Test: the new one in test_answer_bytes fails before.

--- a/arrowfold/dataplane/connection_answer.py
+++ b/arrowfold/dataplane/connection_answer.py
@@ -50,7 +50,7 @@
 class ForeignAnswer:
     """An answer that came in the place of the awaited one, with another attempt id or without one.
 
-    `is_surplus`: its id is that of an earlier request on the same connection.
+    `is_surplus`: its id is that of another request to the same instance.
     """
 
     instance: str
--- a/arrowfold/dataplane/worker_connection.py
+++ b/arrowfold/dataplane/worker_connection.py
@@ -10,6 +10,7 @@
 
 DEFAULT_KEEP_ALIVE_S = 4.0  # maximum idle time for reuse, if the worker sends no Keep-Alive header
 MAX_RECENT_ATTEMPTS = 32  # whose ids a connection remembers
+MAX_RECENT_INSTANCE_ATTEMPTS = 512  # whose ids are remembered of all connections to an instance
 
 
 class WorkerConnection:
@@ -88,8 +89,9 @@
 class InstancePool:
     """The connections to one instance.
 
-    `answered_by_priority` holds, for each priority, when the latest answered request was sent and when the
-    first bytes of its answer's body were received.
+    `recent_attempts` are the ids of the latest requests written. `answered_by_priority` holds, for each
+    priority, when the latest answered request was sent and when the first bytes of its answer's body were
+    received.
     """
 
     address: str
@@ -97,6 +99,7 @@
     active: set[WorkerConnection] = field(default_factory=set)
     open_count: int = 0
     last_activity_s: float = 0.0  # when bytes of an answer were last received
+    recent_attempts: deque[str] = field(default_factory=lambda: deque(maxlen=MAX_RECENT_INSTANCE_ATTEMPTS))
     answered_by_priority: dict[int, tuple[float, float]] = field(default_factory=dict)
 
     def record_received(self, connection: WorkerConnection, now_s: float) -> None:
--- a/arrowfold/dataplane/worker_connections.py
+++ b/arrowfold/dataplane/worker_connections.py
@@ -90,6 +90,7 @@
         pool.active.add(connection)
         try:
             connection.write(request, self._loop.time())
+            pool.recent_attempts.append(request.attempt_id)
             answer = await self._read_answer(instance, pool, connection, request)
         except READ_ERRORS:
             self._close(pool, connection)
@@ -151,7 +152,7 @@
     async def _read_answer(
         self, instance: str, pool: InstancePool, connection: WorkerConnection, request: WorkerRequest
     ) -> ConnectionAnswer:
-        """Returns the answer to the request, after surplus answers to earlier requests of the connection.
+        """Returns the answer to the request, after surplus answers to other requests to the instance.
 
         Any other answer may be the request's own, spoiled; a second answer to it may follow, which may differ
         from the first. So nothing after it is read.
@@ -163,7 +164,7 @@
             if attempt_id == request.attempt_id:
                 pool.last_activity_s = connection.last_activity_s = self._loop.time()
                 return ConnectionAnswer(message, payload, connection, pool, self._release, reusable)
-            is_surplus = self._is_surplus(instance, connection, request, message)
+            is_surplus = self._is_surplus(instance, pool, connection, request, message)
             if not is_surplus or message.chunked:  # the parser takes trailers for headers of the next answer
                 break
             if not is_length_known(message):
@@ -177,13 +178,14 @@
     def _is_surplus(
         self,
         instance: str,
+        pool: InstancePool,
         connection: WorkerConnection,
         request: WorkerRequest,
         message: RawResponseMessage,
     ) -> bool:
-        """Whether a foreign answer is that to an earlier request of the connection; reports it."""
+        """Whether a foreign answer is that to another request to the instance; reports it."""
         attempt_id = find(message.raw_headers, names.ATTEMPT_ID)
-        is_surplus = connection.has_carried(attempt_id)
+        is_surplus = attempt_id in pool.recent_attempts
         self._on_foreign_answer(
             ForeignAnswer(
                 instance, connection.number, message.code, attempt_id, request.attempt_id, is_surplus
--- a/tests/system/test_answer_bytes.py
+++ b/tests/system/test_answer_bytes.py
@@ -219,6 +219,13 @@
     play((path, [Reply(kind, surplus=surplus), Reply(Kind.SUCCESS)], 0.0))
 
 
+# Guards against a lost request: a surplus answer on another connection than its first is known by its id.
+def test_given_a_whole_surplus_answer_on_another_connection_then_the_next_request_gets_its_own() -> None:
+    surplus = Surplus(Place.BEFORE_NEXT_ELSEWHERE)
+    _, received = play(("/pay/1", [Reply(surplus=surplus, closes=True)], 0.0), ("/pay/1", [], 0.1))
+    assert [(answer.status, answer.body) for answer in received] == [(200, b"attempt-1"), (200, b"attempt-2")]
+
+
 # Guards against MIXED: an answer stops in its head or body, and the second answer to the same run follows.
 @pytest.mark.parametrize("path", PATHS)
 @pytest.mark.parametrize("kind", [Kind.SUCCESS, Kind.FAILURE])
