Take no client's answer for that to an order or a report (CEILING)

Related path of the incident's cause: a worker's surplus answer to a client's request on the connection of an order passed for the answer to the order. Seen by a test only. Change: an answer with an attempt id, which an order and a report don't have, counts as none. Left: a surplus answer to an order on the connection of the next one, which nothing tells from its answer. Test: fails before (the order counts as a conflict).

--- a/arrowfold/controlplane/placement_executor.py
+++ b/arrowfold/controlplane/placement_executor.py
@@ -46,6 +46,7 @@
 MIN_WAIT_S = 0.005
 PAUSE_TO_STEP_RATIO = 3.0  # limits planning to a quarter of the processor time
 MAX_PAUSE_AFTER_STEP_S = 0.05
+ATTEMPT_ID_HEADER = "X-Attempt-Id"
 _ANSWER_BY_STATUS = {
     200: OrderAnswer.ALREADY,
     202: OrderAnswer.ACCEPTED,
@@ -247,6 +248,8 @@
                 headers={"X-Target-Instance": order.instance},
             ) as response:
                 await response.read()
+                if _is_for_request(response):
+                    return OrderAnswer.UNANSWERED
                 return _ANSWER_BY_STATUS.get(response.status, OrderAnswer.REFUSED)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return OrderAnswer.UNSENT
@@ -258,7 +261,7 @@
             async with self._sessions.reports.get(
                 f"http://{action.address}/report", headers={"X-Target-Instance": action.instance}
             ) as response:
-                if response.status != 200:
+                if response.status != 200 or _is_for_request(response):
                     return None
                 return parse_report(await response.json(content_type=None))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
@@ -276,6 +279,11 @@
         )
 
 
+def _is_for_request(response: aiohttp.ClientResponse) -> bool:
+    """Whether a worker's answer is one to a client's request, which alone have an attempt id."""
+    return ATTEMPT_ID_HEADER in response.headers
+
+
 def order_body(order: Order, lease: RoleLease) -> dict[str, str | int]:
     """Returns the JSON body of `POST /order`."""
     body: dict[str, str | int] = {"operation": order.operation.value, "model": order.model}
--- a/tests/system/test_placement_executor.py
+++ b/tests/system/test_placement_executor.py
@@ -426,6 +426,36 @@
     run_scenario(scenario)
 
 
+# Guards against CEILING: a client's surplus answer passes for the answer to an order, which then counts as
+# not begun, or for a report.
+def test_given_an_answer_to_a_clients_request_then_it_is_none_to_an_order_or_a_report() -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        report = b'{"models":[],"busy":false,"callSeq":0}'
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                await reader.readexactly(int(field_of(head, b"content-length") or b"0"))
+                status = b"409 Conflict" if head.startswith(b"POST") else b"200 OK"
+                named = b"HTTP/1.1 %s\r\nX-Attempt-Id: a1\r\nContent-Length: %d\r\n\r\n"
+                writer.write(named % (status, len(report)) + report)
+        writer.close()
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        worker_record = record(f"{host}:{port}")
+        sessions = open_worker_sessions()
+        clock = asyncio.get_running_loop().time
+        ports = Ports(worker_record, catalogue())
+        executor = PlacementExecutor(SERVICE, Lease(), ports, Bounds(), sessions, clock)
+        order = Order(worker_record.instance, worker_record.address, Operation.LOAD, "m1", "", 0)
+        assert await executor._read_report(ReadReport(order.instance, order.address)) is None
+        assert await executor._send_order(order) is OrderAnswer.UNANSWERED
+        await sessions.close()
+        server.close()
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize(("step_s", "expected_pause_s"), [(0.01, 0.03), (1.0, 0.05)])
 def test_long_steps_are_followed_by_a_pause(step_s: float, expected_pause_s: float) -> None:
     async def scenario() -> None:
