Node in service: read no head in which another answer begins

Related path of the incident's cause: a late refusal that stops in its head, and the answer to a job that ran goes on in it, so the job counts as never run and goes to a second server. Bytes on a resting connection and after an answer's end were looked for already. Change: a status line in a header's value or in the reason is a broken answer.

--- a/arrowfold/protocol/http.py
+++ b/arrowfold/protocol/http.py
@@ -17,6 +17,7 @@
 MAX_PIPELINED_BYTES = 256 * 1024  # pipelined bytes kept before an answer; anything beyond is discarded
 MAX_ANSWER_BYTES = 1024 * 1024  # bytes of one answer, including progress lines
 _FOLDED_LINE = re.compile(rb"\r?\n(?:[ \t]|(\r?\n))")  # or the blank line that ends the head, in group 1
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d +\d{3}")
 _SINGLE_HEADERS = ("host", "x-trace-id", "x-qos", "x-expires-in", "x-props", "x-customer", "x-region",
                    "x-tenant", "idempotency-key")  # must not be repeated
 
@@ -214,6 +215,8 @@
         while True:
             event = yield from self._next(until)
             if isinstance(event, h11.Response):
+                if _holds_second_head(event):
+                    raise StreamBroken("a head that holds the beginning of another answer")
                 return event.status_code, {n.decode(): v.decode("latin-1") for n, v in event.headers}
             if not isinstance(event, h11.InformationalResponse):
                 raise StreamBroken("the connection ended before an answer")
@@ -238,6 +241,12 @@
         return bytes(body)
 
 
+def _holds_second_head(response: h11.Response) -> bool:
+    """Whether an answer stopped in its head, and the next one went on in it."""
+    values = [value for _, value in response.headers]
+    return any(_STATUS_LINE.search(text) for text in (bytes(response.reason), *values))
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Parse `host:port`, an IPv4 address and a port number; ValueError if malformed."""
     host, _, port = text.rpartition(":")
