--- a/tests/system/byte_workers.py
+++ b/tests/system/byte_workers.py
@@ -15,8 +15,8 @@
 from typing import Any
 
 from tests.system.misbehaving_workers import MemoryLoop, RequestReader
+from tests.system.stuttering_workers import SECOND_BODY, RunRecord
 
-SECOND_BODY = b"ok"
 EVENTS = 3  # of a stream
 
 
@@ -75,15 +75,6 @@
 PLAIN = Reply()
 
 
-@dataclass(frozen=True)
-class RunRecord:
-    """The first answer to a run."""
-
-    attempt: str
-    status: int
-    body: bytes
-
-
 @dataclass(frozen=True)
 class DueBytes:
     """Bytes that come before the next answer of a connection, or of another one to the same worker."""
--- a/tests/system/edge_loopback.py
+++ b/tests/system/edge_loopback.py
@@ -282,11 +282,11 @@
     return b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\n" % (exchange.attempt_id, CHUNKED)
 
 
-def run_on_loopback(scenario: Callable[[], Awaitable[None]]) -> None:
+def run_on_loopback(scenario: Callable[[], Awaitable[None]], timeout_s: float = 10) -> None:
     """Run a scenario on uvloop, the event loop of the program, with a timeout."""
 
     async def bounded() -> None:
-        async with asyncio.timeout(10):
+        async with asyncio.timeout(timeout_s):
             await scenario()
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/tests/system/test_answer_bytes.py
+++ b/tests/system/test_answer_bytes.py
@@ -8,6 +8,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from hypothesis.strategies import SearchStrategy
 
 from arrowfold.dataplane.exchange import ClientRequest
 from arrowfold.dataplane.worker_connections import WorkerConnections
@@ -38,6 +39,7 @@
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 HEAD_BYTES = 40  # less than the shortest head
 NAMED_HEAD_BYTES = 110  # of a surplus answer, up to and including its attempt id
+MAX_CUT_BYTES = 180  # beyond the end of most answers
 FRAGMENTS = (
     b"\r\n",
     b"0\r\n\r\n",
@@ -56,49 +58,42 @@
     pause_s=st.sampled_from([0.0005, 0.002, 0.01, 0.3]),
     noise=noises,
 )
+piece_sizes = st.sampled_from([0, 0, 1, 7, 40])  # 0: in one piece
 whole_replies = st.builds(
     Reply,
     kind=st.sampled_from(Kind),
     chunked=st.booleans(),
-    piece_bytes=st.sampled_from([0, 0, 1, 7, 40]),
+    piece_bytes=piece_sizes,
     surplus=st.one_of(st.none(), surpluses),
     closes=st.sampled_from([False, False, False, True]),
 )
-head_cuts = st.builds(
-    Reply,
-    kind=st.sampled_from(Kind),
-    chunked=st.booleans(),
-    stops_after=st.integers(1, HEAD_BYTES),
-    piece_bytes=st.sampled_from([0, 0, 1, 7, 40]),
-    surplus=st.one_of(
-        st.none(),
-        st.builds(
-            Surplus,
-            place=st.sampled_from(Place),
-            content=st.sampled_from([Content.SUCCESS, Content.COPY]),
-            stops_after=st.one_of(st.none(), st.integers(1, 180)),
-        ),
-    ),
-    closes=st.booleans(),
-)
+
+
+def cut_replies(
+    stops_after: SearchStrategy[int], piece_bytes: SearchStrategy[int], least_surplus_bytes: int
+) -> SearchStrategy[Reply]:
+    """Returns replies whose first answer stops early, some with a surplus answer of so many bytes or more."""
+    surplus = st.builds(
+        Surplus,
+        place=st.sampled_from(Place),
+        content=st.sampled_from([Content.SUCCESS, Content.COPY]),
+        stops_after=st.one_of(st.none(), st.integers(least_surplus_bytes, MAX_CUT_BYTES)),
+    )
+    return st.builds(
+        Reply,
+        kind=st.sampled_from(Kind),
+        chunked=st.booleans(),
+        stops_after=stops_after,
+        piece_bytes=piece_bytes,
+        surplus=st.one_of(st.none(), surplus),
+        closes=st.booleans(),
+    )
+
+
+head_cuts = cut_replies(st.integers(1, HEAD_BYTES), piece_sizes, least_surplus_bytes=1)
 # What follows a part of a body on its connection can be told from the rest of that body by nothing but the
 # head of an answer, so that head comes whole and in one piece.
-body_cuts = st.builds(
-    Reply,
-    kind=st.sampled_from(Kind),
-    chunked=st.booleans(),
-    stops_after=st.integers(1, 180),
-    surplus=st.one_of(
-        st.none(),
-        st.builds(
-            Surplus,
-            place=st.sampled_from(Place),
-            content=st.sampled_from([Content.SUCCESS, Content.COPY]),
-            stops_after=st.one_of(st.none(), st.integers(NAMED_HEAD_BYTES, 180)),
-        ),
-    ),
-    closes=st.booleans(),
-)
+body_cuts = cut_replies(st.integers(1, MAX_CUT_BYTES), st.just(0), least_surplus_bytes=NAMED_HEAD_BYTES)
 exchanges = st.lists(
     st.tuples(
         st.sampled_from(PATHS),
--- a/tests/system/test_answer_framing.py
+++ b/tests/system/test_answer_framing.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from arrowfold.dataplane.answer_framing import AnswerFramer
 from arrowfold.dataplane.answer_heads import AnswerFault, InvalidAnswerError, check_head
+from arrowfold.dataplane.answer_protocol import AnswerProtocol
 from tests.system.byte_workers import encode_answer
 
 SEALED = b"X-Server-Seal: s1\r\n"
@@ -84,6 +87,23 @@
             framer.take(WHOLE[:stops_after] + WHOLE)
 
 
+# Guards against MIXED: after bytes that are no head, a second answer is read as the first.
+def test_given_an_invalid_head_then_no_answer_after_it_is_read() -> None:
+    async def scenario() -> None:
+        protocol = AnswerProtocol(asyncio.get_running_loop())
+        faults: list[AnswerFault] = []
+        protocol.on_invalid_answer = faults.append
+        protocol.set_response_params()
+        protocol.expect_answer()
+        protocol.data_received(b"HTTP/1.1 OK 200\r\n\r\n")
+        protocol.data_received(WHOLE)
+        with pytest.raises(InvalidAnswerError):
+            await protocol.read()
+        assert faults == [AnswerFault.MALFORMED_HEAD]
+
+    asyncio.run(scenario())
+
+
 @given(st.binary(min_size=1, max_size=50))
 def test_given_bytes_while_no_answer_is_expected_then_none_is_passed_on(noise: bytes) -> None:
     framer = AnswerFramer()
