Soak: second answers that stop in their head or come on another connection

Change: two more kinds of second answer, more of them (0.4 of the answers, `--doubled`), and twice as many failures.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -2,7 +2,7 @@
 
 Usage:
   soak [--first SEED] [--count N] [--edges N] [--clients N] [--workers N] [--series N] [--length N]
-       [--keep FOLDER] [--result FILE] [--checkout FOLDER]
+       [--doubled SHARE] [--keep FOLDER] [--result FILE] [--checkout FOLDER]
 
 Options:
   --first SEED   The first seed [default: 1].
@@ -12,6 +12,7 @@
   --workers N    Stand-in workers [default: 12].
   --series N     Series of faults side by side [default: 3].
   --length N     Faults of each series [default: 5].
+  --doubled SHARE  Share of the answers that are followed by a second one [default: 0.4].
   --keep FOLDER  Keep the logs of runs with faults there.
   --result FILE  Write the figures of all seeds as JSON.
   --checkout FOLDER  Run the programs of another checkout of this repository.
@@ -38,12 +39,13 @@
     options = docopt(__doc__)
     logging.getLogger("aiohttp").setLevel(logging.CRITICAL)  # simulated workers log disconnects
     sizes = {name: int(options[f"--{name}"]) for name in ("edges", "clients", "workers", "series", "length")}
+    doubled_share = float(options["--doubled"])
     first = int(options["--first"])
     checkout = Path(options["--checkout"]).resolve() if options["--checkout"] else None
     reports = []
     for seed in range(first, first + int(options["--count"])):
         with tempfile.TemporaryDirectory() as folder:
-            report = run_soak(Path(folder), SoakPlan(seed, **sizes), checkout)
+            report = run_soak(Path(folder), SoakPlan(seed, **sizes, doubled_share=doubled_share), checkout)
             if report.faults and options["--keep"]:
                 shutil.copytree(folder, Path(options["--keep"]) / f"seed-{seed}", dirs_exist_ok=True)
         reports.append(asdict(report))
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -18,7 +18,7 @@
 from benchmarks.soak.judge import RequestChecker
 from benchmarks.soak.operator import Operator
 from benchmarks.soak.stalls import StallMonitor
-from benchmarks.soak.workers import WorkerFleet
+from benchmarks.soak.workers import DEFAULT_DOUBLED_SHARE, WorkerFleet
 
 READY_TIMEOUT_S = 120.0  # many processes start at the same time
 CLIENT_END_S = 30.0
@@ -29,7 +29,8 @@
 class SoakPlan:
     """The size of a soak: `series` concurrent series of `length` faults each.
 
-    `checks_timing` also checks guarantees about durations, which a busy machine can violate.
+    `doubled_share`: of the answers that are followed by a second one. `checks_timing` also checks
+    guarantees about durations, which a busy machine can violate.
     """
 
     seed: int
@@ -38,6 +39,7 @@
     clients: int = 60
     series: int = 3
     length: int = 5
+    doubled_share: float = DEFAULT_DOUBLED_SHARE
     checks_timing: bool = True
 
 
@@ -78,7 +80,7 @@
         self._report = report
         self._rng = random.Random(plan.seed)
         self._requests: list[SentRequest] = []
-        self._workers = WorkerFleet(system, self._rng)
+        self._workers = WorkerFleet(system, self._rng, plan.doubled_share)
         self._stalls = StallMonitor()
 
     async def run(self) -> None:
--- a/benchmarks/soak/stuttering_worker.py
+++ b/benchmarks/soak/stuttering_worker.py
@@ -13,7 +13,6 @@
 from benchmarks.soak.answers import AnswerRecord, RunAnswer, is_request_body
 
 SECOND_BODY = b"ok"
-SECOND_SHARE = 0.25  # of the answers that are followed by a second one
 CLOSE_SHARE = 0.05  # of the answers that announce the end of their connection
 LATEST_SECOND_S = 0.3  # from the first to the second answer, unless this goes out with the next answer
 PIECE_BYTES = 11
@@ -45,7 +44,7 @@
 WEIGHTS = {
     Treatment.ANSWER: 66,
     Treatment.ANSWER_IN_PIECES: 6,
-    Treatment.FAIL: 6,
+    Treatment.FAIL: 12,
     Treatment.FAIL_UNNAMED: 3,
     Treatment.REFUSE: 4,
     Treatment.REFUSE_EARLY: 2,
@@ -64,6 +63,8 @@
     AT_ONCE = "at once"
     AFTER_PAUSE = "after a pause"
     IN_PLACE_OF_NEXT = "in place of the next"
+    STOPS_IN_HEAD = "stops in its head"  # after a pause
+    IN_PLACE_OF_NEXT_ELSEWHERE = "in place of the next elsewhere"  # on another connection to the worker
 
 
 @dataclass(slots=True)
@@ -103,13 +104,17 @@
         heartbeat_interval_s: float,
         rng: random.Random,
         answers: AnswerRecord,
+        doubled_share: float,
     ) -> None:
+        """`doubled_share`: of the answers that are followed by a second one."""
         super().__init__(profile, control_addresses, heartbeat_interval_s)
         self.doubled_answers = 0
+        self._doubled_share = doubled_share
         self._rng = rng
         self._answers = answers
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
+        self._due_elsewhere: list[tuple[WorkerConnection, bytes]] = []  # not on the connection named
 
     async def _listen(self, host: str) -> None:
         self._server = await asyncio.start_server(self._serve, host, 0)
@@ -216,19 +221,29 @@
         self, connection: WorkerConnection, first: bytes, second: bytes, unnamed: bytes = b""
     ) -> None:
         """Write an answer, sometimes followed by a second one."""
-        due, connection.due = connection.due, b""
-        when = self._rng.choice(list(SecondAnswer)) if self._rng.random() < SECOND_SHARE else None
+        due, connection.due = connection.due + self._take_due_elsewhere(connection), b""
+        when = self._rng.choice(list(SecondAnswer)) if self._rng.random() < self._doubled_share else None
         self.doubled_answers += when is not None
         if when is SecondAnswer.AT_ONCE:
             first += unnamed
         connection.writer.write(due + first)
         if when is SecondAnswer.IN_PLACE_OF_NEXT:
             connection.due = second
-        elif when is SecondAnswer.AFTER_PAUSE:
+        elif when is SecondAnswer.IN_PLACE_OF_NEXT_ELSEWHERE:
+            self._due_elsewhere.append((connection, second))
+        elif when in (SecondAnswer.AFTER_PAUSE, SecondAnswer.STOPS_IN_HEAD):
+            if when is SecondAnswer.STOPS_IN_HEAD:
+                second = second[: self._rng.randrange(1, second.index(b"\r\n\r\n"))]
             pause_s = self._rng.random() * LATEST_SECOND_S
             asyncio.get_running_loop().call_later(pause_s, connection.write_second, second)
         await connection.writer.drain()
 
+    def _take_due_elsewhere(self, connection: WorkerConnection) -> bytes:
+        """Returns, once, the second answers that are to go out on another connection than their first."""
+        taken = [item for item in self._due_elsewhere if item[0] is not connection]
+        self._due_elsewhere = [item for item in self._due_elsewhere if item[0] is connection]
+        return b"".join(answer for _, answer in taken)
+
     async def _write_in_pieces(self, connection: WorkerConnection, answer: bytes) -> None:
         data = connection.due + answer
         connection.due, connection.is_writing = b"", True
--- a/benchmarks/soak/workers.py
+++ b/benchmarks/soak/workers.py
@@ -20,6 +20,7 @@
 WORK_DURATIONS_S = (0.005, 0.05, 0.4)
 EVENT_PAUSES_S = (0.1, 0.6, 0.6)  # by turns; with 0.6 s, streams outlive a terminating edge's listener
 SLOTS = 16
+DEFAULT_DOUBLED_SHARE = 0.4
 SoakWorker = TroubledWorker | StutteringWorker
 
 
@@ -29,6 +30,7 @@
 
     system: LocalSystem
     rng: random.Random
+    doubled_share: float = DEFAULT_DOUBLED_SHARE  # of the answers that are followed by a second one
     active: list[SoakWorker] = field(default_factory=list)
     removed: list[SoakWorker] = field(default_factory=list)
     answers: AnswerRecord = field(default_factory=AnswerRecord)
@@ -57,7 +59,9 @@
         worker: SoakWorker = (
             TroubledWorker(profile, controls, HEARTBEAT_INTERVAL_S, rng, self.answers)
             if streams
-            else StutteringWorker(profile, controls, HEARTBEAT_INTERVAL_S, rng, self.answers)
+            else StutteringWorker(
+                profile, controls, HEARTBEAT_INTERVAL_S, rng, self.answers, self.doubled_share
+            )
         )
         await worker.start(self.system.worker_host)
         self.active.append(worker)
