Guards: those of a worker's answers, each with the test that needs it

Need: the checks of the incident's mend are guards; a guard that no test needs is none. Change: seven guards in the catalogue, and the tests of answers among those that a trial runs.

--- a/benchmarks/guards/catalogue.py
+++ b/benchmarks/guards/catalogue.py
@@ -566,6 +566,61 @@
             "return True",
         ),
     ),
+    *_guards(
+        Area.DATA_PLANE,
+        "dataplane/attempts.py",
+        (
+            "a worker gets a try once",
+            "return self.tried_instances | self.delivered_to",
+            "return self.tried_instances",
+        ),
+    ),
+    *_guards(
+        Area.DATA_PLANE,
+        "dataplane/forwarding.py",
+        (
+            "a second answer of a worker that was sent a try before is not believed",
+            "return _is_stream(worker_answer) or (progress",
+            "return True or (progress",
+        ),
+    ),
+    *_guards(
+        Area.DATA_PLANE,
+        "dataplane/answer_heads.py",
+        (
+            "a head has one status line",
+            "if _STATUS_LINE.search(head, 1) is not None:",
+            "if False:",
+        ),
+        (
+            "a head has each name once that decides whose answer it is",
+            "if any(counts[name] > 1 for name in _SINGLE):",
+            "if False:",
+        ),
+        (
+            "no answer begins in a body",
+            "if match is not None and match.start() < body_end:",
+            "if False:",
+        ),
+    ),
+    *_guards(
+        Area.DATA_PLANE,
+        "dataplane/answer_framing.py",
+        (
+            "what follows an answer is not passed on",
+            "        return taken if self._body_bytes_left == 0 else None",
+            "        return len(data) if self._body_bytes_left == 0 else None",
+        ),
+    ),
+    *_guards(
+        Area.DATA_PLANE,
+        "dataplane/answer_protocol.py",
+        (
+            "nothing is read after an invalid answer",
+            "        if self._is_invalid:",
+            "        if False:",
+        ),
+    ),
     *_guards(
         Area.DATA_PLANE,
         "dataplane/connection_answer.py",
--- a/benchmarks/guards/trial.py
+++ b/benchmarks/guards/trial.py
@@ -65,6 +65,9 @@
     Area.REGISTRY: ("tests/system/test_registry_workers.py", "tests/system/test_control_http.py"),
     Area.DATA_PLANE: (
         *(f"tests/system/test_edge_{name}.py" for name in _DATA_PLANE_TESTS),
+        "tests/system/test_answer_framing.py",
+        "tests/system/test_answer_bytes.py",
+        "tests/system/test_second_answers.py",
         "tests/system/test_connection_machine.py",
         "tests/system/test_control_distribution.py",
         "tests/system/test_control_planted.py",
